--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+LINT := bin/golangci-lint
+
+.PHONY: build check lint test generate demo bench soak
+
+build: ## build every program into bin/
+	go build -o bin/ ./cmd/...
+
+$(LINT):
+	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+lint: $(LINT) ## formatter and linter
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+test: build ## every test
+	go test -count=1 ./...
+
+check: test ## what the README calls the tests
+
+generate: ## regenerate internal/gen from proto/
+	go tool -modfile=tools/buf/go.mod buf lint
+	go tool -modfile=tools/buf/go.mod buf generate
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,139 @@
+// Package process is what every pomelosill process shares: its log, its
+// metrics, its listeners and its debug pages.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	promexporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// Limits of every listener.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// NewLogger returns a JSON log on standard error; level is debug, info, warn
+// or error.
+func NewLogger(level string) (*zap.Logger, error) {
+	lv, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsValue, err, "log_level")
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(lv)
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return cfg.Build()
+}
+
+// Prefixed returns a log whose messages all begin with "part: ".
+func Prefixed(log *zap.Logger, part string) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return &prefixCore{Core: c, prefix: part + ": "}
+	}))
+}
+
+type prefixCore struct {
+	zapcore.Core
+	prefix string
+}
+
+func (c *prefixCore) With(f []zapcore.Field) zapcore.Core {
+	return &prefixCore{Core: c.Core.With(f), prefix: c.prefix}
+}
+
+func (c *prefixCore) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return ce.AddCore(e, c)
+	}
+	return ce
+}
+
+func (c *prefixCore) Write(e zapcore.Entry, f []zapcore.Field) error {
+	e.Message = c.prefix + e.Message
+	return c.Core.Write(e, f)
+}
+
+// Debug serves /metrics, /healthz and /debug/state.
+type Debug struct {
+	// Meter makes the process's instruments.
+	Meter    metric.Meter
+	registry *prometheus.Registry
+}
+
+// NewDebug sets up metrics for a program.
+func NewDebug(program string) (*Debug, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := promexporter.New(promexporter.WithRegisterer(reg))
+	if err != nil {
+		return nil, err
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp))
+	return &Debug{Meter: provider.Meter(program), registry: reg}, nil
+}
+
+// Mount adds the debug pages to mux; state is dumped as JSON on each request.
+func (d *Debug) Mount(mux *http.ServeMux, state func() any) {
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, state())
+	})
+}
+
+// WriteJSON answers with v as JSON.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Listen binds a TCP address; its error has the code AddressInUse.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, result.Wrap(result.AddressInUse, err, addr)
+	}
+	return l, nil
+}
+
+// NewServer returns a server for HTTP/1 and unencrypted HTTP/2.
+func NewServer(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// NewStreamClient returns a client for connect streams over unencrypted
+// HTTP/2.
+func NewStreamClient() *http.Client {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{Protocols: &p}}
+}
--- /dev/null
+++ b/internal/result/code.go
@@ -0,0 +1,183 @@
+// Package result holds the numbered result codes that callers, operators and
+// the processes among themselves see. A number is never used again for
+// another meaning. docs/ERRORS.md is checked against this table by a test.
+package result
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+)
+
+// Code is a numbered result.
+type Code uint32
+
+// Effect tells what a code says about the work it answers for.
+type Effect string
+
+// The effects.
+const (
+	// EffectDone says that the work ran and its answer is whole.
+	EffectDone Effect = "done"
+	// EffectNotRun says that the work did not run.
+	EffectNotRun Effect = "not run"
+	// EffectMayHaveRun says that the work ran, runs, or may have run in part.
+	EffectMayHaveRun Effect = "may have run"
+	// EffectNone says that the code is not about work.
+	EffectNone Effect = "none"
+)
+
+// The codes. Hundreds group them: 0 success, 1xx refused before any start,
+// 2xx ended after a start, 3xx operators' commands, 4xx settings,
+// 5xx the platform's store, 6xx between the processes.
+const (
+	OK Code = 0
+
+	Malformed       Code = 101
+	BadSubmissionID Code = 102
+	TooLarge        Code = 103
+	UnknownTeam     Code = 104
+	OverQuota       Code = 105
+	QueueFull       Code = 106
+	DeadlinePassed  Code = 107
+	CannotRun       Code = 108
+	Cancelled       Code = 109
+	NoOwner         Code = 110
+	ShuttingDown    Code = 111
+	IDFromFuture    Code = 112
+	Unauthorized    Code = 113
+	Forbidden       Code = 114
+	NotFound        Code = 115
+	Overloaded      Code = 116
+
+	TaskFailed          Code = 201
+	OutcomeUnknown      Code = 202
+	DeadlineAfterStart  Code = 203
+	CancelledAfterStart Code = 204
+	AnswerExpired       Code = 205
+	IDConflict          Code = 206
+	EndpointUnreachable Code = 207
+
+	CommandRefused     Code = 301
+	CommandConflict    Code = 302
+	CommandUnconfirmed Code = 303
+	QuerySyntax        Code = 304
+	QueryField         Code = 305
+
+	SettingsUnreadable Code = 401
+	SettingsSyntax     Code = 402
+	SettingsField      Code = 403
+	SettingsValue      Code = 404
+	AddressInUse       Code = 405
+
+	StoreUnavailable  Code = 501
+	StoreConflict     Code = 502
+	StoreAnswerLost   Code = 503
+	StoreTooLarge     Code = 504
+	StoreLeaseExpired Code = 505
+	StoreCompacted    Code = 506
+	StoreNotFound     Code = 507
+
+	StaleGeneration Code = 601
+	StaleStamp      Code = 602
+	OutOfService    Code = 603
+	Leaving         Code = 604
+	AlreadyStarted  Code = 605
+	NoFreeSlot      Code = 606
+	NotOwner        Code = 607
+	Internal        Code = 699
+)
+
+// Info describes one code.
+type Info struct {
+	Code Code
+	// Name is the constant's name.
+	Name string
+	// Text is a short sentence for people.
+	Text string
+	// Effect tells what the code says about the work.
+	Effect Effect
+	// Retry tells whether the same submission id may be sent again with a
+	// chance of another answer.
+	Retry bool
+	// HTTP is the status that callers and operators see.
+	HTTP int
+}
+
+var table = []Info{
+	{OK, "OK", "Done.", EffectDone, false, http.StatusOK},
+	{Malformed, "Malformed", "The request could not be read.", EffectNotRun, false, http.StatusBadRequest},
+	{BadSubmissionID, "BadSubmissionID", "The submission id is not a time-ordered UUID (version 7).", EffectNotRun, false, http.StatusBadRequest},
+	{TooLarge, "TooLarge", "The request is larger than the limit.", EffectNotRun, false, http.StatusRequestEntityTooLarge},
+	{UnknownTeam, "UnknownTeam", "The team has no quota.", EffectNotRun, true, http.StatusForbidden},
+	{OverQuota, "OverQuota", "The team's quota is used up.", EffectNotRun, true, http.StatusTooManyRequests},
+	{QueueFull, "QueueFull", "The queue is full.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{DeadlinePassed, "DeadlinePassed", "The deadline passed before any task started.", EffectNotRun, false, http.StatusGatewayTimeout},
+	{CannotRun, "CannotRun", "No endpoint that the team may use could ever run the job.", EffectNotRun, false, http.StatusUnprocessableEntity},
+	{Cancelled, "Cancelled", "The job was cancelled before any task started.", EffectNotRun, false, http.StatusConflict},
+	{NoOwner, "NoOwner", "The job's cell has no owner that may start work now.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{ShuttingDown, "ShuttingDown", "The entry is shutting down.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{IDFromFuture, "IDFromFuture", "The submission id's time lies ahead of the entry's clock.", EffectNotRun, true, http.StatusBadRequest},
+	{Unauthorized, "Unauthorized", "The token is missing or unknown.", EffectNotRun, false, http.StatusUnauthorized},
+	{Forbidden, "Forbidden", "The token does not allow this.", EffectNotRun, false, http.StatusForbidden},
+	{NotFound, "NotFound", "Nothing is known under this name.", EffectNone, true, http.StatusNotFound},
+	{Overloaded, "Overloaded", "The job cannot be done before its deadline under the present load.", EffectNotRun, true, http.StatusServiceUnavailable},
+
+	{TaskFailed, "TaskFailed", "A task ran and failed.", EffectMayHaveRun, false, http.StatusBadGateway},
+	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown; nothing is started again.", EffectMayHaveRun, false, http.StatusBadGateway},
+	{DeadlineAfterStart, "DeadlineAfterStart", "The deadline passed after a task had started.", EffectMayHaveRun, false, http.StatusGatewayTimeout},
+	{CancelledAfterStart, "CancelledAfterStart", "The job was cancelled after a task had started.", EffectMayHaveRun, false, http.StatusConflict},
+	{AnswerExpired, "AnswerExpired", "The job has ended and its answer is no longer held.", EffectMayHaveRun, false, http.StatusGone},
+	{IDConflict, "IDConflict", "The submission id belongs to another job.", EffectMayHaveRun, false, http.StatusConflict},
+	{EndpointUnreachable, "EndpointUnreachable", "The endpoint refused the connection; the task did not start.", EffectNotRun, true, http.StatusBadGateway},
+
+	{CommandRefused, "CommandRefused", "The command was refused.", EffectNone, false, http.StatusUnprocessableEntity},
+	{CommandConflict, "CommandConflict", "Another command came first.", EffectNone, true, http.StatusConflict},
+	{CommandUnconfirmed, "CommandUnconfirmed", "It is not confirmed that the command is in force everywhere.", EffectNone, true, http.StatusAccepted},
+	{QuerySyntax, "QuerySyntax", "The query could not be parsed.", EffectNone, false, http.StatusBadRequest},
+	{QueryField, "QueryField", "The query names an unknown field or value.", EffectNone, false, http.StatusBadRequest},
+
+	{SettingsUnreadable, "SettingsUnreadable", "The settings file could not be read.", EffectNone, false, http.StatusBadRequest},
+	{SettingsSyntax, "SettingsSyntax", "The settings file is not JSON with comments.", EffectNone, false, http.StatusBadRequest},
+	{SettingsField, "SettingsField", "The settings file has an unknown field.", EffectNone, false, http.StatusBadRequest},
+	{SettingsValue, "SettingsValue", "A setting has a bad value.", EffectNone, false, http.StatusBadRequest},
+	{AddressInUse, "AddressInUse", "The address is in use or cannot be bound.", EffectNone, false, http.StatusInternalServerError},
+
+	{StoreUnavailable, "StoreUnavailable", "The store did not answer.", EffectNone, true, http.StatusServiceUnavailable},
+	{StoreConflict, "StoreConflict", "The store holds another revision.", EffectNone, true, http.StatusConflict},
+	{StoreAnswerLost, "StoreAnswerLost", "The store's answer was lost; the write may have taken effect.", EffectNone, true, http.StatusServiceUnavailable},
+	{StoreTooLarge, "StoreTooLarge", "The value is larger than the store takes.", EffectNone, false, http.StatusRequestEntityTooLarge},
+	{StoreLeaseExpired, "StoreLeaseExpired", "The lease has expired.", EffectNone, true, http.StatusGone},
+	{StoreCompacted, "StoreCompacted", "The store no longer holds the changes asked for.", EffectNone, true, http.StatusGone},
+	{StoreNotFound, "StoreNotFound", "The store has no such key.", EffectNone, false, http.StatusNotFound},
+
+	{StaleGeneration, "StaleGeneration", "The agent obeys a newer owner.", EffectNotRun, true, http.StatusConflict},
+	{StaleStamp, "StaleStamp", "The agent's last confirmation is too old to start work.", EffectNotRun, true, http.StatusConflict},
+	{OutOfService, "OutOfService", "The endpoint or its failure domain is out of service.", EffectNotRun, true, http.StatusConflict},
+	{Leaving, "Leaving", "The endpoint is leaving.", EffectNotRun, true, http.StatusConflict},
+	{AlreadyStarted, "AlreadyStarted", "The task has been started before.", EffectMayHaveRun, false, http.StatusConflict},
+	{NoFreeSlot, "NoFreeSlot", "The endpoint has no free slot.", EffectNotRun, true, http.StatusConflict},
+	{NotOwner, "NotOwner", "The entry does not own the cell.", EffectNotRun, true, http.StatusMisdirectedRequest},
+	{Internal, "Internal", "An internal check failed.", EffectMayHaveRun, false, http.StatusInternalServerError},
+}
+
+// Table returns every code in rising order.
+func Table() []Info { return slices.Clone(table) }
+
+// Describe returns the table's line for c, or the line of Internal with c's
+// number when c is not in the table.
+func Describe(c Code) Info {
+	i, ok := slices.BinarySearchFunc(table, c, func(in Info, c Code) int {
+		return int(in.Code) - int(c)
+	})
+	if !ok {
+		return Info{Code: c, Name: "Unknown", Text: "Unknown code.", Effect: EffectMayHaveRun, HTTP: http.StatusInternalServerError}
+	}
+	return table[i]
+}
+
+// NotRun tells whether c promises that the work did not run.
+func (c Code) NotRun() bool { return Describe(c).Effect == EffectNotRun }
+
+// String gives the number and the name.
+func (c Code) String() string { return fmt.Sprintf("%d %s", uint32(c), Describe(c).Name) }
