Add the HTTP adapter of the store

Cause: every process needs the platform's store behind the interface. Change: one POST per kind of call, the code in the body. A call that never got a connection surely had no effect (StoreUnavailable); a write that failed later may have taken effect (StoreAnswerLost). Calls are counted by kind. Conclusion: compiles; its contract test follows with the stand-in.

--- /dev/null
+++ b/internal/store/http.go
@@ -0,0 +1,177 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store/wire"
+)
+
+// maxResponseBytes bounds an answer; values travel in base64, and a watch may
+// bring several of them.
+const maxResponseBytes = 64 * MaxValueBytes
+
+// HTTP is the Store over JSON and HTTP, one POST per call. It is safe for use
+// by several goroutines. Timeouts come from the contexts.
+type HTTP struct {
+	base   string
+	client *http.Client
+	id     string
+	calls  Counter
+}
+
+var _ Store = (*HTTP)(nil)
+
+// Option changes an HTTP adapter when it is made.
+type Option func(*HTTP)
+
+// WithClientID sends id with each call, to tell the calling process.
+func WithClientID(id string) Option {
+	return func(h *HTTP) { h.id = id }
+}
+
+// NewHTTP returns an adapter to the store at baseURL, for instance
+// "http://10.0.0.1:7000". A nil client stands for one with its own
+// connections.
+func NewHTTP(baseURL string, client *http.Client, opts ...Option) *HTTP {
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{}}
+	}
+	h := &HTTP{base: baseURL, client: client}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
+}
+
+// Counts returns how many calls were made by kind, failed ones included.
+func (h *HTTP) Counts() Counts { return h.calls.Counts() }
+
+// Get implements Store.
+func (h *HTTP) Get(ctx context.Context, key string) (Entry, error) {
+	resp, err := h.call(ctx, wire.Get, wire.Request{Key: key})
+	if err != nil {
+		return Entry{}, err
+	}
+	if len(resp.Entries) != 1 {
+		return Entry{}, result.Errorf(result.StoreUnavailable, "get %s: the answer has %d entries", key, len(resp.Entries))
+	}
+	return Entry(resp.Entries[0]), nil
+}
+
+// CompareAndSwap implements Store.
+func (h *HTTP) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease LeaseID) (uint64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, result.Errorf(result.StoreTooLarge, "%s: %d bytes", key, len(value))
+	}
+	resp, err := h.call(ctx, wire.CompareAndSwap, wire.Request{Key: key, Expect: expect, Value: value, Lease: uint64(lease)})
+	if err != nil {
+		return 0, err
+	}
+	return resp.Revision, nil
+}
+
+// Delete implements Store.
+func (h *HTTP) Delete(ctx context.Context, key string, expect uint64) error {
+	_, err := h.call(ctx, wire.Delete, wire.Request{Key: key, Expect: expect})
+	return err
+}
+
+// Grant implements Store.
+func (h *HTTP) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	resp, err := h.call(ctx, wire.Grant, wire.Request{TTLMS: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	return LeaseID(resp.Lease), nil
+}
+
+// KeepAlive implements Store.
+func (h *HTTP) KeepAlive(ctx context.Context, lease LeaseID) error {
+	_, err := h.call(ctx, wire.KeepAlive, wire.Request{Lease: uint64(lease)})
+	return err
+}
+
+// Revoke implements Store.
+func (h *HTTP) Revoke(ctx context.Context, lease LeaseID) error {
+	_, err := h.call(ctx, wire.Revoke, wire.Request{Lease: uint64(lease)})
+	return err
+}
+
+// Watch implements Store.
+func (h *HTTP) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
+	resp, err := h.call(ctx, wire.Watch, wire.Request{Prefix: prefix, After: after, WaitMS: wait.Milliseconds()})
+	if err != nil {
+		return Changes{}, err
+	}
+	changes := Changes{Deleted: resp.Deleted, Revision: resp.Revision}
+	for _, e := range resp.Entries {
+		changes.Entries = append(changes.Entries, Entry(e))
+	}
+	return changes, nil
+}
+
+// call posts one request and returns its answer, or an error with a code.
+func (h *HTTP) call(ctx context.Context, k wire.Kind, body wire.Request) (wire.Response, error) {
+	h.calls.Add(k)
+	text, err := json.Marshal(body)
+	if err != nil {
+		return wire.Response{}, result.Wrap(result.StoreUnavailable, err, string(k))
+	}
+	// A request can only have left once it has a connection.
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, h.base+k.Path(), bytes.NewReader(text))
+	if err != nil {
+		return wire.Response{}, result.Wrap(result.StoreUnavailable, err, string(k))
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if h.id != "" {
+		req.Header.Set(wire.ClientHeader, h.id)
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return wire.Response{}, failure(k, sent.Load(), err)
+	}
+	return decode(k, resp)
+}
+
+// decode reads the answer; one that is not whole counts as lost.
+func decode(k wire.Kind, resp *http.Response) (wire.Response, error) {
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return wire.Response{}, failure(k, true, err)
+	}
+	// An answer without a code is not the store's, whatever its status.
+	answer := struct {
+		Code *result.Code `json:"code"`
+		wire.Response
+	}{}
+	if err := json.Unmarshal(text, &answer); err != nil {
+		return wire.Response{}, failure(k, true, err)
+	}
+	if answer.Code == nil {
+		return wire.Response{}, failure(k, true, result.Errorf(result.StoreUnavailable, "HTTP status %d without a code", resp.StatusCode))
+	}
+	answer.Response.Code = *answer.Code
+	if *answer.Code != result.OK {
+		return wire.Response{}, result.Errorf(*answer.Code, "%s: %s", k, answer.Detail)
+	}
+	return answer.Response, nil
+}
+
+// failure is the error of a call without an answer.
+func failure(k wire.Kind, sent bool, err error) *result.Error {
+	if sent && k.Write() {
+		return result.Wrap(result.StoreAnswerLost, err, string(k))
+	}
+	return result.Wrap(result.StoreUnavailable, err, string(k))
+}
