Add the stand-in platform and endpoint, and the store's contract test

Cause: tests and the demo need a store and endpoints with faults. Change: an in-memory store with compare-and-swap, leases, long-poll watches and faults per client and kind of call; an endpoint that records each start; the contract any adapter must pass, with the faults in tables.

--- /dev/null
+++ b/cmd/pomelosill-standin/main.go
@@ -0,0 +1,136 @@
+// Command pomelosill-standin stands in for the platform's store and for
+// endpoints, in tests and demos only.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+)
+
+// shutdownTimeout is how long requests in progress may take after SIGTERM.
+const shutdownTimeout = 10 * time.Second
+
+// endpointSpec is one line of the file that `endpoints` reads.
+type endpointSpec struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Slots  int    `json:"slots"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "pomelosill-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return command().Run(ctx, os.Args)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "pomelosill-standin",
+		Usage: "stand in for the platform's store and for endpoints, in tests and demos",
+		Commands: []*cli.Command{
+			platformCommand(),
+			endpointCommand(),
+			endpointsCommand(),
+		},
+	}
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve an empty key-value store; faults at /faults, counts at /calls",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "listen", Required: true, Usage: "`ADDRESS` as ip:port"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := platform.NewServer(time.Now)
+			return serve(ctx, c.String("listen"), s.Handler(), s.Close)
+		},
+	}
+}
+
+func endpointCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "endpoint",
+		Usage: "serve one endpoint; records at /starts, faults at /faults",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Required: true, Usage: "`ADDRESS` as ip:port"},
+			&cli.IntFlag{Name: "slots", Value: 8, Usage: "how many tasks may run at once"},
+			&cli.StringFlag{Name: "name", Required: true, Usage: "`NAME` in its answers"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serveEndpoint(ctx, endpointSpec{Name: c.String("name"), Listen: c.String("listen"), Slots: c.Int("slots")})
+		},
+	}
+}
+
+func endpointsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "endpoints",
+		Usage: "serve many endpoints in one process",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "file", Required: true, Usage: "`FILE` with a JSON list of {name, listen, slots}"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			text, err := os.ReadFile(c.String("file"))
+			if err != nil {
+				return err
+			}
+			var specs []endpointSpec
+			if err := json.Unmarshal(text, &specs); err != nil {
+				return fmt.Errorf("%s: %w", c.String("file"), err)
+			}
+			group, ctx := errgroup.WithContext(ctx)
+			for _, spec := range specs {
+				group.Go(func() error { return serveEndpoint(ctx, spec) })
+			}
+			return group.Wait()
+		},
+	}
+}
+
+func serveEndpoint(ctx context.Context, spec endpointSpec) error {
+	s := endpoint.NewServer(spec.Name, spec.Slots)
+	return serve(ctx, spec.Listen, s.Handler(), s.Close)
+}
+
+// serve serves h until ctx ends, then lets the requests in progress finish;
+// release ends those that wait on something other than time.
+func serve(ctx context.Context, addr string, h http.Handler, release func()) error {
+	listener, err := process.Listen(ctx, addr)
+	if err != nil {
+		return err
+	}
+	server := process.NewServer(h)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	release()
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(end); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,196 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+	"github.com/pomelosill/pomelosill/internal/store/wire"
+)
+
+const (
+	// expireEvery is how often leases are looked at.
+	expireEvery = 20 * time.Millisecond
+	// maxRequestBytes leaves room for a value in base64 that is too large.
+	maxRequestBytes = 4 * store.MaxValueBytes
+)
+
+// Server serves a Memory over HTTP.
+type Server struct {
+	memory  *Memory
+	faults  *faultTable
+	calls   store.Counter
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	expirer sync.WaitGroup
+}
+
+// Calls is the body of GET /calls.
+type Calls struct {
+	Calls store.Counts `json:"calls"`
+	// Seconds is how long the stand-in has run.
+	Seconds         float64 `json:"seconds"`
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+}
+
+// NewServer returns a server of an empty store; Close ends its goroutine.
+func NewServer(now Clock) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{memory: NewMemory(now), faults: newFaultTable(), started: time.Now(), ctx: ctx, cancel: cancel}
+	s.expirer.Go(s.expire)
+	return s
+}
+
+// Close lets every waiting watch return.
+func (s *Server) Close() {
+	s.cancel()
+	s.expirer.Wait()
+}
+
+// Handler serves the calls of the store, /faults and /calls.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, k := range wire.Kinds() {
+		mux.HandleFunc("POST "+k.Path(), func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, k) })
+	}
+	mux.HandleFunc("POST /faults", s.postFaults)
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		process.WriteJSON(w, http.StatusOK, s.faults.get())
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		process.WriteJSON(w, http.StatusOK, s.callRates())
+	})
+	return mux
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults ...Fault) { s.faults.set(Faults{Faults: faults}) }
+
+// Calls returns the counts by kind.
+func (s *Server) Calls() store.Counts { return s.calls.Counts() }
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, k wire.Kind) {
+	s.calls.Add(k)
+	client := r.Header.Get(wire.ClientHeader)
+	var req wire.Request
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req); err != nil {
+		answer(w, refuse(result.Malformed, err.Error()))
+		return
+	}
+	if _, ok := s.faults.hit(Unavailable, client, k); ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.outage(client, k)
+	if f, ok := s.faults.hit(Delay, client, k); ok {
+		s.sleep(f.delay())
+	}
+	resp := s.execute(r.Context(), client, k, req)
+	if _, ok := s.faults.hit(LoseAnswers, client, k); ok {
+		cut()
+	}
+	answer(w, resp)
+}
+
+// outage cuts the call when an outage hits it.
+func (s *Server) outage(client string, k wire.Kind) {
+	if _, ok := s.faults.hit(Outage, client, k); ok {
+		cut()
+	}
+}
+
+func (s *Server) execute(ctx context.Context, client string, k wire.Kind, req wire.Request) wire.Response {
+	if k != wire.Watch {
+		return s.memory.Apply(k, req)
+	}
+	return s.watch(ctx, client, req)
+}
+
+// watch waits for a change, and looks at the faults again when they change.
+func (s *Server) watch(ctx context.Context, client string, req wire.Request) wire.Response {
+	wait := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		faults := s.faults.next()
+		s.outage(client, wire.Watch)
+		resp, changed := s.memory.Changes(req.Prefix, req.After)
+		_, stale := s.faults.hit(StaleWatch, client, wire.Watch)
+		if stale && req.After != 0 {
+			resp, changed = wire.Response{Revision: req.After}, nil
+		}
+		if req.After == 0 || resp.Code != result.OK || len(resp.Entries)+len(resp.Deleted) > 0 {
+			return resp
+		}
+		select {
+		case <-changed:
+		case <-faults:
+		case <-wait.C:
+			return resp
+		case <-ctx.Done():
+			return resp
+		case <-s.ctx.Done():
+			return resp
+		}
+	}
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&f)
+	if err == nil {
+		err = f.validate()
+	}
+	if err != nil {
+		process.WriteJSON(w, http.StatusBadRequest, refuse(result.Malformed, err.Error()))
+		return
+	}
+	s.faults.set(f)
+	process.WriteJSON(w, http.StatusOK, s.faults.get())
+}
+
+func (s *Server) callRates() Calls {
+	c := s.calls.Counts()
+	seconds := time.Since(s.started).Seconds()
+	return Calls{
+		Calls:           c,
+		Seconds:         seconds,
+		WritesPerSecond: float64(c.Writes()) / seconds,
+		ReadsPerSecond:  float64(c.Reads()) / seconds,
+	}
+}
+
+func (s *Server) expire() {
+	tick := time.NewTicker(expireEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.memory.Expire()
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) sleep(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+}
+
+// cut closes the connection without an answer.
+func cut() { panic(http.ErrAbortHandler) }
+
+func answer(w http.ResponseWriter, resp wire.Response) {
+	process.WriteJSON(w, http.StatusOK, resp)
+}
--- /dev/null
+++ b/internal/standin/platform/server_test.go
@@ -0,0 +1,168 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+	"github.com/pomelosill/pomelosill/internal/store"
+	"github.com/pomelosill/pomelosill/internal/store/storetest"
+	"github.com/pomelosill/pomelosill/internal/store/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// injector drives the stand-in for the contract test.
+type injector struct {
+	*platform.Server
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (i *injector) clock() time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.now
+}
+
+func (i *injector) Advance(d time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.now = i.now.Add(d)
+}
+
+func (i *injector) set(on bool, f platform.Fault) {
+	if on {
+		i.SetFaults(f)
+		return
+	}
+	i.SetFaults()
+}
+
+func (i *injector) Outage(on bool)     { i.set(on, platform.Fault{Kind: platform.Outage}) }
+func (i *injector) StaleWatch(on bool) { i.set(on, platform.Fault{Kind: platform.StaleWatch}) }
+
+func (i *injector) Delay(d time.Duration) {
+	i.set(d > 0, platform.Fault{Kind: platform.Delay, DelayMS: d.Milliseconds()})
+}
+
+func (i *injector) LoseAnswers(n int) {
+	i.SetFaults(platform.Fault{Kind: platform.LoseAnswers, Count: n})
+}
+
+// start serves a new store and returns its address.
+func start(t *testing.T) (*injector, string) {
+	i := &injector{now: time.Unix(1_000_000, 0)}
+	i.Server = platform.NewServer(i.clock)
+	server := httptest.NewServer(i.Handler())
+	t.Cleanup(func() {
+		i.Close()
+		server.Close()
+	})
+	return i, server.URL
+}
+
+// dial returns an adapter that keeps no connections after the test.
+func dial(t *testing.T, url, id string) *store.HTTP {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return store.NewHTTP(url, &http.Client{Transport: transport}, store.WithClientID(id))
+}
+
+func TestContract(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) (store.Store, storetest.Faults) {
+		i, url := start(t)
+		return dial(t, url, "contract"), i
+	})
+}
+
+func TestRefusedConnectionHasNoEffect(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	s := dial(t, server.URL, "")
+	_, err := s.CompareAndSwap(t.Context(), "a", 0, nil, 0)
+	must.Eq(t, result.StoreUnavailable, result.CodeOf(err))
+}
+
+func TestAnswerWithoutCodeIsLost(t *testing.T) {
+	for _, body := range []string{"", "{}", `{"code":`, "<html>"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+		}))
+		s := dial(t, server.URL, "")
+		_, err := s.Grant(t.Context(), time.Second)
+		must.Eq(t, result.StoreAnswerLost, result.CodeOf(err), must.Sprint(body))
+		_, err = s.Get(t.Context(), "a")
+		must.Eq(t, result.StoreUnavailable, result.CodeOf(err), must.Sprint(body))
+		server.Close()
+	}
+}
+
+func TestFaultHitsNamedClientsAndCalls(t *testing.T) {
+	i, url := start(t)
+	a, b := dial(t, url, "a"), dial(t, url, "b")
+	i.SetFaults(
+		platform.Fault{Kind: platform.Outage, Clients: []string{"a"}, Calls: []wire.Kind{wire.Get}},
+		platform.Fault{Kind: platform.Unavailable, Clients: []string{"b"}, Count: 1},
+	)
+	_, err := a.Get(t.Context(), "k")
+	must.Eq(t, result.StoreUnavailable, result.CodeOf(err))
+	_, err = a.Grant(t.Context(), time.Second)
+	must.NoError(t, err)
+	_, err = b.Get(t.Context(), "k")
+	must.Eq(t, result.StoreUnavailable, result.CodeOf(err))
+	_, err = b.Get(t.Context(), "k")
+	must.Eq(t, result.StoreNotFound, result.CodeOf(err))
+	must.Eq(t, store.Counts{Get: 1, Grant: 1}, a.Counts())
+	must.Eq(t, store.Counts{Get: 3, Grant: 1}, i.Calls())
+}
+
+func TestPostedFaultsAreChecked(t *testing.T) {
+	_, url := start(t)
+	for body, status := range map[string]int{
+		`{"faults":[{"kind":"outage"}]}`: http.StatusOK,
+		`{"faults":[{"kind":"typo"}]}`:   http.StatusBadRequest,
+		`{"fault":[]}`:                   http.StatusBadRequest,
+	} {
+		resp, err := http.Post(url+"/faults", "application/json", strings.NewReader(body))
+		must.NoError(t, err)
+		_ = resp.Body.Close()
+		must.Eq(t, status, resp.StatusCode, must.Sprint(body))
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func TestWatchTooOldIsCompacted(t *testing.T) {
+	m := platform.NewMemory(time.Now)
+	first := m.Apply(wire.CompareAndSwap, wire.Request{Key: "first"})
+	for i := range 5000 {
+		key := strconv.Itoa(i)
+		made := m.Apply(wire.CompareAndSwap, wire.Request{Key: key})
+		m.Apply(wire.Delete, wire.Request{Key: key, Expect: made.Revision})
+	}
+	old, _ := m.Changes("", first.Revision)
+	must.Eq(t, result.StoreCompacted, old.Code)
+	ahead, _ := m.Changes("", 1<<40)
+	must.Eq(t, result.StoreCompacted, ahead.Code)
+}
+
+func TestCancelledCallsEnd(t *testing.T) {
+	_, url := start(t)
+	s := dial(t, url, "")
+	rev, err := s.CompareAndSwap(t.Context(), "a", 0, nil, 0)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = s.Watch(ctx, "a", rev, time.Hour)
+	must.Eq(t, result.StoreUnavailable, result.CodeOf(err))
+}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -140,12 +140,12 @@
 	if err != nil {
 		return wire.Response{}, failure(k, sent.Load(), err)
 	}
+	defer func() { _ = resp.Body.Close() }()
 	return decode(k, resp)
 }
 
 // decode reads the answer; one that is not whole counts as lost.
 func decode(k wire.Kind, resp *http.Response) (wire.Response, error) {
-	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return wire.Response{}, failure(k, true, err)
