Place and admit tasks of one cell: a first whole version

The next free slot goes to the team furthest below its weighted share, in it to the job with the fewest running tasks, ties to the oldest. Admission has quotas, a bound on waiting tasks, CannotRun and an early Overloaded from learned run times.

--- /dev/null
+++ b/internal/sched/admit.go
@@ -0,0 +1,112 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// Admit queues a job's waiting tasks and returns OK, or refuses the job with
+// DeadlinePassed, UnknownTeam, CannotRun, OverQuota, QueueFull or Overloaded
+// and keeps nothing of it. A key that is known is refused with IDConflict.
+// The Scheduler keeps j.Waiting.
+func (s *Scheduler) Admit(now time.Time, j Job) result.Code {
+	s.tick(now)
+	code := s.judge(j)
+	s.counts.count(code)
+	if code == result.OK {
+		s.queue(j)
+	}
+	return code
+}
+
+// judge decides whether a job is let in.
+func (s *Scheduler) judge(j Job) result.Code {
+	if !s.now.Before(j.Deadline) {
+		return result.DeadlinePassed
+	}
+	if s.jobs[j.Key] != nil {
+		return result.IDConflict
+	}
+	t := s.teams[j.Team]
+	if t == nil || !t.known {
+		return result.UnknownTeam
+	}
+	n := len(j.Waiting)
+	if !s.canEverRun(t, n) {
+		return result.CannotRun
+	}
+	if t.MaxQueued > 0 && t.waiting+n > t.MaxQueued {
+		return result.OverQuota
+	}
+	if s.waiting+n > s.cfg.MaxWaiting {
+		return result.QueueFull
+	}
+	if s.overloaded(t, j) {
+		return result.Overloaded
+	}
+	return result.OK
+}
+
+// canEverRun tells whether a job of n tasks fits into the bounds at all, and
+// whether an endpoint that the team may use is known. While no endpoint is
+// known none is ruled out.
+func (s *Scheduler) canEverRun(t *team, n int) bool {
+	if n > s.cfg.MaxWaiting || t.MaxQueued > 0 && n > t.MaxQueued {
+		return false
+	}
+	if len(s.endpoints) == 0 {
+		return true
+	}
+	for _, d := range s.domains {
+		if d.endpoints > 0 && t.allows(d.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// overloaded tells whether the work ahead of a job, with its own, is expected
+// to leave later than the share of the time to its deadline that is meant
+// for waiting.
+func (s *Scheduler) overloaded(t *team, j Job) bool {
+	slots := s.usableSlots(t)
+	if slots == 0 {
+		return false
+	}
+	ahead := t.work + time.Duration(len(j.Waiting))*s.expect(t, j.Declared)
+	left := float64(j.Deadline.Sub(s.now)) * s.cfg.Overload.DeadlineShare
+	return float64(ahead)/s.expectedSlots(t, slots) > left
+}
+
+// usableSlots returns the slots in service that a team may use.
+func (s *Scheduler) usableSlots(t *team) int {
+	if len(t.Domains) == 0 {
+		return s.usable
+	}
+	sum := 0
+	for _, d := range s.domains {
+		if t.allows(d.name) {
+			sum += d.usable
+		}
+	}
+	return sum
+}
+
+// expectedSlots returns how many of the slots a team can count on: its share
+// by weight, or what the other teams leave if that is more.
+func (s *Scheduler) expectedSlots(t *team, slots int) float64 {
+	weights := max(t.Weight, 1)
+	for _, other := range s.active {
+		if other != t {
+			weights += max(other.Weight, 1)
+		}
+	}
+	share := float64(slots) * float64(max(t.Weight, 1)) / float64(weights)
+	others := s.running + s.waiting - t.running - t.waiting
+	expected := max(share, float64(slots-others))
+	if t.MaxRunning > 0 {
+		expected = min(expected, float64(t.MaxRunning))
+	}
+	return max(expected, 1)
+}
--- /dev/null
+++ b/internal/sched/check.go
@@ -0,0 +1,180 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// failf notes the first broken invariant or wrong call; Check returns it.
+func (s *Scheduler) failf(format string, args ...any) {
+	if s.fault == nil {
+		s.fault = result.Errorf(result.Internal, format, args...)
+	}
+}
+
+// Check returns a *result.Error with code Internal when an invariant is, or
+// ever was, broken: each task is in one place, slots are neither lost nor
+// used twice, and the sums add up. It looks at everything once.
+func (s *Scheduler) Check() error {
+	if s.fault == nil {
+		s.checkJobs()
+		s.checkTeams()
+		s.checkEndpoints()
+		s.checkPlaces()
+	}
+	return s.fault
+}
+
+// tally counts anew what the Scheduler counts as it goes.
+type tally struct {
+	running, waiting, jobs int
+	work                   time.Duration
+}
+
+func (s *Scheduler) checkJobs() {
+	sum := tally{}
+	teams := map[*team]tally{}
+	endpoints := map[*endpoint]int{}
+	for _, j := range s.jobs {
+		s.checkJob(j)
+		t := teams[j.team]
+		t.jobs++
+		t.running += len(j.running)
+		t.waiting += len(j.waiting)
+		t.work += time.Duration(len(j.waiting)) * j.expected
+		teams[j.team] = t
+		sum.running += len(j.running)
+		sum.waiting += len(j.waiting)
+		for _, r := range j.running {
+			endpoints[r.endpoint]++
+		}
+	}
+	s.equal("running tasks", s.running, sum.running)
+	s.equal("waiting tasks", s.waiting, sum.waiting)
+	for _, t := range s.teams {
+		have := tally{running: t.running, waiting: t.waiting, jobs: t.jobs, work: t.work}
+		if have != teams[t] {
+			s.failf("team %s counts %+v, has %+v", t.Name, have, teams[t])
+		}
+	}
+	for e, n := range endpoints {
+		s.equal("tasks on "+e.Name, e.running, n)
+	}
+	for _, e := range s.endpoints {
+		s.equal("tasks on "+e.Name, e.running, endpoints[e])
+	}
+}
+
+// checkJob checks that each of a job's tasks is in one place, and that the
+// job is in the heaps if and only if it may start a task.
+func (s *Scheduler) checkJob(j *job) {
+	seen := map[int]bool{}
+	for _, index := range j.waiting {
+		if seen[index] {
+			s.failf("task %d of %x waits twice", index, j.key)
+		}
+		seen[index] = true
+	}
+	for _, r := range j.running {
+		if seen[r.index] {
+			s.failf("task %d of %x is in two places", r.index, j.key)
+		}
+		seen[r.index] = true
+	}
+	if len(seen) == 0 {
+		s.failf("job %x is kept without tasks", j.key)
+	}
+	ready := len(j.waiting) > 0 && !j.expired && !j.removed
+	if ready != (j.readyAt >= 0) || ready != (j.deadlineAt >= 0) {
+		s.failf("job %x: ready %t, places %d and %d", j.key, ready, j.readyAt, j.deadlineAt)
+	}
+}
+
+func (s *Scheduler) checkTeams() {
+	active := 0
+	for _, t := range s.teams {
+		if len(t.ready) > 0 {
+			active++
+			if s.active[t.activeAt] != t {
+				s.failf("team %s is not in its place", t.Name)
+			}
+		}
+		for i, j := range t.ready {
+			if j.readyAt != i || j.team != t {
+				s.failf("job %x is not in its place", j.key)
+			}
+		}
+	}
+	s.equal("active teams", len(s.active), active)
+}
+
+func (s *Scheduler) checkEndpoints() {
+	inService, usable, out := 0, 0, 0
+	domains := map[*domain]int{}
+	for _, e := range s.endpoints {
+		domains[e.domain]++
+		if e.domain.name != e.FailureDomain {
+			s.failf("endpoint %s is in domain %s", e.Name, e.domain.name)
+		}
+		if e.State != InService {
+			continue
+		}
+		inService += e.Slots
+		if e.health == healthy {
+			usable += e.Slots
+		} else {
+			out += e.Slots
+		}
+	}
+	s.equal("slots in service", s.inService, inService)
+	s.equal("usable slots", s.usable, usable)
+	s.equal("ejected slots", s.out, out)
+	sum := 0
+	for _, d := range s.domains {
+		sum += d.usable
+		s.equal("endpoints of "+d.name, d.endpoints, domains[d])
+	}
+	s.equal("usable slots of domains", sum, usable)
+}
+
+// checkPlaces checks that endpoints are in the heaps if and only if they have
+// room or a wake, as of the latest call.
+func (s *Scheduler) checkPlaces() {
+	for _, d := range s.domains {
+		for i, e := range d.room {
+			if e.roomAt != i || e.domain != d || e.removed || e.State != InService {
+				s.failf("endpoint %s has room out of place", e.Name)
+			}
+			if e.running >= e.Slots {
+				s.failf("endpoint %s has room without a free slot", e.Name)
+			}
+		}
+	}
+	for i, e := range s.wakes {
+		if e.wakeAt != i || e.wake.IsZero() {
+			s.failf("endpoint %s wakes out of place", e.Name)
+		}
+	}
+	for _, e := range s.endpoints {
+		allowed, _ := e.allowed(s.now, &s.cfg)
+		due := e.wakeAt >= 0 && !s.now.Before(e.wake)
+		if !due && (e.running < allowed) != (e.roomAt >= 0) {
+			s.failf("endpoint %s runs %d of %d, place %d", e.Name, e.running, allowed, e.roomAt)
+		}
+	}
+}
+
+func (s *Scheduler) equal(what string, have, want int) {
+	if have != want {
+		s.failf("%s: counted %d, are %d", what, have, want)
+	}
+}
+
+// String names the health for messages.
+func (h health) String() string {
+	return [...]string{"healthy", "ejected", "probing"}[h]
+}
+
+var _ fmt.Stringer = healthy
--- /dev/null
+++ b/internal/sched/property_test.go
@@ -0,0 +1,300 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// taskRef names a task in the tests' own books.
+type taskRef struct {
+	key   Key
+	index int
+}
+
+// book is a plain record of what a Scheduler should hold. It shares no code
+// with the Scheduler.
+type book struct {
+	t         *rapid.T
+	s         *Scheduler
+	now       time.Time
+	teams     map[string]Team
+	endpoints map[string]Endpoint
+	waiting   map[taskRef]bool
+	running   map[taskRef]string
+	deadline  map[Key]time.Time
+	team      map[Key]string
+	removed   map[Key]bool
+	next      int
+}
+
+var (
+	bookTeams     = []string{"a", "b", "c"}
+	bookDomains   = []string{"d1", "d2"}
+	bookEndpoints = []string{"e1", "e2", "e3", "e4"}
+)
+
+func newBook(t *rapid.T) *book {
+	cfg := DefaultConfig()
+	cfg.MaxWaiting = 60
+	cfg.Retry.Burst = 4
+	return &book{
+		t: t, s: New(cfg, rand.New(rand.NewPCG(1, 2))), now: time.Unix(1000, 0),
+		teams: map[string]Team{}, endpoints: map[string]Endpoint{},
+		waiting: map[taskRef]bool{}, running: map[taskRef]string{},
+		deadline: map[Key]time.Time{}, team: map[Key]string{}, removed: map[Key]bool{},
+	}
+}
+
+func (b *book) newJob() Job {
+	b.next++
+	key := Key{byte(b.next >> 8), byte(b.next)}
+	n := rapid.IntRange(1, 8).Draw(b.t, "tasks")
+	j := Job{
+		Key:      key,
+		Team:     rapid.SampledFrom(bookTeams).Draw(b.t, "team"),
+		Deadline: b.now.Add(time.Duration(rapid.IntRange(-1, 20).Draw(b.t, "deadline")) * time.Second),
+	}
+	for i := range n {
+		j.Waiting = append(j.Waiting, i)
+	}
+	return j
+}
+
+func (b *book) note(j Job) {
+	b.deadline[j.Key] = j.Deadline
+	b.team[j.Key] = j.Team
+	for _, i := range j.Waiting {
+		b.waiting[taskRef{j.Key, i}] = true
+	}
+}
+
+func (b *book) admit(t *rapid.T) {
+	j := b.newJob()
+	if b.s.Admit(b.now, j) == result.OK {
+		_, known := b.teams[j.Team]
+		must.True(t, known)
+		must.True(t, b.now.Before(j.Deadline))
+		b.note(j)
+		must.LessEq(t, 60, len(b.waiting))
+	}
+}
+
+func (b *book) restore(*rapid.T) {
+	j := b.newJob()
+	occupied := rapid.IntRange(0, len(j.Waiting)).Draw(b.t, "occupied")
+	for _, i := range j.Waiting[:occupied] {
+		name := rapid.SampledFrom(bookEndpoints).Draw(b.t, "endpoint")
+		b.s.Occupy(j.Key, i, name, j.Team)
+		b.running[taskRef{j.Key, i}] = name
+		b.team[j.Key] = j.Team
+	}
+	j.Waiting = j.Waiting[occupied:]
+	b.s.Restore(b.now, j)
+	b.note(j)
+}
+
+func (b *book) start(t *rapid.T) {
+	for {
+		a, ok := b.s.Next(b.now)
+		if !ok {
+			return
+		}
+		ref := taskRef{a.Key, a.Index}
+		must.True(t, b.waiting[ref])
+		must.True(t, b.now.Before(b.deadline[a.Key]))
+		e := b.endpoints[a.Endpoint]
+		must.Eq(t, InService, e.State)
+		team := b.teams[b.team[a.Key]]
+		must.True(t, len(team.Domains) == 0 || slices.Contains(team.Domains, e.FailureDomain))
+		delete(b.waiting, ref)
+		b.running[ref] = a.Endpoint
+		must.LessEq(t, e.Slots, b.runningWhere(func(_ taskRef, on string) bool { return on == a.Endpoint }))
+		if team.MaxRunning > 0 {
+			n := b.runningWhere(func(r taskRef, _ string) bool { return b.team[r.key] == team.Name })
+			must.LessEq(t, team.MaxRunning, n)
+		}
+	}
+}
+
+func (b *book) runningWhere(match func(taskRef, string) bool) int {
+	n := 0
+	for ref, on := range b.running {
+		if match(ref, on) {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *book) pickRunning() (taskRef, string, bool) {
+	if len(b.running) == 0 {
+		return taskRef{}, "", false
+	}
+	refs := slices.SortedFunc(maps.Keys(b.running), func(x, y taskRef) int {
+		return slices.Compare(append(x.key[:], byte(x.index)), append(y.key[:], byte(y.index)))
+	})
+	ref := rapid.SampledFrom(refs).Draw(b.t, "task")
+	return ref, b.running[ref], true
+}
+
+func (b *book) end(*rapid.T) {
+	ref, on, ok := b.pickRunning()
+	if !ok {
+		return
+	}
+	code := rapid.SampledFrom([]result.Code{
+		result.OK, result.OK, result.TaskFailed, result.OutcomeUnknown, result.DeadlineAfterStart, result.CancelledAfterStart,
+	}).Draw(b.t, "code")
+	run := time.Duration(rapid.IntRange(0, 3000).Draw(b.t, "run")) * time.Millisecond
+	b.s.Ended(b.now, ref.key, ref.index, on, Ending{Code: code, Run: run})
+	delete(b.running, ref)
+}
+
+func (b *book) notStarted(t *rapid.T) {
+	ref, on, ok := b.pickRunning()
+	if !ok {
+		return
+	}
+	code := rapid.SampledFrom([]result.Code{result.EndpointUnreachable, result.NoFreeSlot}).Draw(b.t, "code")
+	again := b.s.NotStarted(b.now, ref.key, ref.index, on, code)
+	delete(b.running, ref)
+	if again {
+		must.False(t, b.removed[ref.key])
+		b.waiting[ref] = true
+	}
+}
+
+func (b *book) remove(*rapid.T) {
+	if b.next == 0 {
+		return
+	}
+	n := rapid.IntRange(1, b.next).Draw(b.t, "job")
+	b.removeKey(Key{byte(n >> 8), byte(n)})
+}
+
+func (b *book) removeKey(key Key) {
+	want := 0
+	for ref := range b.waiting {
+		if ref.key == key {
+			want++
+		}
+	}
+	dropped := b.s.Remove(b.now, key)
+	must.Len(b.t, want, dropped)
+	for _, i := range dropped {
+		must.True(b.t, b.waiting[taskRef{key, i}])
+		delete(b.waiting, taskRef{key, i})
+	}
+	b.removed[key] = true
+}
+
+func (b *book) expire(t *rapid.T) {
+	for _, key := range b.s.Expired(b.now) {
+		must.False(t, b.now.Before(b.deadline[key]))
+		b.removeKey(key)
+	}
+	for ref := range b.waiting {
+		must.True(t, b.now.Before(b.deadline[ref.key]))
+	}
+}
+
+func (b *book) pass(*rapid.T) {
+	b.now = b.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(b.t, "pass")) * time.Millisecond)
+}
+
+func (b *book) setEndpoint(*rapid.T) {
+	e := Endpoint{
+		Name:          rapid.SampledFrom(bookEndpoints).Draw(b.t, "endpoint"),
+		FailureDomain: rapid.SampledFrom(bookDomains).Draw(b.t, "domain"),
+		Slots:         rapid.IntRange(0, 4).Draw(b.t, "slots"),
+		State:         rapid.SampledFrom([]EndpointState{InService, InService, Out, Leaving, Detached}).Draw(b.t, "state"),
+	}
+	b.s.SetEndpoint(b.now, e)
+	b.endpoints[e.Name] = e
+}
+
+func (b *book) removeEndpoint(*rapid.T) {
+	name := rapid.SampledFrom(bookEndpoints).Draw(b.t, "endpoint")
+	b.s.RemoveEndpoint(b.now, name)
+	b.endpoints[name] = Endpoint{State: Detached}
+}
+
+func (b *book) setTeams(*rapid.T) {
+	b.teams = map[string]Team{}
+	var teams []Team
+	for _, name := range bookTeams {
+		if rapid.IntRange(0, 4).Draw(b.t, "absent") == 0 {
+			continue
+		}
+		team := Team{
+			Name: name, Weight: rapid.IntRange(1, 3).Draw(b.t, "weight"),
+			MaxRunning: rapid.IntRange(0, 5).Draw(b.t, "max running"),
+			MaxQueued:  rapid.IntRange(0, 20).Draw(b.t, "max queued"),
+		}
+		if rapid.Bool().Draw(b.t, "bound to a domain") {
+			team.Domains = bookDomains[:1]
+		}
+		b.teams[name] = team
+		teams = append(teams, team)
+	}
+	b.s.SetTeams(b.now, teams)
+}
+
+func (b *book) check(t *rapid.T) {
+	must.NoError(t, b.s.Check())
+	stats := b.s.Stats()
+	must.Eq(t, len(b.waiting), stats.Waiting)
+	must.Eq(t, len(b.running), stats.Running)
+	running := map[string]int{}
+	for _, on := range b.running {
+		running[on]++
+	}
+	for _, e := range b.s.Endpoints(b.now) {
+		must.Eq(t, running[e.Name], e.Running)
+	}
+}
+
+func TestRandomCallsKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBook(t)
+		b.setTeams(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":                b.check,
+			"admit":           b.admit,
+			"admit more":      b.admit,
+			"restore":         b.restore,
+			"start":           b.start,
+			"start more":      b.start,
+			"end":             b.end,
+			"end more":        b.end,
+			"not started":     b.notStarted,
+			"remove":          b.remove,
+			"expire":          b.expire,
+			"pass":            b.pass,
+			"set endpoint":    b.setEndpoint,
+			"more endpoints":  b.setEndpoint,
+			"remove endpoint": b.removeEndpoint,
+			"set teams":       b.setTeams,
+		})
+	})
+}
+
+func ExampleScheduler() {
+	now := time.Unix(0, 0)
+	s := New(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	s.SetTeams(now, []Team{{Name: "desk", Weight: 1}})
+	s.SetEndpoint(now, Endpoint{Name: "comas-1", FailureDomain: "comas", Slots: 8})
+	code := s.Admit(now, Job{Key: Key{1}, Team: "desk", Waiting: []int{0}, Deadline: now.Add(time.Second)})
+	a, ok := s.Next(now)
+	fmt.Println(code, a.Endpoint, a.Index, ok)
+	// Output: 0 OK comas-1 0 true
+}
--- /dev/null
+++ b/internal/sched/team.go
@@ -0,0 +1,162 @@
+package sched
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// team is a team with its jobs.
+type team struct {
+	Team
+	// known is false for a team without a quota, whose jobs of before, or of
+	// a takeover, are still served.
+	known bool
+	// ready holds the jobs with waiting tasks that may start.
+	ready jobHeap
+	// activeAt is the place in Scheduler.active while ready is not empty.
+	activeAt int
+	running  int
+	waiting  int
+	// jobs counts the jobs that the Scheduler holds for the team.
+	jobs int
+	// work is the expected run time of the waiting tasks.
+	work time.Duration
+	// served is the Scheduler's count of assignments at the team's last one.
+	served   uint64
+	runs     runTimes
+	failures rate
+}
+
+// share returns the running tasks per weight.
+func (t *team) share() float64 { return float64(t.running) / float64(max(t.Weight, 1)) }
+
+// allows tells whether the team may use a failure domain.
+func (t *team) allows(domain string) bool {
+	return len(t.Domains) == 0 || slices.Contains(t.Domains, domain)
+}
+
+// atBound tells whether the team may run no more tasks now.
+func (t *team) atBound() bool { return t.MaxRunning > 0 && t.running >= t.MaxRunning }
+
+// before tells whether t gets the next slot rather than u.
+func (t *team) before(u *team) bool {
+	a, b := t.share(), u.share()
+	if a != b {
+		return a < b
+	}
+	return t.served < u.served
+}
+
+// job is a job with waiting or running tasks.
+type job struct {
+	key      Key
+	team     *team
+	seq      uint64
+	deadline time.Time
+	declared time.Duration
+	// expected is the run time of one task as learned when the job came.
+	expected time.Duration
+	waiting  []int
+	running  []runningTask
+	// readyAt and deadlineAt are the places in the team's and the
+	// Scheduler's heap, or -1.
+	readyAt    int
+	deadlineAt int
+	// expired is set once the job was handed out by Expired, or is due to.
+	expired bool
+	// removed is set by Remove; the job stays until its running tasks end.
+	removed bool
+}
+
+// runningTask is a task that holds a slot.
+type runningTask struct {
+	index    int
+	endpoint *endpoint
+}
+
+// find returns the place of a running task, or -1.
+func (j *job) find(index int, endpoint string) int {
+	for i := range j.running {
+		if j.running[i].index == index && j.running[i].endpoint.Name == endpoint {
+			return i
+		}
+	}
+	return -1
+}
+
+// take removes the running task at place i.
+func (j *job) take(i int) {
+	last := len(j.running) - 1
+	j.running[i] = j.running[last]
+	j.running = j.running[:last]
+}
+
+// jobHeap orders jobs by running tasks, then by age.
+type jobHeap []*job
+
+func (h jobHeap) Len() int { return len(h) }
+
+func (h jobHeap) Less(a, b int) bool {
+	if len(h[a].running) != len(h[b].running) {
+		return len(h[a].running) < len(h[b].running)
+	}
+	return h[a].seq < h[b].seq
+}
+
+func (h jobHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].readyAt = a
+	h[b].readyAt = b
+}
+
+// Push is for container/heap only.
+func (h *jobHeap) Push(x any) {
+	j := x.(*job)
+	j.readyAt = len(*h)
+	*h = append(*h, j)
+}
+
+// Pop is for container/heap only.
+func (h *jobHeap) Pop() any {
+	last := len(*h) - 1
+	j := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	j.readyAt = -1
+	return j
+}
+
+// deadlineHeap orders jobs by deadline.
+type deadlineHeap []*job
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(a, b int) bool { return h[a].deadline.Before(h[b].deadline) }
+
+func (h deadlineHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].deadlineAt = a
+	h[b].deadlineAt = b
+}
+
+// Push is for container/heap only.
+func (h *deadlineHeap) Push(x any) {
+	j := x.(*job)
+	j.deadlineAt = len(*h)
+	*h = append(*h, j)
+}
+
+// Pop is for container/heap only.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	j := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	j.deadlineAt = -1
+	return j
+}
+
+var (
+	_ heap.Interface = (*jobHeap)(nil)
+	_ heap.Interface = (*deadlineHeap)(nil)
+)
