--- /dev/null
+++ b/internal/cell/job.go
@@ -0,0 +1,263 @@
+package cell
+
+import (
+	"time"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// recordSweepInterval is how often records are looked through for old ids.
+const recordSweepInterval = 10 * time.Second
+
+type taskState int
+
+const (
+	waiting taskState = iota
+	running
+	ended
+)
+
+type taskKey struct {
+	job   sched.Key
+	index uint32
+}
+
+type task struct {
+	state       taskState
+	endpoint    string
+	incarnation string
+	payload     []byte
+	idempotent  bool
+	outcome     *pb.Outcome
+}
+
+// job is one submission at its owner.
+type job struct {
+	key      sched.Key
+	team     string
+	digest   uint64
+	admitted time.Time
+	deadline time.Time
+	tasks    []task
+	waiting  int
+	running  int
+	// stop is the code that the job fails with, OK while it goes on.
+	stop     result.Code
+	detail   string
+	repliers []Replier
+	// answer is the whole answer once the job has ended, nil again after the
+	// answer retention.
+	answer  *pb.Answer
+	isEnded bool
+	endedAt time.Time
+	code    result.Code
+}
+
+func newJob(key sched.Key, s *pb.Submission, now time.Time) *job {
+	j := &job{
+		key:      key,
+		team:     s.GetTeam(),
+		digest:   s.GetDigest(),
+		admitted: now,
+		deadline: now.Add(time.Duration(s.GetTimeoutNs())),
+		tasks:    make([]task, len(s.GetTasks())),
+		waiting:  len(s.GetTasks()),
+	}
+	for i, t := range s.GetTasks() {
+		j.tasks[i].payload = t.GetPayload()
+		j.tasks[i].idempotent = t.GetIdempotent()
+	}
+	return j
+}
+
+// forScheduler describes the job's waiting tasks.
+func (j *job) forScheduler(declared time.Duration) sched.Job {
+	s := sched.Job{Key: j.key, Team: j.team, Deadline: j.deadline, Declared: declared}
+	for i := range j.tasks {
+		if j.tasks[i].state == waiting {
+			s.Waiting = append(s.Waiting, i)
+		}
+	}
+	return s
+}
+
+// stopJob ends a job early: what waits never starts, what runs is awaited.
+func (c *Cell) stopJob(j *job, code result.Code, detail string, now time.Time) {
+	if j.stop != result.OK || j.isEnded {
+		return
+	}
+	j.stop = code
+	j.detail = detail
+	c.sched.Remove(now, j.key)
+	for i := range j.tasks {
+		if j.tasks[i].state == waiting {
+			c.endTask(j, i, &pb.Outcome{Code: uint32(result.Cancelled), Detail: "never started"})
+		}
+	}
+}
+
+// cancelRunning asks the agents to cancel what still runs.
+func (c *Cell) cancelRunning(j *job) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		e := c.endpoints[t.endpoint]
+		if t.state != running || e == nil || e.link == nil || e.incarnation != t.incarnation {
+			continue
+		}
+		c.counters.CancelsSent++
+		e.link.Cancel(&pb.TaskRef{Submission: j.key[:], Index: uint32(i)})
+	}
+}
+
+// endTask records the outcome of a task that waited or ran.
+func (c *Cell) endTask(j *job, index int, o *pb.Outcome) {
+	t := &j.tasks[index]
+	switch t.state {
+	case waiting:
+		j.waiting--
+	case running:
+		j.running--
+	case ended:
+		c.counters.InvariantFailures++
+		return
+	}
+	t.state = ended
+	t.outcome = o
+	t.payload = nil
+	o.Task = &pb.TaskRef{Submission: j.key[:], Index: uint32(index)}
+}
+
+// settle answers the job if nothing is left to wait for.
+func (c *Cell) settle(j *job, now time.Time) {
+	if j.isEnded || j.running > 0 || j.waiting > 0 {
+		return
+	}
+	a := c.plainAnswer(j.key[:], c.finalCode(j), j.detail)
+	for i := range j.tasks {
+		a.Outcomes = append(a.Outcomes, j.tasks[i].outcome)
+	}
+	j.answer = a
+	j.code = result.Code(a.Code)
+	j.isEnded = true
+	j.endedAt = now
+	delete(c.active, j.key)
+	c.ended = append(c.ended, j)
+	c.held = append(c.held, j)
+	c.countEnd(j.code)
+	c.reply(j, a)
+}
+
+func (c *Cell) countEnd(code result.Code) {
+	if code == result.OK {
+		c.counters.JobsDone++
+		return
+	}
+	c.counters.JobsFailed++
+	if code == result.OutcomeUnknown {
+		c.counters.OutcomeUnknown++
+	}
+}
+
+// finalCode never says "not run" of a job of which a task may have started.
+func (c *Cell) finalCode(j *job) result.Code {
+	if !j.stop.NotRun() || !j.anyStarted() {
+		return j.stop
+	}
+	switch j.stop {
+	case result.DeadlinePassed:
+		return result.DeadlineAfterStart
+	case result.Cancelled:
+		return result.CancelledAfterStart
+	}
+	return result.TaskFailed
+}
+
+func (c *Cell) plainAnswer(id []byte, code result.Code, detail string) *pb.Answer {
+	return &pb.Answer{
+		Id:         id,
+		Code:       uint32(code),
+		Detail:     detail,
+		Cell:       c.cfg.Number,
+		Generation: c.cfg.Generation,
+	}
+}
+
+func (c *Cell) reply(j *job, a *pb.Answer) {
+	for _, r := range j.repliers {
+		r(a)
+	}
+	j.repliers = nil
+}
+
+// passDeadlines stops the jobs whose deadline has passed, and gives up on
+// tasks that an agent has not answered for long after it.
+func (c *Cell) passDeadlines(now time.Time) {
+	for _, j := range c.active {
+		if now.Before(j.deadline) {
+			continue
+		}
+		c.stopJob(j, result.DeadlinePassed, "", now)
+		if now.After(j.deadline.Add(c.cfg.LostAfter)) {
+			c.giveUpRunning(j, now)
+		}
+		c.settle(j, now)
+	}
+}
+
+func (c *Cell) giveUpRunning(j *job, _ time.Time) {
+	for i := range j.tasks {
+		if j.tasks[i].state == running {
+			c.endTask(j, i, &pb.Outcome{Code: uint32(result.OutcomeUnknown), Detail: "no answer from the agent"})
+		}
+	}
+}
+
+// forget drops answers and then ids whose retention is over.
+func (c *Cell) forget(now time.Time) {
+	n := 0
+	for n < len(c.held) && now.Sub(c.held[n].endedAt) >= c.cfg.AnswerRetention {
+		c.held[n].answer = nil
+		c.held[n].tasks = nil
+		n++
+	}
+	c.held = c.held[n:]
+	n = 0
+	for n < len(c.ended) && now.Sub(c.ended[n].endedAt) >= c.idHorizon() {
+		delete(c.jobs, c.ended[n].key)
+		n++
+	}
+	c.ended = c.ended[n:]
+	c.forgetGaps(now)
+	c.forgetRecords(now)
+}
+
+// forgetRecords drops the records of ids that are too old to be submitted.
+func (c *Cell) forgetRecords(now time.Time) {
+	if now.Sub(c.recordsSweptAt) < recordSweepInterval {
+		return
+	}
+	c.recordsSweptAt = now
+	for key := range c.records {
+		if now.Sub(idTime(key)) > c.idHorizon() {
+			delete(c.records, key)
+		}
+	}
+}
+
+// idHorizon is how long after its end a job must be known so that a late
+// resubmission is refused by its id's time alone.
+func (c *Cell) idHorizon() time.Duration { return c.cfg.IDRetention + 2*c.cfg.ClockSkew }
+
+func (j *job) state() string {
+	switch {
+	case j.isEnded && j.code == result.OK:
+		return "done"
+	case j.isEnded:
+		return "failed"
+	case j.running > 0:
+		return "running"
+	}
+	return "waiting"
+}
--- /dev/null
+++ b/internal/cell/rows.go
@@ -0,0 +1,151 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+)
+
+// Jobs returns a row for each job that has not ended, and for the ended ones
+// whose answers are held.
+func (c *Cell) Jobs(now time.Time) []api.JobRow {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := make([]api.JobRow, 0, len(c.active)+len(c.held))
+	for _, j := range c.active {
+		rows = append(rows, c.jobRow(j, now))
+	}
+	for _, j := range c.held {
+		rows = append(rows, c.jobRow(j, now))
+	}
+	return rows
+}
+
+func (c *Cell) jobRow(j *job, now time.Time) api.JobRow {
+	row := api.JobRow{
+		ID:      uuid.UUID(j.key).String(),
+		Team:    j.team,
+		State:   j.state(),
+		Tasks:   len(j.tasks),
+		Waiting: j.waiting,
+		Running: j.running,
+		Done:    len(j.tasks) - j.waiting - j.running,
+		Code:    int(j.code),
+		AgeMS:   now.Sub(j.admitted).Milliseconds(),
+		LeftMS:  max(0, j.deadline.Sub(now).Milliseconds()),
+		Cell:    int(c.cfg.Number),
+		Owner:   c.cfg.Owner,
+	}
+	if j.isEnded {
+		row.RunMS = float64(j.endedAt.Sub(j.admitted).Microseconds()) / 1000
+	}
+	return row
+}
+
+// Endpoints returns a row for each endpoint that announced itself.
+func (c *Cell) Endpoints(now time.Time) []api.EndpointRow {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := make([]api.EndpointRow, 0, len(c.endpoints))
+	for _, st := range c.sched.Endpoints(now) {
+		e := c.endpoints[st.Name]
+		if e == nil {
+			continue
+		}
+		rows = append(rows, api.EndpointRow{
+			Name:          e.name,
+			FailureDomain: e.domain,
+			State:         st.State,
+			Slots:         e.slots,
+			Running:       st.Running,
+			Done:          st.Done,
+			Failed:        st.Failed,
+			Cell:          int(c.cfg.Number),
+			Revision:      e.revision,
+			RunMS:         float64(st.Run.Microseconds()) / 1000,
+		})
+	}
+	return rows
+}
+
+// TeamLoad is a team's load on one cell.
+type TeamLoad struct {
+	Team    string `json:"team"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+}
+
+// Teams returns the load of each team that has jobs here.
+func (c *Cell) Teams() []TeamLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	byTeam := map[string]*TeamLoad{}
+	for _, j := range c.active {
+		t := byTeam[j.team]
+		if t == nil {
+			t = &TeamLoad{Team: j.team}
+			byTeam[j.team] = t
+		}
+		t.Running += j.running
+		t.Waiting += j.waiting
+	}
+	loads := make([]TeamLoad, 0, len(byTeam))
+	for _, t := range byTeam {
+		loads = append(loads, *t)
+	}
+	return loads
+}
+
+// State is a cell's part of the state dump.
+type State struct {
+	Number       uint32    `json:"number"`
+	Generation   uint64    `json:"generation"`
+	Phase        string    `json:"phase"`
+	AcceptedAt   time.Time `json:"accepted_at"`
+	ServingSince time.Time `json:"serving_since"`
+	Active       int       `json:"active_jobs"`
+	Known        int       `json:"known_ids"`
+	AnswersHeld  int       `json:"answers_held"`
+	Pending      int       `json:"pending_submissions"`
+	Records      int       `json:"records"`
+	Members      Members   `json:"members"`
+	GapUntil     time.Time `json:"gap_until,omitzero"`
+	Counters     Counters  `json:"counters"`
+}
+
+// State returns what an operator may want to see.
+func (c *Cell) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return State{
+		Number:       c.cfg.Number,
+		Generation:   c.cfg.Generation,
+		Phase:        c.phase.String(),
+		AcceptedAt:   c.acceptedAt,
+		ServingSince: c.servingSince,
+		Active:       len(c.active),
+		Known:        len(c.jobs),
+		AnswersHeld:  len(c.held),
+		Pending:      len(c.pending),
+		Records:      len(c.records),
+		Members:      c.members.clone(),
+		GapUntil:     c.gapUntil(),
+		Counters:     c.counters,
+	}
+}
+
+// Unapplied names the attached agents that have not applied a control
+// revision yet.
+func (c *Cell) Unapplied(revision uint64) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for _, e := range c.endpoints {
+		if e.link != nil && e.revision < revision {
+			names = append(names, "agent "+e.name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/cell/submit.go
@@ -0,0 +1,142 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// Submit takes a submission. The reply gets exactly one answer, now or later.
+// An id that is known attaches to its job and starts nothing.
+func (c *Cell) Submit(s *pb.Submission, reply Replier, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.submit(s, reply, now)
+	c.dispatch(now)
+}
+
+func (c *Cell) submit(s *pb.Submission, reply Replier, now time.Time) {
+	refuse := func(code result.Code, detail string) {
+		c.counters.JobsRefused++
+		reply(c.plainAnswer(s.GetId(), code, detail))
+	}
+	if len(s.GetId()) != len(sched.Key{}) {
+		refuse(result.BadSubmissionID, "the id must have 16 bytes")
+		return
+	}
+	key := sched.Key(s.GetId())
+	switch c.phase {
+	case closed:
+		refuse(result.NotOwner, "")
+		return
+	case fencing:
+		c.hold(s, reply)
+		return
+	}
+	if j := c.jobs[key]; j != nil {
+		c.attachReply(j, s, reply)
+		return
+	}
+	if code, detail := c.checkUnknownID(key, now); code != result.OK {
+		refuse(code, detail)
+		return
+	}
+	c.admit(key, s, reply, now)
+}
+
+// hold keeps a submission until the cell serves.
+func (c *Cell) hold(s *pb.Submission, reply Replier) {
+	if len(c.pending) >= c.cfg.MaxPending {
+		reply(c.plainAnswer(s.GetId(), result.NoOwner, "too many submissions wait for the takeover"))
+		return
+	}
+	c.pending = append(c.pending, pendingSubmission{s, reply})
+}
+
+// attachReply lets a resubmission wait for, or get, the job's answer.
+func (c *Cell) attachReply(j *job, s *pb.Submission, reply Replier) {
+	c.counters.Resubmissions++
+	switch {
+	case j.digest != s.GetDigest():
+		reply(c.plainAnswer(s.GetId(), result.IDConflict, ""))
+	case !j.isEnded:
+		j.repliers = append(j.repliers, reply)
+	case j.answer != nil:
+		reply(j.answer)
+	default:
+		reply(c.plainAnswer(s.GetId(), result.AnswerExpired, fmt.Sprintf("the job ended with %s", j.code)))
+	}
+}
+
+// checkUnknownID decides by an unknown id's time whether its job may have
+// been started before without a record that reached this owner.
+func (c *Cell) checkUnknownID(key sched.Key, now time.Time) (result.Code, string) {
+	made := idTime(key)
+	if made.After(now.Add(c.cfg.ClockSkew)) {
+		return result.IDFromFuture, fmt.Sprintf("the id's time is %s ahead", made.Sub(now).Round(time.Millisecond))
+	}
+	if made.Before(now.Add(-c.cfg.IDRetention)) {
+		return result.OutcomeUnknown, "the id is older than ids are remembered"
+	}
+	if !made.After(c.gapUntil()) {
+		return result.OutcomeUnknown, "records of an earlier owner are missing"
+	}
+	return result.OK, ""
+}
+
+func (c *Cell) admit(key sched.Key, s *pb.Submission, reply Replier, now time.Time) {
+	j := newJob(key, s, now)
+	declared := longestDeclared(s)
+	if c.adoptRecords(j) {
+		c.sched.Restore(now, j.forScheduler(declared))
+	} else if code := c.sched.Admit(now, j.forScheduler(declared)); code != result.OK {
+		c.counters.JobsRefused++
+		reply(c.plainAnswer(s.GetId(), code, ""))
+		return
+	}
+	c.counters.JobsAdmitted++
+	c.jobs[key] = j
+	c.active[key] = j
+	j.repliers = append(j.repliers, reply)
+	c.failFromRecords(j, now)
+	c.settle(j, now)
+}
+
+func longestDeclared(s *pb.Submission) time.Duration {
+	longest := int64(0)
+	for _, t := range s.GetTasks() {
+		longest = max(longest, t.GetDeclaredRunNs())
+	}
+	return time.Duration(longest)
+}
+
+// Cancel stops a job: what waits never starts, what runs is cancelled at its
+// agent. It tells whether the job is known and had not ended.
+func (c *Cell) Cancel(key sched.Key, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.active[key]
+	if j == nil {
+		return false
+	}
+	c.stopJob(j, result.Cancelled, "", now)
+	c.cancelRunning(j)
+	c.settle(j, now)
+	c.dispatch(now)
+	return true
+}
+
+// Lookup gives the answer of a job that has ended, or attaches the reply to
+// one that has not. It is false for an unknown id.
+func (c *Cell) Lookup(key sched.Key) (state string, a *pb.Answer, team string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[key]
+	if j == nil {
+		return "", nil, ""
+	}
+	return j.state(), j.answer, j.team
+}
--- /dev/null
+++ b/internal/entry/backend.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/admin"
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// inForcePoll is how often a waiting command looks whether it is in force.
+const inForcePoll = 20 * time.Millisecond
+
+// Jobs returns the jobs of every owner.
+func (e *Entry) Jobs(ctx context.Context) ([]api.JobRow, error) {
+	rows, _, err := gather[api.JobRow](ctx, e, kindJobs, nil)
+	return rows, err
+}
+
+// Endpoints returns the endpoints of every owner.
+func (e *Entry) Endpoints(ctx context.Context) ([]api.EndpointRow, error) {
+	rows, _, err := gather[api.EndpointRow](ctx, e, kindEndpoints, nil)
+	return rows, err
+}
+
+// FailureDomains returns the domains that endpoints announced or that the
+// configuration names.
+func (e *Entry) FailureDomains(ctx context.Context) ([]api.FailureDomainRow, error) {
+	endpoints, err := e.Endpoints(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d := e.board.Doc()
+	byName := map[string]*api.FailureDomainRow{}
+	row := func(name string) *api.FailureDomainRow {
+		r := byName[name]
+		if r == nil {
+			r = &api.FailureDomainRow{Name: name, State: "in service"}
+			byName[name] = r
+		}
+		return r
+	}
+	for _, name := range e.settings.FailureDomains {
+		row(name)
+	}
+	for _, ep := range endpoints {
+		r := row(ep.FailureDomain)
+		r.Endpoints++
+		r.Slots += ep.Slots
+		r.Running += ep.Running
+	}
+	for _, name := range d.Config.DomainsOut {
+		row(name).State = "out"
+	}
+	var rows []api.FailureDomainRow
+	for _, r := range byName {
+		rows = append(rows, *r)
+	}
+	return rows, nil
+}
+
+// Entries returns the entries on the roster; one that does not answer is
+// shown as silent.
+func (e *Entry) Entries(ctx context.Context) ([]api.EntryRow, error) {
+	rows, silent, err := gather[api.EntryRow](ctx, e, kindEntries, nil)
+	for _, m := range silent {
+		rows = append(rows, api.EntryRow{ID: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, State: "silent"})
+	}
+	return rows, err
+}
+
+// Teams returns the quotas with the present load.
+func (e *Entry) Teams(ctx context.Context) ([]api.TeamRow, error) {
+	loads, _, err := gather[cell.TeamLoad](ctx, e, kindTeams, nil)
+	if err != nil {
+		return nil, err
+	}
+	var rows []api.TeamRow
+	for _, t := range e.board.Doc().Config.Teams {
+		row := api.TeamRow{Name: t.Name, Weight: t.Weight, MaxRunning: t.MaxRunning, MaxQueued: t.MaxQueued, Domains: t.Domains}
+		for _, l := range loads {
+			if l.Team == t.Name {
+				row.Running += l.Running
+				row.Waiting += l.Waiting
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// Changes returns the last changes of the configuration.
+func (e *Entry) Changes(context.Context) ([]api.ChangeRow, error) {
+	d := e.board.Doc()
+	if d == nil {
+		return nil, result.Errorf(result.StoreUnavailable, "this entry has no control document yet")
+	}
+	var rows []api.ChangeRow
+	for _, h := range d.History {
+		rows = append(rows, api.ChangeRow{Revision: h.Revision, Who: h.Who, What: h.What, At: h.At})
+	}
+	return rows, nil
+}
+
+// Apply makes an operator's edit and waits for it to be in force.
+func (e *Entry) Apply(ctx context.Context, edit control.Edit, wait time.Duration) (admin.Applied, error) {
+	if err := e.checkNames(ctx, edit); err != nil {
+		return admin.Applied{}, err
+	}
+	wctx, cancel := context.WithTimeout(ctx, max(wait, e.settings.StoreTimeout.Std()))
+	defer cancel()
+	next, err := e.writer.Write(wctx, func(d *control.Document, op string) (*control.Document, error) {
+		if edit.RemoveMember != "" {
+			return e.removeMember(d, edit, op)
+		}
+		return control.Edited(d, edit, op, time.Now())
+	})
+	if err != nil {
+		return admin.Applied{Revision: e.revision()}, err
+	}
+	if next != nil {
+		e.log.Info("configuration changed", zap.String("who", edit.Who), zap.String("what", edit.What), zap.Uint64("revision", next.Revision))
+	}
+	applied := admin.Applied{Revision: e.revision(), Changed: next != nil}
+	if next != nil {
+		applied.Revision = next.Revision
+	}
+	e.awaitInForce(ctx, &applied, wait)
+	return applied, nil
+}
+
+func (e *Entry) revision() uint64 {
+	if d := e.board.Doc(); d != nil {
+		return d.Revision
+	}
+	return 0
+}
+
+func (e *Entry) removeMember(d *control.Document, edit control.Edit, op string) (*control.Document, error) {
+	if !d.Rostered(edit.RemoveMember) {
+		return nil, result.Errorf(result.CommandRefused, "there is no entry %q on the roster", edit.RemoveMember)
+	}
+	return control.Remove(d, edit.RemoveMember, op, true, e.board.Acked(d.Revision))
+}
+
+// checkNames refuses names that no endpoint announced and no settings know,
+// so that a typing error is not accepted as a command. Returning something to
+// service is always allowed.
+func (e *Entry) checkNames(ctx context.Context, edit control.Edit) error {
+	switch {
+	case edit.Domain != nil && edit.Domain.Out:
+		rows, err := e.FailureDomains(ctx)
+		if err != nil {
+			return err
+		}
+		known := func(r api.FailureDomainRow) bool { return r.Name == edit.Domain.Name }
+		if !slices.ContainsFunc(rows, known) {
+			return result.Errorf(result.CommandRefused, "no failure domain %q is known", edit.Domain.Name)
+		}
+	case edit.Endpoint != nil && edit.Endpoint.Out:
+		rows, err := e.Endpoints(ctx)
+		if err != nil {
+			return err
+		}
+		known := func(r api.EndpointRow) bool { return r.Name == edit.Endpoint.Name }
+		if !slices.ContainsFunc(rows, known) {
+			return result.Errorf(result.CommandRefused, "no endpoint %q is known", edit.Endpoint.Name)
+		}
+	}
+	return nil
+}
+
+// awaitInForce waits until the revision is accepted, and until every entry
+// and agent has confirmed it, or wait is over.
+func (e *Entry) awaitInForce(ctx context.Context, a *admin.Applied, wait time.Duration) {
+	until := time.Now().Add(wait)
+	for {
+		d := e.board.Doc()
+		a.Accepted = control.Accepted(d, e.board.Acked(a.Revision))
+		a.Unconfirmed = e.unconfirmed(ctx, a.Revision)
+		a.InForce = a.Accepted && len(a.Unconfirmed) == 0
+		if a.InForce || !time.Now().Before(until) || ctx.Err() != nil {
+			return
+		}
+		pause(ctx, inForcePoll)
+	}
+}
+
+func (e *Entry) unconfirmed(ctx context.Context, revision uint64) []string {
+	names := e.board.Unacked(revision)
+	agents, silent, err := gather[string](ctx, e, kindUnapplied, nil)
+	if err != nil {
+		return append(names, "agents")
+	}
+	names = append(names, agents...)
+	for _, m := range silent {
+		if name := "entry " + m.ID; !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Cancel cancels jobs at their owners.
+func (e *Entry) Cancel(ctx context.Context, who string, ids []string) (int, error) {
+	n := 0
+	for _, text := range ids {
+		id, err := submissionID(text)
+		if err != nil {
+			return n, err
+		}
+		done, _, err := gather[bool](ctx, e, kindCancel, id[:])
+		if err != nil {
+			return n, err
+		}
+		if len(done) > 0 {
+			n++
+		}
+	}
+	e.log.Info("jobs cancelled", zap.String("who", who), zap.Int("jobs", n))
+	return n, nil
+}
+
+func uuidText(id []byte) string { return uuid.UUID(id).String() }
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// callers is the callers' HTTP API.
+func (e *Entry) callers() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", e.postJob)
+	mux.HandleFunc("GET /v1/jobs/{id}", e.getJob)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", e.deleteJob)
+	mux.HandleFunc("GET /ready", e.ready)
+	return mux
+}
+
+// ready tells the platform's balancer whether to send callers here.
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	d := e.board.Doc()
+	if d == nil || e.board.Leaving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) postJob(w http.ResponseWriter, r *http.Request) {
+	e.counters.jobsReceived.Add(1)
+	job, err := e.readJob(w, r)
+	if err != nil {
+		writeAnswer(w, refusal(job.ID, err))
+		return
+	}
+	s, err := e.submission(&job)
+	if err != nil {
+		writeAnswer(w, refusal(job.ID, err))
+		return
+	}
+	if e.board.Leaving() {
+		writeAnswer(w, refusal(job.ID, result.Errorf(result.ShuttingDown, "")))
+		return
+	}
+	e.open.Add(1)
+	defer e.open.Done()
+	select {
+	case a := <-e.relay.Submit(e.base, s):
+		e.counters.answersSent.Add(1)
+		writeAnswer(w, toAPI(job.ID, a))
+	case <-r.Context().Done():
+		// The caller has gone; the job goes on, and the same id gets its
+		// answer.
+	}
+}
+
+func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (api.Job, error) {
+	var job api.Job
+	body := http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes)
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&job)
+	var tooLarge *http.MaxBytesError
+	if asTooLarge(err, &tooLarge) {
+		return job, result.Errorf(result.TooLarge, "the body may have %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return job, result.Wrap(result.Malformed, err, "body")
+	}
+	return job, nil
+}
+
+// submission checks a job and turns it into the form that entries exchange.
+func (e *Entry) submission(job *api.Job) (*pb.Submission, error) {
+	id, err := submissionID(job.ID)
+	if err != nil {
+		return nil, err
+	}
+	if len(job.Tasks) == 0 || len(job.Tasks) > api.MaxTasks {
+		return nil, result.Errorf(result.Malformed, "a job has from 1 to %d tasks, not %d", api.MaxTasks, len(job.Tasks))
+	}
+	timeout := time.Duration(job.TimeoutMS) * time.Millisecond
+	if timeout <= 0 || timeout > e.maxTimeout(job.Team) {
+		return nil, result.Errorf(result.Malformed, "timeout_ms must be from 1 to %d", e.maxTimeout(job.Team).Milliseconds())
+	}
+	s := &pb.Submission{Id: id[:], Team: job.Team, TimeoutNs: int64(timeout)}
+	h := xxhash.New()
+	_, _ = h.WriteString(job.Team)
+	for _, t := range job.Tasks {
+		payload := []byte(t.Payload)
+		if len(payload) == 0 {
+			payload = []byte("null")
+		}
+		flag := byte(0)
+		if t.Idempotent {
+			flag = 1
+		}
+		_, _ = h.Write(payload)
+		_, _ = h.Write([]byte{0, flag})
+		s.Tasks = append(s.Tasks, &pb.Task{
+			Payload:       payload,
+			Idempotent:    t.Idempotent,
+			DeclaredRunNs: t.DeclaredRunMS * int64(time.Millisecond),
+		})
+	}
+	s.Digest = h.Sum64()
+	return s, nil
+}
+
+func (e *Entry) maxTimeout(team string) time.Duration {
+	limit := e.settings.MaxTimeout.Std()
+	d := e.board.Doc()
+	if d == nil {
+		return limit
+	}
+	t, ok := d.Config.Team(team)
+	if !ok || t.MaxTimeoutMS == 0 {
+		return limit
+	}
+	return min(limit, time.Duration(t.MaxTimeoutMS)*time.Millisecond)
+}
+
+func submissionID(text string) (sched.Key, error) {
+	id, err := uuid.Parse(text)
+	if err != nil || id.Version() != 7 {
+		return sched.Key{}, result.Errorf(result.BadSubmissionID, "%q", text)
+	}
+	return sched.Key(id), nil
+}
+
+func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
+	id, err := submissionID(r.PathValue("id"))
+	if err != nil {
+		writeAnswer(w, refusal(r.PathValue("id"), err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), inspectTimeout)
+	defer cancel()
+	a, err := e.lookup(ctx, id)
+	if err != nil {
+		writeAnswer(w, refusal(r.PathValue("id"), err))
+		return
+	}
+	process.WriteJSON(w, http.StatusOK, a)
+}
+
+func (e *Entry) deleteJob(w http.ResponseWriter, r *http.Request) {
+	id, err := submissionID(r.PathValue("id"))
+	if err != nil {
+		writeAnswer(w, refusal(r.PathValue("id"), err))
+		return
+	}
+	e.relay.Cancel(e.base, id)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func refusal(id string, err error) api.Answer {
+	code := result.CodeOf(err)
+	in := result.Describe(code)
+	a := api.Answer{ID: id, Code: code, Name: in.Name, Effect: in.Effect, Text: in.Text}
+	if re := asResult(err); re != nil {
+		a.Detail = re.Detail
+		if re.Err != nil {
+			a.Detail += ": " + re.Err.Error()
+		}
+	}
+	return a
+}
+
+func toAPI(id string, p *pb.Answer) api.Answer {
+	in := result.Describe(result.Code(p.GetCode()))
+	a := api.Answer{ID: id, Code: in.Code, Name: in.Name, Effect: in.Effect, Text: in.Text, Detail: p.GetDetail()}
+	for i, o := range p.GetOutcomes() {
+		code := result.Code(o.GetCode())
+		a.Tasks = append(a.Tasks, api.TaskAnswer{
+			Index:  i,
+			Code:   code,
+			Effect: result.Describe(code).Effect,
+			Body:   jsonBody(o.GetBody()),
+			RunMS:  float64(o.GetRunNs()) / float64(time.Millisecond),
+			Detail: o.GetDetail(),
+		})
+	}
+	return a
+}
+
+// jsonBody passes JSON on as it is, other text as a JSON string, and anything
+// else as an object with the bytes in base 64.
+func jsonBody(b []byte) json.RawMessage {
+	switch {
+	case len(b) == 0:
+		return nil
+	case json.Valid(b):
+		return b
+	case utf8.Valid(b):
+		text, _ := json.Marshal(string(b))
+		return text
+	}
+	text, _ := json.Marshal(struct {
+		Base64 []byte `json:"base64"`
+	}{b})
+	return text
+}
+
+func writeAnswer(w http.ResponseWriter, a api.Answer) {
+	process.WriteJSON(w, result.Describe(a.Code).HTTP, a)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,332 @@
+// Package entry is the entry's role: it takes callers' submissions, relays
+// them to the owners of their cells, owns cells itself, and serves agents,
+// other entries and operators. Controllers share a board and do not call each
+// other.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+// cellTick is how often cells look at the time.
+const cellTick = 20 * time.Millisecond
+
+var (
+	errNoHello    = errors.New("the first frame must be a hello")
+	errNoDocument = errors.New("this entry has no control document yet")
+)
+
+// Entry is one entry process.
+type Entry struct {
+	id       string
+	settings *Settings
+	log      *zap.Logger
+	debug    *process.Debug
+	client   *http.Client
+	board    *board
+	sync     *storeSync
+	writer   *writer
+	peers    *peers
+	members  *membership
+	agents   *agents
+	confirms *confirms
+	relay    *relay
+	counters *counters
+	store    *store.HTTP
+	// base outlives callers' requests and ends with the entry.
+	base context.Context
+	// open counts callers' requests in progress.
+	open      sync.WaitGroup
+	ownership *ownership
+	started   time.Time
+}
+
+// counters count messages by kind since the entry began.
+type counters struct {
+	jobsReceived   atomic.Int64
+	answersSent    atomic.Int64
+	relaysSent     atomic.Int64
+	relaysReceived atomic.Int64
+	lateAnswers    atomic.Int64
+	heartbeats     atomic.Int64
+	stamps         atomic.Int64
+}
+
+// New wires an entry; nothing runs before Run.
+func New(s *Settings, log *zap.Logger, debug *process.Debug) *Entry {
+	e := &Entry{
+		id:       uuid.NewString(),
+		settings: s,
+		log:      process.Prefixed(log, "entry"),
+		debug:    debug,
+		client:   process.NewStreamClient(),
+		counters: &counters{},
+		started:  time.Now(),
+	}
+	part := func(name string) *zap.Logger { return process.Prefixed(log, name) }
+	e.store = store.NewHTTP(s.Store, &http.Client{})
+	e.board = newBoard(e.id)
+	e.sync = &storeSync{
+		store: e.store, board: e.board, confirm: s.Confirm.Std(), timeout: s.StoreTimeout.Std(),
+		log: part("store"), now: make(chan struct{}, 1),
+	}
+	e.writer = &writer{store: e.store, board: e.board, sync: e.sync, timeout: s.StoreTimeout.Std()}
+	e.peers = newPeers(e.board, e.client, s.SuspectAfter.Std()/(missesUntilDead+1), s.Confirm.Std(), part("peers"))
+	e.members = &membership{
+		store: e.store, board: e.board, writer: e.writer, peers: e.peers, settings: s, log: part("membership"),
+		member: control.Member{ID: e.id, Address: s.Peer, FailureDomain: s.FailureDomain},
+	}
+	e.agents = &agents{
+		board: e.board, freshness: s.Freshness.Std(), log: part("agents"), counters: e.counters,
+		cells: func(n uint32) *cell.Cell { return e.ownership.Cell(n) }, links: map[string]*link{},
+	}
+	e.ownership = &ownership{
+		store: e.store, board: e.board, peers: e.peers, writer: e.writer, agents: e.agents,
+		settings: s, log: part("ownership"), cells: map[uint32]*ownedCell{},
+	}
+	e.confirms = newConfirms(e.board, e.peers.Soon, 2*s.Freshness.Std())
+	e.relay = newRelay(e.board, e.client, e.confirms, e.counters, part("relay"))
+	e.relay.cells = e.ownership.Cell
+	return e
+}
+
+// Run serves until ctx ends, then shuts down gracefully: it hands its cells
+// over, answers every caller's request in progress, and leaves the roster. Its
+// error has the code AddressInUse when an address cannot be bound.
+func (e *Entry) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.Background())
+	defer stop()
+	e.base = base
+	listeners, err := e.listen(ctx)
+	if err != nil {
+		return err
+	}
+	servers := e.servers()
+	failed := make(chan error, len(servers))
+	for i, s := range servers {
+		go func() { failed <- s.Serve(listeners[i]) }()
+	}
+	var running sync.WaitGroup
+	for _, run := range e.controllers() {
+		running.Go(func() { run(base) })
+	}
+	e.log.Info("serving", zap.String("id", e.id), zap.String("listen", e.settings.Listen),
+		zap.String("peer", e.settings.Peer), zap.String("admin", e.settings.Admin))
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		e.shutDown(servers)
+	}
+	stop()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	running.Wait()
+	return err
+}
+
+func (e *Entry) controllers() []func(context.Context) {
+	return []func(context.Context){
+		e.sync.runConfirm,
+		e.sync.runWatch,
+		e.peers.run,
+		e.members.run,
+		e.ownership.run,
+		e.confirms.run,
+		e.relay.run,
+		e.tickCells,
+		e.stopAgents,
+	}
+}
+
+func (e *Entry) listen(ctx context.Context) ([]net.Listener, error) {
+	var all []net.Listener
+	for _, addr := range []string{e.settings.Listen, e.settings.Peer, e.settings.Admin} {
+		l, err := process.Listen(ctx, addr)
+		if err != nil {
+			for _, open := range all {
+				_ = open.Close()
+			}
+			return nil, err
+		}
+		all = append(all, l)
+	}
+	return all, nil
+}
+
+// servers returns the callers', the peers' and the operators' server, in the
+// order of listen.
+func (e *Entry) servers() []*http.Server {
+	peer := http.NewServeMux()
+	peer.Handle(pomelosillv1connect.NewDispatchServiceHandler(e))
+	operators := http.NewServeMux()
+	operators.Handle("/v1/", e.operators())
+	e.debug.Mount(operators, func() any { return e.State() })
+	return []*http.Server{
+		process.NewServer(e.callers()),
+		process.NewServer(peer),
+		process.NewServer(operators),
+	}
+}
+
+func (e *Entry) tickCells(ctx context.Context) {
+	tick := time.NewTicker(cellTick)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			for _, c := range e.ownership.Cells() {
+				c.Tick(now)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stopAgents tells the agents of what went out of service as soon as the
+// document says so.
+func (e *Entry) stopAgents(ctx context.Context) {
+	revision := uint64(0)
+	for {
+		changed := e.board.Changed()
+		if d := e.board.Doc(); d != nil && d.Revision > revision {
+			revision = d.Revision
+			e.agents.PushStop(d)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// shutDown ends the entry without cutting a request in progress.
+func (e *Entry) shutDown(servers []*http.Server) {
+	e.log.Info("shutting down")
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout.Std())
+	defer cancel()
+	e.board.SetLeaving()
+	if err := e.ownership.HandOver(ctx); err != nil {
+		e.log.Warn("cells not handed over", zap.Error(err))
+		e.awaitIdle(ctx)
+	}
+	if err := servers[0].Shutdown(ctx); err != nil {
+		e.log.Warn("callers' requests cut", zap.Error(err))
+	}
+	_, err := e.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
+		if !d.Rostered(e.id) {
+			return nil, nil
+		}
+		return control.Remove(d, e.id, op, true, e.board.Acked(d.Revision))
+	})
+	if err != nil {
+		e.log.Warn("still on the roster", zap.Error(err))
+	}
+	e.log.Info("shut down")
+}
+
+// awaitIdle waits until the own cells have nothing in progress.
+func (e *Entry) awaitIdle(ctx context.Context) {
+	for ctx.Err() == nil {
+		idle := e.relay.InProgress() == 0
+		for _, c := range e.ownership.Cells() {
+			idle = idle && c.Idle()
+		}
+		if idle {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// State is the entry's state dump.
+type State struct {
+	ID            string            `json:"id"`
+	FailureDomain string            `json:"failure_domain"`
+	Uptime        string            `json:"uptime"`
+	Leaving       bool              `json:"leaving"`
+	BasisAgeMS    int64             `json:"basis_age_ms"`
+	Fresh         bool              `json:"fresh"`
+	Document      *control.Document `json:"document"`
+	Acks          map[string]uint64 `json:"acks"`
+	Cells         []cell.State      `json:"cells"`
+	InProgress    int               `json:"submissions_in_progress"`
+	Agents        []string          `json:"agents_attached"`
+	Counters      map[string]int64  `json:"counters"`
+	StoreCalls    any               `json:"store_calls"`
+}
+
+// State returns what the entry knows now.
+func (e *Entry) State() State {
+	now := time.Now()
+	age := now.Sub(e.board.Basis(now))
+	s := State{
+		ID:            e.id,
+		FailureDomain: e.settings.FailureDomain,
+		Uptime:        now.Sub(e.started).Round(time.Millisecond).String(),
+		Leaving:       e.board.Leaving(),
+		BasisAgeMS:    age.Milliseconds(),
+		Fresh:         age < e.settings.Freshness.Std(),
+		Document:      e.board.Doc(),
+		Acks:          e.board.Acks(),
+		InProgress:    e.relay.InProgress(),
+		Agents:        e.agents.Names(),
+		StoreCalls:    e.store.Counts(),
+	}
+	for _, c := range e.ownership.Cells() {
+		s.Cells = append(s.Cells, c.State())
+	}
+	s.Counters = e.countersNow(s.Cells)
+	return s
+}
+
+func (e *Entry) countersNow(cells []cell.State) map[string]int64 {
+	n := map[string]int64{
+		"jobs_received":       e.counters.jobsReceived.Load(),
+		"answers_sent":        e.counters.answersSent.Load(),
+		"relays_sent":         e.counters.relaysSent.Load(),
+		"relays_received":     e.counters.relaysReceived.Load(),
+		"late_answers":        e.counters.lateAnswers.Load(),
+		"heartbeats_received": e.counters.heartbeats.Load(),
+		"stamps_sent":         e.counters.stamps.Load(),
+	}
+	for _, c := range cells {
+		n["starts_sent"] += c.Counters.StartsSent
+		n["outcomes_received"] += c.Counters.OutcomesReceived
+		n["refusals_received"] += c.Counters.RefusalsReceived
+		n["duplicate_outcomes"] += c.Counters.DuplicateOutcomes
+		n["cancels_sent"] += c.Counters.CancelsSent
+		n["invariant_failures"] += c.Counters.InvariantFailures
+	}
+	return n
+}
+
+func asResult(err error) *result.Error {
+	var e *result.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return nil
+}
+
+func asTooLarge(err error, target **http.MaxBytesError) bool {
+	return errors.As(err, target)
+}
--- /dev/null
+++ b/internal/entry/inspect.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// inspectTimeout bounds the question to every entry for its rows.
+const inspectTimeout = 2 * time.Second
+
+// The kinds of rows that entries ask each other for.
+const (
+	kindJobs      = "jobs"
+	kindEndpoints = "endpoints"
+	kindEntries   = "entries"
+	kindTeams     = "teams"
+	kindAnswer    = "answer"
+	kindCancel    = "cancel"
+	kindUnapplied = "unapplied"
+)
+
+var errUnknownKind = errors.New("unknown kind of row")
+
+// Inspect gives what this entry itself holds.
+func (e *Entry) Inspect(_ context.Context, req *connect.Request[pb.InspectRequest]) (*connect.Response[pb.InspectResponse], error) {
+	rows, err := e.inspectHere(req.Msg.GetKind(), req.Msg.GetId())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	text, err := json.Marshal(rows)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&pb.InspectResponse{Rows: text}), nil
+}
+
+func (e *Entry) inspectHere(kind string, id []byte) (any, error) {
+	switch kind {
+	case kindJobs:
+		return eachCell(e, func(c *cell.Cell) []api.JobRow { return c.Jobs(time.Now()) }), nil
+	case kindEndpoints:
+		return eachCell(e, func(c *cell.Cell) []api.EndpointRow { return c.Endpoints(time.Now()) }), nil
+	case kindTeams:
+		return eachCell(e, (*cell.Cell).Teams), nil
+	case kindUnapplied:
+		d := e.board.Doc()
+		return eachCell(e, func(c *cell.Cell) []string { return c.Unapplied(d.Revision) }), nil
+	case kindEntries:
+		return []api.EntryRow{e.entryRow()}, nil
+	case kindAnswer:
+		return e.answerHere(id), nil
+	case kindCancel:
+		return e.cancelHere(id), nil
+	}
+	return nil, errUnknownKind
+}
+
+func eachCell[T any](e *Entry, rows func(*cell.Cell) []T) []T {
+	all := []T{}
+	for _, c := range e.ownership.Cells() {
+		all = append(all, rows(c)...)
+	}
+	return all
+}
+
+// jobAnswer is a job's state and, once it has ended, its answer.
+type jobAnswer struct {
+	Team   string      `json:"team"`
+	State  string      `json:"state"`
+	Answer *api.Answer `json:"answer,omitempty"`
+}
+
+func (e *Entry) answerHere(id []byte) []jobAnswer {
+	if len(id) != len(sched.Key{}) {
+		return nil
+	}
+	for _, c := range e.ownership.Cells() {
+		state, a, team := c.Lookup(sched.Key(id))
+		if state == "" {
+			continue
+		}
+		found := jobAnswer{Team: team, State: state}
+		if a != nil {
+			whole := toAPI(uuidText(id), a)
+			found.Answer = &whole
+		}
+		return []jobAnswer{found}
+	}
+	return nil
+}
+
+func (e *Entry) cancelHere(id []byte) []bool {
+	if len(id) != len(sched.Key{}) {
+		return nil
+	}
+	var done []bool
+	for _, c := range e.ownership.Cells() {
+		if c.Cancel(sched.Key(id), time.Now()) {
+			done = append(done, true)
+		}
+	}
+	return done
+}
+
+func (e *Entry) entryRow() api.EntryRow {
+	d := e.board.Doc()
+	row := api.EntryRow{ID: e.id, Address: e.settings.Peer, FailureDomain: e.settings.FailureDomain, State: "joining"}
+	if d == nil {
+		return row
+	}
+	now := time.Now()
+	age := now.Sub(e.board.Basis(now))
+	switch {
+	case e.board.Leaving():
+		row.State = "leaving"
+	case d.Rostered(e.id) && age < e.settings.Freshness.Std():
+		row.State = "fresh"
+	case d.Rostered(e.id):
+		row.State = "stale"
+	}
+	row.Revision = d.Revision
+	row.Cells = len(e.ownership.Cells())
+	row.FreshMS = age.Milliseconds()
+	return row
+}
+
+// gather asks every entry on the roster for rows and joins them. Entries that
+// don't answer are named.
+func gather[T any](ctx context.Context, e *Entry, kind string, id []byte) (rows []T, silent []control.Member, err error) {
+	d := e.board.Doc()
+	if d == nil {
+		return nil, nil, result.Errorf(result.StoreUnavailable, "this entry has no control document yet")
+	}
+	answers := make([][]T, len(d.Roster))
+	failed := make([]bool, len(d.Roster))
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	var g errgroup.Group
+	for i, m := range d.Roster {
+		g.Go(func() error {
+			var err error
+			answers[i], err = inspectMember[T](ctx, e, m, kind, id)
+			failed[i] = err != nil
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for i, m := range d.Roster {
+		rows = append(rows, answers[i]...)
+		if failed[i] {
+			silent = append(silent, m)
+		}
+	}
+	return rows, silent, nil
+}
+
+func inspectMember[T any](ctx context.Context, e *Entry, m control.Member, kind string, id []byte) ([]T, error) {
+	var text []byte
+	if m.ID == e.id {
+		rows, err := e.inspectHere(kind, id)
+		if err != nil {
+			return nil, err
+		}
+		if text, err = json.Marshal(rows); err != nil {
+			return nil, err
+		}
+	} else {
+		c := pomelosillv1connect.NewDispatchServiceClient(e.client, "http://"+m.Address)
+		res, err := c.Inspect(ctx, connect.NewRequest(&pb.InspectRequest{Kind: kind, Id: id}))
+		if err != nil {
+			return nil, err
+		}
+		text = res.Msg.GetRows()
+	}
+	var rows []T
+	if err := json.Unmarshal(text, &rows); err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+// lookup finds a job at its owner.
+func (e *Entry) lookup(ctx context.Context, id sched.Key) (*jobAnswer, error) {
+	found, silent, err := gather[jobAnswer](ctx, e, kindAnswer, id[:])
+	if err != nil {
+		return nil, err
+	}
+	if len(found) > 0 {
+		return &found[0], nil
+	}
+	if len(silent) > 0 {
+		return nil, result.Errorf(result.NoOwner, "entry %s did not answer", silent[0].ID)
+	}
+	return nil, result.Errorf(result.NotFound, "no owner knows this id")
+}
--- /dev/null
+++ b/internal/entry/membership.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+// leasePrefix is the prefix of the keys that entries hold under a lease.
+const leasePrefix = "pomelosill/alive/"
+
+// membership puts the entry on the roster, keeps its lease in the store, and
+// takes members off whose lease has lapsed.
+type membership struct {
+	store    store.Store
+	board    *board
+	writer   *writer
+	peers    *peers
+	member   control.Member
+	settings *Settings
+	log      *zap.Logger
+}
+
+func (m *membership) run(ctx context.Context) {
+	tick := time.NewTicker(m.settings.Confirm.Std())
+	defer tick.Stop()
+	lease := store.LeaseID(0)
+	for {
+		lease = m.keepLease(ctx, lease)
+		if lease != 0 {
+			m.join(ctx)
+			m.lookAtLeases(ctx)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			m.revoke(lease)
+			return
+		}
+	}
+}
+
+func (m *membership) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, m.settings.StoreTimeout.Std())
+}
+
+// keepLease renews the lease, or makes a new one; zero means that there is
+// none now.
+func (m *membership) keepLease(ctx context.Context, lease store.LeaseID) store.LeaseID {
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	if lease != 0 {
+		err := m.store.KeepAlive(ctx, lease)
+		if result.CodeOf(err) != result.StoreLeaseExpired {
+			return lease
+		}
+	}
+	lease, err := m.store.Grant(ctx, m.settings.LeaseTTL.Std())
+	if err != nil {
+		return 0
+	}
+	_, err = m.store.CompareAndSwap(ctx, leasePrefix+m.member.ID, 0, []byte(m.member.Address), lease)
+	if code := result.CodeOf(err); code != result.OK && code != result.StoreAnswerLost {
+		return 0
+	}
+	return lease
+}
+
+func (m *membership) revoke(lease store.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := m.call(context.Background())
+	defer cancel()
+	_ = m.store.Revoke(ctx, lease)
+}
+
+// join puts the entry on the roster if it is not there.
+func (m *membership) join(ctx context.Context) {
+	d := m.board.Doc()
+	if m.board.Leaving() || (d != nil && d.Rostered(m.member.ID)) {
+		return
+	}
+	if d == nil {
+		m.found(ctx)
+		return
+	}
+	if len(d.PreviousRoster) > 0 {
+		m.peers.Soon()
+	}
+	_, err := m.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
+		if d.Rostered(m.member.ID) {
+			return nil, nil
+		}
+		return control.Join(d, m.member, op, m.board.Acked(d.Revision))
+	})
+	if err != nil {
+		m.log.Warn("not on the roster yet", zap.Error(err))
+		return
+	}
+	m.log.Info("joined the roster")
+}
+
+// found writes the first document of all.
+func (m *membership) found(ctx context.Context) {
+	if err := m.writer.sync.read(ctx); err != nil || m.board.Doc() != nil {
+		return
+	}
+	d := control.New(m.member, m.settings.Cells, m.member.ID)
+	for _, t := range m.settings.DefaultTeams {
+		d.Config.Teams = append(d.Config.Teams, control.Team{
+			Name: t.Name, Weight: t.Weight, MaxRunning: t.MaxRunning, MaxQueued: t.MaxQueued,
+		})
+	}
+	value, err := json.Marshal(d)
+	if err != nil {
+		return
+	}
+	ctx, cancel := m.call(ctx)
+	defer cancel()
+	if _, err := m.store.CompareAndSwap(ctx, control.DocumentKey, 0, value, 0); err == nil {
+		m.log.Info("wrote the first control document", zap.Int("cells", m.settings.Cells))
+	}
+	m.writer.sync.Soon()
+}
+
+// lookAtLeases reads who holds a lease, and takes one member off the roster
+// that neither holds one nor answers.
+func (m *membership) lookAtLeases(ctx context.Context) {
+	cctx, cancel := m.call(ctx)
+	defer cancel()
+	ch, err := m.store.Watch(cctx, leasePrefix, 0, 0)
+	if err != nil {
+		return
+	}
+	alive := map[string]bool{}
+	for _, e := range ch.Entries {
+		alive[strings.TrimPrefix(e.Key, leasePrefix)] = true
+	}
+	m.board.SetLeases(alive)
+	d := m.board.Doc()
+	if d == nil || !d.Rostered(m.member.ID) || !m.removesDead(d, alive) {
+		return
+	}
+	for _, o := range d.Roster {
+		if !alive[o.ID] && o.ID != m.member.ID && !m.peers.Alive(o.ID) {
+			m.remove(ctx, o)
+			return
+		}
+	}
+}
+
+// removesDead lets one member do the removals, the first that is alive.
+func (m *membership) removesDead(d *control.Document, alive map[string]bool) bool {
+	for _, o := range d.Roster {
+		if alive[o.ID] {
+			return o.ID == m.member.ID
+		}
+	}
+	return false
+}
+
+func (m *membership) remove(ctx context.Context, o control.Member) {
+	_, err := m.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
+		if !d.Rostered(o.ID) {
+			return nil, nil
+		}
+		return control.Remove(d, o.ID, op, false, m.board.Acked(d.Revision))
+	})
+	if err != nil {
+		m.log.Warn("a dead entry stays on the roster", zap.String("entry", o.ID), zap.Error(err))
+		return
+	}
+	m.log.Info("took a dead entry off the roster", zap.String("entry", o.ID))
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
+	"github.com/pomelosill/pomelosill/internal/settings"
+)
+
+// Settings are an entry's settings.
+type Settings struct {
+	// Listen is the callers' address, Peer the address for agents and other
+	// entries, Admin the operators' address; each is IP:port.
+	Listen string `json:"listen"`
+	Peer   string `json:"peer"`
+	Admin  string `json:"admin"`
+	// FailureDomain is where the entry's host is.
+	FailureDomain string `json:"failure_domain"`
+	// Store is the base URL of the platform's store.
+	Store string `json:"store"`
+	// Cells is the number of cells made at the first start of all.
+	Cells int `json:"cells"`
+	// FailureDomains, when given, are the only names that operators may use.
+	FailureDomains []string `json:"failure_domains"`
+	// Freshness is how long an entry may act on a confirmation.
+	Freshness settings.Duration `json:"freshness"`
+	// Confirm is the time between two confirmations.
+	Confirm settings.Duration `json:"confirm"`
+	// LeaseTTL is the time after which a silent entry counts as dead in the
+	// store; SuspectAfter is the same for its peers' own view.
+	LeaseTTL     settings.Duration `json:"lease_ttl"`
+	SuspectAfter settings.Duration `json:"suspect_after"`
+	// StoreTimeout bounds one call to the store.
+	StoreTimeout settings.Duration `json:"store_timeout"`
+	// IDRetention is how long submission ids are remembered.
+	IDRetention settings.Duration `json:"id_retention"`
+	// AnswerRetention is how long whole answers are held.
+	AnswerRetention settings.Duration `json:"answer_retention"`
+	// ClockSkew bounds the difference between two hosts' clocks.
+	ClockSkew settings.Duration `json:"clock_skew"`
+	// LostAfter is how long an agent may be away until outcomes are unknown.
+	LostAfter settings.Duration `json:"lost_after"`
+	// MaxTimeout bounds the deadline a caller may ask for.
+	MaxTimeout settings.Duration `json:"max_timeout"`
+	// MaxBodyBytes bounds a caller's request.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout settings.Duration `json:"drain_timeout"`
+	// DefaultTeams are made at the first start of all.
+	DefaultTeams []TeamSettings `json:"default_teams"`
+	// MaxWaiting bounds the waiting tasks of one cell.
+	MaxWaiting int    `json:"max_waiting"`
+	LogLevel   string `json:"log_level"`
+}
+
+// TeamSettings is a team made at the first start of all.
+type TeamSettings struct {
+	Name       string `json:"name"`
+	Weight     int    `json:"weight"`
+	MaxRunning int    `json:"max_running"`
+	MaxQueued  int    `json:"max_queued"`
+}
+
+// DefaultSettings returns settings that lack only addresses, the failure
+// domain and the store.
+func DefaultSettings() *Settings {
+	return &Settings{
+		Cells:           1,
+		Freshness:       settings.Duration(3 * time.Second),
+		Confirm:         settings.Duration(time.Second),
+		LeaseTTL:        settings.Duration(3 * time.Second),
+		SuspectAfter:    settings.Duration(time.Second),
+		StoreTimeout:    settings.Duration(time.Second),
+		IDRetention:     settings.Duration(10 * time.Minute),
+		AnswerRetention: settings.Duration(time.Minute),
+		ClockSkew:       settings.Duration(time.Second),
+		LostAfter:       settings.Duration(5 * time.Second),
+		MaxTimeout:      settings.Duration(5 * time.Minute),
+		MaxBodyBytes:    4 << 20,
+		DrainTimeout:    settings.Duration(30 * time.Second),
+		MaxWaiting:      sched.DefaultConfig().MaxWaiting,
+		LogLevel:        "info",
+	}
+}
+
+// Validate checks every setting; its error names the field and the reason.
+func (s *Settings) Validate() error {
+	if err := s.validateAddresses(); err != nil {
+		return err
+	}
+	if err := s.validateTimes(); err != nil {
+		return err
+	}
+	if s.FailureDomain == "" {
+		return bad("failure_domain", "must not be empty")
+	}
+	if s.Cells < 1 || s.Cells > 1024 {
+		return bad("cells", "must be from 1 to 1024")
+	}
+	if s.MaxBodyBytes < 1<<10 {
+		return bad("max_body_bytes", "must be at least 1024")
+	}
+	if s.MaxWaiting < 1 {
+		return bad("max_waiting", "must be at least 1")
+	}
+	return nil
+}
+
+func (s *Settings) validateAddresses() error {
+	for _, a := range []struct{ field, value string }{
+		{"listen", s.Listen}, {"peer", s.Peer}, {"admin", s.Admin},
+	} {
+		host, _, err := net.SplitHostPort(a.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return bad(a.field, "must be IP:port")
+		}
+	}
+	if !strings.HasPrefix(s.Store, "http://") && !strings.HasPrefix(s.Store, "https://") {
+		return bad("store", "must be an http or https URL")
+	}
+	return nil
+}
+
+func (s *Settings) validateTimes() error {
+	for _, d := range []struct {
+		field string
+		value settings.Duration
+	}{
+		{"freshness", s.Freshness}, {"confirm", s.Confirm}, {"lease_ttl", s.LeaseTTL},
+		{"suspect_after", s.SuspectAfter}, {"store_timeout", s.StoreTimeout},
+		{"id_retention", s.IDRetention}, {"answer_retention", s.AnswerRetention},
+		{"clock_skew", s.ClockSkew}, {"lost_after", s.LostAfter},
+		{"max_timeout", s.MaxTimeout}, {"drain_timeout", s.DrainTimeout},
+	} {
+		if d.value <= 0 {
+			return bad(d.field, "must be a positive duration")
+		}
+	}
+	if 2*s.Confirm > s.Freshness {
+		return bad("confirm", "must be at most half of freshness")
+	}
+	if s.AnswerRetention > s.IDRetention {
+		return bad("answer_retention", "must not exceed id_retention")
+	}
+	if s.MaxTimeout > s.IDRetention {
+		return bad("max_timeout", "must not exceed id_retention")
+	}
+	return nil
+}
+
+func bad(field, reason string) error {
+	return result.Errorf(result.SettingsValue, "%s %s", field, reason)
+}
--- /dev/null
+++ b/internal/entry/write.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+// writeAttempts bounds the tries of one change against other writers.
+const writeAttempts = 8
+
+// changeFunc makes the next document; nil means that nothing is to be
+// changed. It may be called again with a newer document.
+type changeFunc func(d *control.Document, operation string) (*control.Document, error)
+
+// writer changes the control document in the store.
+type writer struct {
+	store   store.Store
+	board   *board
+	sync    *storeSync
+	timeout time.Duration
+}
+
+// Write applies a change by compare-and-swap and returns the document that it
+// made, or nil when there was nothing to change. After a lost answer it reads
+// back and compares the operation id. Its errors carry the codes of change,
+// of the store, or CommandConflict when others always came first.
+func (w *writer) Write(ctx context.Context, change changeFunc) (*control.Document, error) {
+	operation := uuid.NewString()
+	for range writeAttempts {
+		d, storeRevision := w.board.StoreRevision()
+		if d == nil || storeRevision == 0 {
+			if err := w.sync.read(ctx); err != nil {
+				return nil, err
+			}
+			d, storeRevision = w.board.StoreRevision()
+		}
+		if d == nil {
+			return nil, result.Errorf(result.StoreNotFound, "there is no control document yet")
+		}
+		next, err := change(d.Settled(w.board.Acked(d.Revision)), operation)
+		if err != nil || next == nil {
+			return nil, err
+		}
+		done, err := w.swap(ctx, next, storeRevision)
+		if done || err != nil {
+			return next, err
+		}
+	}
+	return nil, result.Errorf(result.CommandConflict, "other writers always came first")
+}
+
+// swap writes once. It is false without an error when another writer came
+// first.
+func (w *writer) swap(ctx context.Context, next *control.Document, expect uint64) (bool, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false, result.Wrap(result.Internal, err, "control document")
+	}
+	sctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	asked := time.Now()
+	revision, err := w.store.CompareAndSwap(sctx, control.DocumentKey, expect, value, 0)
+	switch result.CodeOf(err) {
+	case result.OK:
+		w.board.FromStore(next, revision, asked)
+		return true, nil
+	case result.StoreConflict:
+		return w.readBack(ctx, next)
+	case result.StoreAnswerLost:
+		return w.readBackLost(ctx, next)
+	}
+	return false, err
+}
+
+// readBackLost reads until the store answers whether a write took effect. If
+// it cannot be told in time the write stays in doubt.
+func (w *writer) readBackLost(ctx context.Context, next *control.Document) (bool, error) {
+	for {
+		done, err := w.readBack(ctx, next)
+		if err == nil {
+			return done, nil
+		}
+		if ctx.Err() != nil {
+			return false, result.Errorf(result.StoreAnswerLost, "the write may have taken effect as revision %d", next.Revision)
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (w *writer) readBack(ctx context.Context, next *control.Document) (bool, error) {
+	if err := w.sync.read(ctx); err != nil {
+		return false, err
+	}
+	d := w.board.Doc()
+	if d.Operation == next.Operation {
+		return true, nil
+	}
+	return d.Revision > next.Revision && w.inHistory(d, next), nil
+}
+
+// inHistory tells whether an operator's change was made by this write and has
+// been followed by others since.
+func (w *writer) inHistory(d, next *control.Document) bool {
+	if len(next.History) == 0 {
+		return false
+	}
+	mine := next.History[len(next.History)-1]
+	if mine.Revision != next.Revision {
+		return false
+	}
+	for _, h := range d.History {
+		if h.Revision == mine.Revision && h.Who == mine.Who && h.What == mine.What && h.At.Equal(mine.At) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/outbox/outbox.go
@@ -0,0 +1,78 @@
+// Package outbox lets many goroutines queue items for one writer, which takes
+// all that is queued at once and never waits for more.
+package outbox
+
+import (
+	"context"
+	"sync"
+)
+
+// Outbox is an unbounded queue with one reader.
+type Outbox[T any] struct {
+	mu     sync.Mutex
+	items  []T
+	closed bool
+	ready  chan struct{}
+}
+
+// New returns an empty outbox.
+func New[T any]() *Outbox[T] {
+	return &Outbox[T]{ready: make(chan struct{}, 1)}
+}
+
+// Put queues an item; it is dropped, and false returned, after Close.
+func (o *Outbox[T]) Put(item T) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return false
+	}
+	o.items = append(o.items, item)
+	o.wake()
+	return true
+}
+
+// Close ends the outbox; what is queued can still be taken.
+func (o *Outbox[T]) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	o.wake()
+}
+
+func (o *Outbox[T]) wake() {
+	select {
+	case o.ready <- struct{}{}:
+	default:
+	}
+}
+
+// Take waits until something is queued and returns all of it. It returns
+// false when the outbox is closed and empty, or ctx has ended.
+func (o *Outbox[T]) Take(ctx context.Context) ([]T, bool) {
+	for {
+		items, closed := o.takeNow()
+		if len(items) > 0 {
+			return items, true
+		}
+		if closed {
+			return nil, false
+		}
+		select {
+		case <-o.ready:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+func (o *Outbox[T]) takeNow() ([]T, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	items := o.items
+	o.items = nil
+	if o.closed {
+		o.wake()
+	}
+	return items, o.closed
+}
