--- /dev/null
+++ b/internal/query/select.go
@@ -0,0 +1,70 @@
+package query
+
+import (
+	"reflect"
+	"slices"
+)
+
+// Table is what an inspection shows.
+type Table struct {
+	// Columns are the JSON names of the row type's fields.
+	Columns []string
+	// Rows hold each row's fields in the order of Columns.
+	Rows [][]any
+	// Matched is the number of rows that matched, of which at most the limit
+	// are in Rows.
+	Matched int
+}
+
+// Select filters, sorts and cuts rows. T is the row type of q.Kind in package
+// api. Without a sort the rows keep their order.
+func Select[T any](q Inspect, rows []T) Table {
+	kept := Match(q.Where, rows)
+	slices.SortStableFunc(kept, func(a, b T) int {
+		return compareRows(q.Sort, reflect.ValueOf(a), reflect.ValueOf(b))
+	})
+	schema := schemas[q.Kind]
+	table := Table{Columns: schema.columns(), Matched: len(kept)}
+	for _, row := range kept[:min(q.Limit, len(kept))] {
+		table.Rows = append(table.Rows, schema.values(reflect.ValueOf(row)))
+	}
+	return table
+}
+
+// Match returns the rows that satisfy every condition, in a new slice. T is
+// the row type the conditions were parsed for.
+func Match[T any](where []Condition, rows []T) []T {
+	var kept []T
+	for _, row := range rows {
+		if matchesAll(where, reflect.ValueOf(row)) {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
+func matchesAll(where []Condition, row reflect.Value) bool {
+	for _, c := range where {
+		if !c.matches(row) {
+			return false
+		}
+	}
+	return true
+}
+
+func compareRows(keys []SortKey, a, b reflect.Value) int {
+	for _, k := range keys {
+		if order := k.compare(a, b); order != 0 {
+			return order
+		}
+	}
+	return 0
+}
+
+func (s schema) values(row reflect.Value) []any {
+	values := make([]any, len(s.fields))
+	for i, f := range s.fields {
+		values[i] = row.Field(f.index).Interface()
+	}
+	return values
+}
--- /dev/null
+++ b/internal/query/value.go
@@ -0,0 +1,205 @@
+package query
+
+import (
+	"cmp"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// operator compares a field with a value.
+type operator string
+
+const (
+	opEqual    operator = "="
+	opNotEqual operator = "!="
+	opLess     operator = "<"
+	opAtMost   operator = "<="
+	opGreater  operator = ">"
+	opAtLeast  operator = ">="
+	opContains operator = "~"
+)
+
+// value is a value of a statement in the type of the field it stands beside.
+type value struct {
+	text    string
+	number  float64
+	instant time.Time
+}
+
+// newCondition checks that the operator and the value fit the field.
+func newCondition(f field, op operator, n textNode) (Condition, error) {
+	c := Condition{field: f, op: op, value: value{text: n.text()}}
+	if !f.takes(op) {
+		return c, failAt(result.QueryField, n.Pos, "%s can't be compared by %s; expected %s", f.name, op, f.operators())
+	}
+	var ok bool
+	switch f.typ {
+	case textField, listField:
+		return c, nil
+	case numberField:
+		c.value.number, ok = parseNumber(c.value.text)
+	case millisField:
+		c.value.number, ok = parseMillis(c.value.text)
+	case instantField:
+		c.value.instant, ok = parseInstant(c.value.text)
+	}
+	if !ok {
+		return c, failAt(result.QueryField, n.Pos, "%q is not a value of %s; expected %s", c.value.text, f.name, f.example())
+	}
+	return c, nil
+}
+
+// takes tells whether the field can be compared by op.
+func (f field) takes(op operator) bool {
+	switch f.typ {
+	case textField:
+		return true
+	case listField:
+		return op == opEqual || op == opNotEqual || op == opContains
+	default:
+		return op != opContains
+	}
+}
+
+func (f field) operators() string {
+	if f.typ == listField {
+		return "= != ~"
+	}
+	return "= != < <= > >="
+}
+
+func (f field) example() string {
+	switch f.typ {
+	case millisField:
+		return "a duration such as 250ms, or a number of milliseconds"
+	case instantField:
+		return "a time such as 2006-01-02T15:04:05Z"
+	default:
+		return "a number"
+	}
+}
+
+func parseNumber(text string) (float64, bool) {
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(number) || math.IsInf(number, 0) {
+		return 0, false
+	}
+	return number, true
+}
+
+func parseMillis(text string) (float64, bool) {
+	if d, err := time.ParseDuration(text); err == nil {
+		return float64(d) / float64(time.Millisecond), true
+	}
+	return parseNumber(text)
+}
+
+func parseInstant(text string) (time.Time, bool) {
+	instant, err := time.Parse(time.RFC3339, text)
+	return instant, err == nil
+}
+
+// matches compares the row's field with the condition's value.
+func (c Condition) matches(row reflect.Value) bool {
+	got := row.Field(c.field.index)
+	switch c.field.typ {
+	case textField:
+		return c.matchesText(got.String())
+	case listField:
+		return c.matchesList(got)
+	case instantField:
+		return c.holds(asInstant(got).Compare(c.value.instant))
+	default:
+		return c.holds(cmp.Compare(asNumber(got), c.value.number))
+	}
+}
+
+func (c Condition) matchesText(got string) bool {
+	if c.op == opContains {
+		return strings.Contains(strings.ToLower(got), strings.ToLower(c.value.text))
+	}
+	return c.holds(strings.Compare(got, c.value.text))
+}
+
+// matchesList holds for = and ~ when one element matches, and for != when
+// none is equal.
+func (c Condition) matchesList(got reflect.Value) bool {
+	element := c
+	if c.op == opNotEqual {
+		element.op = opEqual
+	}
+	any := false
+	for i := range got.Len() {
+		any = any || element.matchesText(got.Index(i).String())
+	}
+	return any != (c.op == opNotEqual)
+}
+
+// holds tells whether an order of field and value satisfies the operator.
+func (c Condition) holds(order int) bool {
+	switch c.op {
+	case opEqual:
+		return order == 0
+	case opNotEqual:
+		return order != 0
+	case opLess:
+		return order < 0
+	case opAtMost:
+		return order <= 0
+	case opGreater:
+		return order > 0
+	case opAtLeast:
+		return order >= 0
+	default:
+		return false
+	}
+}
+
+// compare orders two rows by the key's field.
+func (k SortKey) compare(a, b reflect.Value) int {
+	order := compareFields(k.field, a.Field(k.field.index), b.Field(k.field.index))
+	if k.descending {
+		return -order
+	}
+	return order
+}
+
+func compareFields(f field, a, b reflect.Value) int {
+	switch f.typ {
+	case textField:
+		return strings.Compare(a.String(), b.String())
+	case listField:
+		return slices.Compare(asList(a), asList(b))
+	case instantField:
+		return asInstant(a).Compare(asInstant(b))
+	default:
+		return cmp.Compare(asNumber(a), asNumber(b))
+	}
+}
+
+func asNumber(v reflect.Value) float64 {
+	switch {
+	case v.CanInt():
+		return float64(v.Int())
+	case v.CanUint():
+		return float64(v.Uint())
+	default:
+		return v.Float()
+	}
+}
+
+func asInstant(v reflect.Value) time.Time {
+	instant, _ := v.Interface().(time.Time)
+	return instant
+}
+
+func asList(v reflect.Value) []string {
+	list, _ := v.Interface().([]string)
+	return list
+}
