--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,167 @@
+package access
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+const (
+	operatorToken = "operator-token-0001"
+	callerToken   = "caller-token-000001"
+)
+
+var tokens = Tokens{
+	{Name: "ana", Role: Operator, Token: operatorToken},
+	{Name: "booth", Role: Caller, Team: "booths", Token: callerToken},
+}
+
+func TestValidate(t *testing.T) {
+	cases := []struct {
+		name, want string
+		change     func(ts Tokens)
+	}{
+		{"good", "", func(Tokens) {}},
+		{"no name", "tokens[0].name", func(ts Tokens) { ts[0].Name = "" }},
+		{"bad role", "tokens[1].role", func(ts Tokens) { ts[1].Role = "root" }},
+		{"caller without team", "tokens[1].team", func(ts Tokens) { ts[1].Team = "" }},
+		{"operator with team", "tokens[0].team", func(ts Tokens) { ts[0].Team = "x" }},
+		{"short", "tokens[0].token: is too short", func(ts Tokens) { ts[0].Token = "short" }},
+		{"same name", "tokens[1].name: is used twice", func(ts Tokens) { ts[1].Name = "ana" }},
+		{"same token", "tokens[1].token: is used twice", func(ts Tokens) { ts[1].Token = operatorToken }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ts := append(Tokens{}, tokens...)
+			c.change(ts)
+			err := ts.Validate()
+			if c.want == "" {
+				must.NoError(t, err)
+				return
+			}
+			must.Eq(t, result.SettingsValue, result.CodeOf(err))
+			must.StrContains(t, err.Error(), c.want)
+			must.StrNotContains(t, err.Error(), operatorToken)
+		})
+	}
+}
+
+func TestIdentify(t *testing.T) {
+	guard := NewGuard(tokens, zap.NewNop())
+	cases := []struct {
+		header, who string
+		code        result.Code
+	}{
+		{"Bearer " + operatorToken, "ana", result.OK},
+		{"bearer  " + callerToken, "booth", result.OK},
+		{"", "", result.Unauthorized},
+		{"Bearer", "", result.Unauthorized},
+		{"Bearer " + operatorToken + "x", "", result.Unauthorized},
+		{"Bearer " + operatorToken[:5], "", result.Unauthorized},
+		{"Basic " + operatorToken, "", result.Unauthorized},
+	}
+	for _, c := range cases {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set("Authorization", c.header)
+		id, err := guard.Identify(r)
+		must.Eq(t, c.code, result.CodeOf(err), must.Sprint(c.header))
+		must.Eq(t, c.who, id.Name)
+	}
+}
+
+func TestMayUseTeam(t *testing.T) {
+	caller := Identity{Name: "booth", Role: Caller, Team: "booths"}
+	must.NoError(t, caller.MayUseTeam("booths"))
+	must.Eq(t, result.Forbidden, result.CodeOf(caller.MayUseTeam("alerts")))
+	must.NoError(t, Identity{Role: Operator}.MayUseTeam("alerts"))
+	must.Eq(t, result.Forbidden, result.CodeOf(Identity{}.MayUseTeam("alerts")))
+}
+
+func TestRequire(t *testing.T) {
+	guard := NewGuard(tokens, zap.NewNop())
+	var seen Identity
+	next := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen = From(r.Context()) })
+	refused := result.OK
+	h := guard.Require(next, func(_ http.ResponseWriter, err error) { refused = result.CodeOf(err) })
+
+	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	must.Eq(t, result.Unauthorized, refused)
+	must.Eq(t, Identity{}, seen)
+
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set("Authorization", "Bearer "+callerToken)
+	h.ServeHTTP(httptest.NewRecorder(), r)
+	must.Eq(t, Identity{Name: "booth", Role: Caller, Team: "booths"}, seen)
+}
+
+func TestOpenAccessIsLogged(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	id, err := NewGuard(nil, zap.New(core)).Identify(httptest.NewRequest(http.MethodGet, "/", nil))
+	must.NoError(t, err)
+	must.Eq(t, Operator, id.Role)
+	must.Eq(t, 1, logs.Len())
+	must.Eq(t, "access: no tokens configured, access is open", logs.All()[0].Message)
+}
+
+func TestSecretIsNeverWritten(t *testing.T) {
+	text, err := json.Marshal(tokens)
+	must.NoError(t, err)
+	var logged strings.Builder
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	log := zap.New(zapcore.NewCore(encoder, zapcore.AddSync(&logged), zapcore.DebugLevel))
+	log.Info("settings", zap.Any("tokens", tokens))
+	for _, form := range []string{string(text), fmt.Sprintf("%v %+v %#v %s", tokens, tokens, tokens, tokens[0].Token), logged.String()} {
+		must.StrNotContains(t, form, operatorToken)
+		must.StrContains(t, form, "[redacted]")
+	}
+	var back Tokens
+	must.NoError(t, json.Unmarshal([]byte(`[{"name":"a","role":"operator","token":"`+operatorToken+`"}]`), &back))
+	must.Eq(t, Secret(operatorToken), back[0].Token)
+}
+
+func TestReadBody(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := BodyLimits{MaxBytes: 8, Timeout: BodyTimeout}.Read(w, r)
+		if err != nil {
+			WriteJSON(w, result.Describe(result.CodeOf(err)).HTTP, err.Error())
+			return
+		}
+		process.WriteJSON(w, http.StatusOK, string(body))
+	}))
+	defer server.Close()
+	for body, status := range map[string]int{"": 200, "12345678": 200, "123456789": 413} {
+		resp, err := http.Post(server.URL, "text/plain", strings.NewReader(body))
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		must.Eq(t, status, resp.StatusCode, must.Sprint(body))
+	}
+}
+
+func TestReadBodyOfSlowClient(t *testing.T) {
+	codes := make(chan result.Code, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := BodyLimits{MaxBytes: 100, Timeout: time.Millisecond}.Read(w, r)
+		codes <- result.CodeOf(err)
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	must.NoError(t, err)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nhalf")
+	must.NoError(t, err)
+	must.Eq(t, result.Malformed, <-codes)
+	must.NoError(t, conn.Close())
+}
