Serve the query language on the administration API

A command goes on when its sender leaves, so that its audit line tells how it ended. Callers see and cancel their own team's jobs only.

--- /dev/null
+++ b/internal/admin/command.go
@@ -0,0 +1,163 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/access"
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/query"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// edit changes the configuration.
+func (h *Handler) edit(ctx context.Context, c command, e control.Edit) api.Reply {
+	if c.id.Role != access.Operator {
+		return h.finish(c, errorReply(result.Errorf(result.Forbidden, "the configuration is for operators")))
+	}
+	if c.statement.DryRun {
+		return h.preview(ctx, e)
+	}
+	e.Who = c.id.Name
+	wait := time.Duration(c.statement.WaitMS) * time.Millisecond
+	applied, err := h.backend.Apply(ctx, e, wait)
+	if err != nil {
+		reply := errorReply(err)
+		reply.Revision = applied.Revision
+		return h.finish(c, reply)
+	}
+	return h.finish(c, appliedReply(applied, wait > 0))
+}
+
+// appliedReply tells how far a command has come. A command that was to be
+// waited for is confirmed only when it is in force everywhere.
+func appliedReply(a Applied, waited bool) api.Reply {
+	code := result.OK
+	if !a.Accepted || (waited && !a.InForce) {
+		code = result.CommandUnconfirmed
+	}
+	reply := newReply(code, appliedDetail(a))
+	reply.Revision = a.Revision
+	reply.InForce = a.InForce
+	reply.Unconfirmed = a.Unconfirmed
+	return reply
+}
+
+func appliedDetail(a Applied) string {
+	switch {
+	case a.InForce && !a.Changed:
+		return "the configuration already said so, and it is in force everywhere"
+	case a.InForce:
+		return "in force everywhere"
+	case a.Accepted && !a.Changed:
+		return "the configuration already said so"
+	case a.Accepted:
+		return "accepted, on its way to every process"
+	default:
+		return "stored, not yet accepted by enough entries"
+	}
+}
+
+// preview shows what an edit would touch and changes nothing.
+func (h *Handler) preview(ctx context.Context, e control.Edit) api.Reply {
+	if reply, ok := h.previewGuard(ctx, e.IfRevision); !ok {
+		return reply
+	}
+	switch {
+	case e.Domain != nil:
+		return h.previewEndpoints(ctx, "domain", e.Domain.Name)
+	case e.Endpoint != nil:
+		return h.previewEndpoints(ctx, "name", e.Endpoint.Name)
+	default:
+		return h.previewTeam(ctx, e.Team.Name)
+	}
+}
+
+// previewGuard tells whether the guard's revision is the present one.
+func (h *Handler) previewGuard(ctx context.Context, revision uint64) (api.Reply, bool) {
+	if revision == 0 {
+		return api.Reply{}, true
+	}
+	entries, err := h.backend.Entries(ctx)
+	if err != nil {
+		return errorReply(err), false
+	}
+	var present uint64
+	for _, entry := range entries {
+		present = max(present, entry.Revision)
+	}
+	if present == revision {
+		return api.Reply{}, true
+	}
+	reply := newReply(result.CommandConflict, fmt.Sprintf("the configuration is at revision %d", present))
+	reply.Revision = present
+	return reply, false
+}
+
+func (h *Handler) previewEndpoints(ctx context.Context, field, name string) api.Reply {
+	rows, err := h.backend.Endpoints(ctx)
+	var touched []api.EndpointRow
+	for _, row := range rows {
+		if (field == "domain" && row.FailureDomain == name) || (field == "name" && row.Name == name) {
+			touched = append(touched, row)
+		}
+	}
+	reply := tableReply(query.Inspect{Kind: query.Endpoints, Limit: query.DefaultLimit}, touched, err)
+	if err == nil {
+		reply.Detail = fmt.Sprintf("dry run, nothing changed; would touch %d attached endpoints", len(touched))
+	}
+	return reply
+}
+
+func (h *Handler) previewTeam(ctx context.Context, name string) api.Reply {
+	rows, err := h.backend.Teams(ctx)
+	var present []api.TeamRow
+	for _, row := range rows {
+		if row.Name == name {
+			present = append(present, row)
+		}
+	}
+	reply := tableReply(query.Inspect{Kind: query.Teams, Limit: query.DefaultLimit}, present, err)
+	if err == nil {
+		reply.Detail = "dry run, nothing changed; the team is new"
+	}
+	if len(present) > 0 && err == nil {
+		reply.Detail = "dry run, nothing changed; the team's present settings are shown"
+	}
+	return reply
+}
+
+// cancel cancels the matching jobs that have not ended.
+func (h *Handler) cancel(ctx context.Context, c command, q query.Cancel) api.Reply {
+	rows, err := h.jobs(ctx, c.id)
+	if err != nil {
+		return h.finish(c, errorReply(err))
+	}
+	matching := unended(query.Match(q.Where, rows))
+	if c.statement.DryRun {
+		reply := tableReply(query.Inspect{Kind: query.Jobs, Limit: query.DefaultLimit}, matching, nil)
+		reply.Detail = fmt.Sprintf("dry run, nothing changed; would cancel %d jobs", len(matching))
+		return reply
+	}
+	ids := make([]string, len(matching))
+	for i, row := range matching {
+		ids[i] = row.ID
+	}
+	reached, err := h.backend.Cancel(ctx, c.id.Name, ids)
+	if err != nil {
+		return h.finish(c, errorReply(err))
+	}
+	return h.finish(c, newReply(result.OK, fmt.Sprintf("cancelled %d of %d matching jobs", reached, len(ids))))
+}
+
+func unended(rows []api.JobRow) []api.JobRow {
+	var kept []api.JobRow
+	for _, row := range rows {
+		if row.Waiting+row.Running > 0 {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/admin/handler.go
@@ -0,0 +1,141 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/access"
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/query"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// Limits of the administration API.
+const (
+	// MaxBodyBytes is the largest request.
+	MaxBodyBytes = 64 << 10
+	// MaxWait is the longest time a command may wait to be in force.
+	MaxWait = time.Minute
+	// backendTimeout is how long the backend may take beside the wait.
+	backendTimeout = 10 * time.Second
+)
+
+// Options are the collaborators of a Handler.
+type Options struct {
+	Backend Backend
+	Guard   *access.Guard
+	Log     *zap.Logger
+	// Now is the wall clock of the audit.
+	Now func() time.Time
+}
+
+// Handler serves POST /v1/query. It is safe for concurrent use.
+type Handler struct {
+	backend Backend
+	audit   *audit
+	serve   http.Handler
+	limits  access.BodyLimits
+}
+
+// NewHandler returns the administration API over a backend.
+func NewHandler(o Options) *Handler {
+	log := process.Prefixed(o.Log, "admin")
+	h := &Handler{
+		backend: o.Backend,
+		audit:   newAudit(log, o.Now),
+		limits:  access.BodyLimits{MaxBytes: MaxBodyBytes, Timeout: access.BodyTimeout},
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/query", o.Guard.Require(http.HandlerFunc(h.serveQuery), refuse))
+	h.serve = mux
+	return h
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve.ServeHTTP(w, r) }
+
+// Commands returns the last audited commands, oldest first, for the state
+// dump.
+func (h *Handler) Commands() []Command { return h.audit.commands() }
+
+func (h *Handler) serveQuery(w http.ResponseWriter, r *http.Request) {
+	st, err := h.readStatement(w, r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	// A command goes on when its sender leaves: it may be in the store
+	// already, and its audit line must tell how it ended.
+	wait := time.Duration(st.WaitMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), wait+backendTimeout)
+	defer cancel()
+	writeReply(w, h.execute(ctx, access.From(r.Context()), st))
+}
+
+func (h *Handler) readStatement(w http.ResponseWriter, r *http.Request) (api.Statement, error) {
+	var st api.Statement
+	body, err := h.limits.Read(w, r)
+	if err != nil {
+		return st, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&st); err != nil {
+		return st, result.Wrap(result.Malformed, err, "the body is no statement")
+	}
+	if st.WaitMS < 0 || st.WaitMS > MaxWait.Milliseconds() {
+		return st, result.Errorf(result.Malformed, "wait_ms must be from 0 to %d", MaxWait.Milliseconds())
+	}
+	return st, nil
+}
+
+// execute parses a statement and does what it says.
+func (h *Handler) execute(ctx context.Context, id access.Identity, st api.Statement) api.Reply {
+	parsed, err := query.Parse(st.Text)
+	if err != nil {
+		return errorReply(err)
+	}
+	if parsed.Inspect != nil {
+		return h.inspect(ctx, id, *parsed.Inspect)
+	}
+	c := command{id: id, statement: st}
+	if parsed.Cancel != nil {
+		return h.cancel(ctx, c, *parsed.Cancel)
+	}
+	return h.edit(ctx, c, *parsed.Edit)
+}
+
+// command is a command with its sender.
+type command struct {
+	id        access.Identity
+	statement api.Statement
+}
+
+// finish audits a command that was no dry run and returns its reply.
+func (h *Handler) finish(c command, reply api.Reply) api.Reply {
+	if !c.statement.DryRun {
+		h.audit.add(c, reply)
+	}
+	return reply
+}
+
+func newReply(code result.Code, detail string) api.Reply {
+	info := result.Describe(code)
+	return api.Reply{Code: code, Name: info.Name, Text: info.Text, Detail: detail}
+}
+
+func errorReply(err error) api.Reply {
+	return newReply(result.CodeOf(err), result.DetailOf(err))
+}
+
+func refuse(w http.ResponseWriter, err error) { writeReply(w, errorReply(err)) }
+
+func writeReply(w http.ResponseWriter, reply api.Reply) {
+	access.WriteJSON(w, result.Describe(reply.Code).HTTP, reply)
+}
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -49,3 +49,19 @@
 	}
 	return Internal
 }
+
+// DetailOf returns what err says beside its code, for an answer that shows
+// the code in a field of its own.
+func DetailOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	var e *Error
+	if !errors.As(err, &e) {
+		return err.Error()
+	}
+	if e.Err == nil {
+		return e.Detail
+	}
+	return e.Detail + ": " + e.Err.Error()
+}
