Add the agent's start gate and the records of starts

The gate answers every start with a numbered code and makes the record before the task runs. Records live in buckets by the minute of the submission id, so that an id is refused by the same clock that drops its record: a wrong wall clock refuses more or fewer ids and starts none twice.

--- /dev/null
+++ b/cmd/pomelosill-agent/main.go
@@ -0,0 +1,68 @@
+// Command pomelosill-agent is the process beside each endpoint.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/pomelosill/pomelosill/internal/agent"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "pomelosill-agent:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "pomelosill-agent",
+		Usage:   "announce an endpoint and run its tasks",
+		Version: version(),
+		Description: "Runs beside one endpoint. SIGTERM drains: running tasks finish,\n" +
+			"their outcomes are delivered, then the process ends.",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name:     "settings",
+			Usage:    "settings `FILE`, JSON with comments (see docs/examples/agent.jsonc)",
+			Required: true,
+		}},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s := agent.DefaultSettings()
+	if err := settings.Load(c.String("settings"), &s); err != nil {
+		return err
+	}
+	log, err := process.NewLogger(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(s, version(), log)
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
+
+// version is the version of the module that the program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,196 @@
+// Package agent is the process beside each endpoint. It announces the
+// endpoint to the entries, holds the start gate and the records of started
+// tasks, runs the tasks on the endpoint over HTTP, and drains.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/gate"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/process"
+)
+
+const (
+	// expireInterval is the time between two sweeps of old records.
+	expireInterval = time.Second
+	// pingAfter is the silence of an entry's connection before a ping.
+	pingAfter = 2 * time.Second
+	// pingTimeout ends a connection whose ping is not answered.
+	pingTimeout = 2 * time.Second
+)
+
+// Agent is one agent.
+type Agent struct {
+	settings    Settings
+	version     string
+	incarnation string
+	log         *zap.Logger
+	http        *http.Client
+	epoch       time.Time
+
+	gate     *gate.Gate
+	delivery *delivery
+	runner   *runner
+	endpoint *endpoint
+	links    *links
+	streams  streamSet
+	counters *counters
+	metrics  *metrics
+	debug    *process.Debug
+
+	// streamContext ends with the agent; a drain keeps it alive.
+	streamContext context.Context
+	endStreams    context.CancelFunc
+	// changed has a token after each change that a drain may wait for.
+	changed chan struct{}
+}
+
+// New returns an agent with valid settings. Its error is that of setting up
+// metrics.
+func New(s Settings, version string, log *zap.Logger) (*Agent, error) {
+	debug, err := process.NewDebug("pomelosill-agent")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		settings:    s,
+		version:     version,
+		incarnation: uuid.NewString(),
+		log:         process.Prefixed(log, "agent"),
+		http:        newEntryClient(),
+		epoch:       time.Now(),
+		endpoint:    newEndpoint(s),
+		counters:    &counters{},
+		debug:       debug,
+		changed:     make(chan struct{}, 1),
+	}
+	a.gate = gate.New(gateConfig(s, a.epoch))
+	a.delivery = &delivery{gate: a.gate, changed: a.notify}
+	a.links = &links{
+		attach:   a.attach,
+		assign:   a.gate.Assign,
+		log:      process.Prefixed(log, "link"),
+		location: &pb.Location{},
+		cancels:  map[string]context.CancelFunc{},
+	}
+	a.streamContext, a.endStreams = context.WithCancel(context.Background())
+	a.metrics, err = newMetrics(debug.Meter, a.counters, func() int64 {
+		return int64(a.gate.State(a.now()).Running)
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.runner = newRunner(a)
+	return a, nil
+}
+
+func gateConfig(s Settings, epoch time.Time) gate.Config {
+	return gate.Config{
+		Slots:           s.Slots,
+		Freshness:       s.Freshness.Std(),
+		RecordRetention: s.RecordRetention.Std(),
+		BodyRetention:   s.BodyRetention.Std(),
+		MaxBodyBytes:    s.MaxHeldBytes,
+		MaxRecords:      s.MaxRecords,
+		Epoch:           epoch,
+	}
+}
+
+// now is the agent's monotonic clock.
+func (a *Agent) now() time.Duration { return time.Since(a.epoch) }
+
+// notify wakes a drain.
+func (a *Agent) notify() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// newEntryClient returns a client for entries that gives up a connection when
+// its peer answers no ping.
+func newEntryClient() *http.Client {
+	client := process.NewStreamClient()
+	if t, ok := client.Transport.(*http.Transport); ok {
+		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+		t.DialContext = (&net.Dialer{Timeout: locateTimeout}).DialContext
+	}
+	return client
+}
+
+func (a *Agent) client(address string) pomelosillv1connect.DispatchServiceClient {
+	return pomelosillv1connect.NewDispatchServiceClient(a.http, "http://"+address,
+		connect.WithAcceptCompression("gzip", nil, nil))
+}
+
+// Run serves until ctx ends and then drains: it takes no new task, finishes
+// those that run and delivers their outcomes. Its error has the code
+// AddressInUse when the debug address can't be bound, and OutcomeUnknown when
+// the drain took longer than its timeout.
+func (a *Agent) Run(ctx context.Context) error {
+	stopPages, err := a.servePages(ctx)
+	if err != nil {
+		return err
+	}
+	defer stopPages()
+	defer a.endpoint.close()
+	defer a.http.CloseIdleConnections()
+	var wg sync.WaitGroup
+	wg.Go(func() { a.locate(a.streamContext) })
+	wg.Go(func() { a.expire(a.streamContext) })
+	a.log.Info("agent is up", zap.String("endpoint", a.settings.Endpoint))
+	<-ctx.Done()
+	err = a.drain()
+	a.endStreams()
+	wg.Wait()
+	a.links.wait()
+	a.runner.stop()
+	return err
+}
+
+// expire drops old records.
+func (a *Agent) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.gate.Expire(a.now())
+		}
+	}
+}
+
+// servePages serves the debug pages if the settings ask for them.
+func (a *Agent) servePages(ctx context.Context) (stop func(), err error) {
+	if a.settings.Listen == "" {
+		return func() {}, nil
+	}
+	listener, err := process.Listen(ctx, a.settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	a.debug.Mount(mux, func() any { return a.State() })
+	server := process.NewServer(mux)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	return func() {
+		_ = server.Close()
+		<-done
+	}, nil
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// kind is a kind of message that is counted.
+type kind int
+
+// The kinds of messages sent and received.
+const (
+	sentHello kind = iota
+	sentHeartbeat
+	sentOutcome
+	sentFenceAck
+	sentRecord
+	sentLocate
+	gotStamp
+	gotStart
+	gotFence
+	gotLocation
+	gotCancel
+	gotReleased
+	kindCount
+)
+
+var kindNames = [kindCount]string{
+	"sent_hello", "sent_heartbeat", "sent_outcome", "sent_fence_ack", "sent_record", "sent_locate",
+	"got_stamp", "got_start", "got_fence", "got_location", "got_cancel", "got_released",
+}
+
+// counters counts messages by kind.
+type counters struct {
+	counts [kindCount]atomic.Int64
+}
+
+func (c *counters) add(k kind, n int) {
+	c.counts[k].Add(int64(n))
+}
+
+// all returns the counts by name.
+func (c *counters) all() map[string]int64 {
+	out := make(map[string]int64, kindCount)
+	for k := range kindCount {
+		out[kindNames[k]] = c.counts[k].Load()
+	}
+	return out
+}
+
+// countSent counts what was taken out of an outbox and sent.
+func (a *Agent) countSent(c contents) {
+	if c.heartbeat {
+		a.counters.add(sentHeartbeat, 1)
+	}
+	if c.ack != nil {
+		a.counters.add(sentFenceAck, 1)
+		a.counters.add(sentRecord, len(c.ack.GetRecords()))
+	}
+	a.counters.add(sentOutcome, len(c.outcomes))
+}
+
+// metrics are the agent's instruments.
+type metrics struct {
+	starts  metric.Int64Counter
+	ends    metric.Int64Counter
+	seconds metric.Float64Histogram
+}
+
+// newMetrics makes the instruments; running gives the running tasks.
+func newMetrics(meter metric.Meter, c *counters, running func() int64) (*metrics, error) {
+	m := &metrics{}
+	var err error
+	m.starts, err = meter.Int64Counter("pomelosill_agent_starts",
+		metric.WithDescription("Starts asked for, by the gate's result code."))
+	if err != nil {
+		return nil, err
+	}
+	m.ends, err = meter.Int64Counter("pomelosill_agent_ends",
+		metric.WithDescription("Tasks that ended, by result code."))
+	if err != nil {
+		return nil, err
+	}
+	m.seconds, err = meter.Float64Histogram("pomelosill_agent_endpoint_seconds",
+		metric.WithDescription("Time of a task on the endpoint in seconds."))
+	if err != nil {
+		return nil, err
+	}
+	_, err = meter.Int64ObservableGauge("pomelosill_agent_running",
+		metric.WithDescription("Tasks that run now."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(running())
+			return nil
+		}))
+	if err != nil {
+		return nil, err
+	}
+	_, err = meter.Int64ObservableCounter("pomelosill_agent_messages",
+		metric.WithDescription("Messages sent and received, by kind."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for k := range kindCount {
+				o.Observe(c.counts[k].Load(), metric.WithAttributes(attribute.String("kind", kindNames[k])))
+			}
+			return nil
+		}))
+	return m, err
+}
+
+func (m *metrics) countStart(ctx context.Context, code result.Code) {
+	m.starts.Add(ctx, 1, codeAttribute(code))
+}
+
+func (m *metrics) countEnd(ctx context.Context, e ending) {
+	m.ends.Add(ctx, 1, codeAttribute(e.code))
+	m.seconds.Record(ctx, e.run.Seconds())
+}
+
+func codeAttribute(code result.Code) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("code", result.Describe(code).Name))
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,249 @@
+package gate
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+func testConfig() Config {
+	return Config{
+		Slots:           2,
+		Freshness:       3 * time.Second,
+		RecordRetention: 10 * time.Minute,
+		BodyRetention:   time.Minute,
+		MaxBodyBytes:    1 << 20,
+		MaxRecords:      1000,
+		Epoch:           epoch,
+	}
+}
+
+// submission returns the id number n of a submission made at an instant.
+func submission(at time.Duration, n uint32) uuid.UUID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(epoch.Add(at).UnixMilli())<<16)
+	binary.BigEndian.PutUint32(id[12:], n)
+	id[6] = 0x70
+	id[8] = 0x80
+	return id
+}
+
+func task(n uint32) Task {
+	return Task{Submission: submission(0, n)}
+}
+
+func start(n uint32) Start {
+	return Start{Generation: 1, Task: task(n), Timeout: time.Second}
+}
+
+// openGate returns a gate that obeys generation 1 and was stamped at zero.
+func openGate() *Gate {
+	g := New(testConfig())
+	g.Fence(0, 1)
+	g.Stamp(0, Stamp{Generation: 1, ControlRevision: 5, InService: true})
+	return g
+}
+
+func TestAdmitRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(g *Gate)
+		now     time.Duration
+		change  func(s *Start)
+		want    result.Code
+	}{
+		{name: "admitted", want: result.OK},
+		{name: "lower generation", prepare: func(g *Gate) { g.Fence(0, 2) }, want: result.StaleGeneration},
+		{name: "higher generation", change: func(s *Start) { s.Generation = 2 }, want: result.StaleGeneration},
+		{name: "generation zero", change: func(s *Start) { s.Generation = 0 }, want: result.StaleGeneration},
+		{name: "other cell", change: func(s *Start) { s.Cell = 1 }, want: result.StaleGeneration},
+		{name: "cell changed", prepare: func(g *Gate) { g.Assign(1) }, want: result.StaleGeneration},
+		{name: "at the limit", now: 3 * time.Second, want: result.OK},
+		{name: "past the limit", now: 3*time.Second + 1, want: result.StaleStamp},
+		{name: "fenced again", prepare: func(g *Gate) { g.Fence(0, 1) }, want: result.StaleStamp},
+		{name: "out", prepare: func(g *Gate) {
+			g.Stamp(0, Stamp{Generation: 1, ControlRevision: 5})
+		}, want: result.OutOfService},
+		{name: "out, then an older revision", prepare: func(g *Gate) {
+			g.Stamp(0, Stamp{Generation: 1, ControlRevision: 6})
+			g.Stamp(0, Stamp{Generation: 1, ControlRevision: 5, InService: true})
+		}, want: result.OutOfService},
+		{name: "out, then back", prepare: func(g *Gate) {
+			g.Stamp(0, Stamp{Generation: 1, ControlRevision: 6})
+			g.Stamp(0, Stamp{Generation: 1, ControlRevision: 7, InService: true})
+		}, want: result.OK},
+		{name: "leaving", prepare: func(g *Gate) { g.Leave() }, want: result.Leaving},
+		{name: "deadline", change: func(s *Start) { s.Timeout = 0 }, want: result.DeadlinePassed},
+		{name: "no slot", prepare: func(g *Gate) {
+			g.Admit(0, start(2))
+			g.Admit(0, start(3))
+		}, want: result.NoFreeSlot},
+		{name: "started", prepare: func(g *Gate) { g.Admit(0, start(1)) }, want: result.AlreadyStarted},
+		{name: "started, then fenced", prepare: func(g *Gate) {
+			g.Admit(0, start(1))
+			g.Fence(0, 2)
+		}, want: result.AlreadyStarted},
+		{name: "id too old", change: func(s *Start) {
+			s.Task.Submission = submission(-10*time.Minute-time.Millisecond, 1)
+		}, want: result.AnswerExpired},
+		{name: "id from the future", change: func(s *Start) {
+			s.Task.Submission = submission(11*time.Minute, 1)
+		}, want: result.IDFromFuture},
+		{name: "id of another version", change: func(s *Start) { s.Task.Submission[6] = 0x40 }, want: result.BadSubmissionID},
+		{name: "index too large", change: func(s *Start) { s.Task.Index = 120 }, want: result.Malformed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := openGate()
+			if c.prepare != nil {
+				c.prepare(g)
+			}
+			s := start(1)
+			if c.change != nil {
+				c.change(&s)
+			}
+			must.Eq(t, c.want, g.Admit(c.now, s).Code)
+		})
+	}
+}
+
+func TestStampPermitsOnlyWhatItMay(t *testing.T) {
+	cases := []struct {
+		name  string
+		stamp Stamp
+		want  result.Code
+	}{
+		{"young", Stamp{Echo: 9 * time.Second, Generation: 1, InService: true}, result.OK},
+		{"old confirmation", Stamp{Echo: 9 * time.Second, Age: 2100 * time.Millisecond, Generation: 1, InService: true}, result.StaleStamp},
+		{"late answer", Stamp{Echo: 6 * time.Second, Generation: 1, InService: true}, result.StaleStamp},
+		{"echo from the future", Stamp{Echo: 11 * time.Second, Generation: 1, InService: true}, result.StaleStamp},
+		{"negative age", Stamp{Echo: 5 * time.Second, Age: -9 * time.Second, Generation: 1, InService: true}, result.StaleStamp},
+		{"generation zero", Stamp{Echo: 9 * time.Second, InService: true}, result.StaleStamp},
+		{"lower generation", Stamp{Echo: 9 * time.Second, Generation: 1, Cell: 7, InService: true}, result.StaleStamp},
+		{"higher generation", Stamp{Echo: 9 * time.Second, Generation: 2, InService: true}, result.StaleStamp},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(testConfig())
+			g.Fence(0, 1)
+			g.Stamp(10*time.Second, c.stamp)
+			must.Eq(t, c.want, g.Admit(10*time.Second+100*time.Millisecond, start(1)).Code)
+		})
+	}
+}
+
+func TestRecheckSeesWhatChangedSinceAdmit(t *testing.T) {
+	g := openGate()
+	must.Eq(t, result.OK, g.Admit(0, start(1)).Code)
+	must.Eq(t, result.OK, g.Recheck(time.Second, start(1)))
+	must.Eq(t, result.StaleStamp, g.Recheck(4*time.Second, start(1)))
+	g.Fence(0, 2)
+	must.Eq(t, result.StaleGeneration, g.Recheck(0, start(1)))
+}
+
+func TestFenceReturnsRecords(t *testing.T) {
+	g := openGate()
+	g.Admit(0, start(1))
+	g.Admit(0, start(2))
+	must.True(t, g.End(time.Second, Record{Task: task(2), Code: result.OK, Body: []byte("x"), Run: time.Second}))
+	must.False(t, g.End(time.Second, Record{Task: task(2)}))
+	records, ok := g.Fence(0, 2)
+	must.True(t, ok)
+	must.SliceContainsAll(t, records, []Record{
+		{Task: task(1), Running: true},
+		{Task: task(2), Code: result.OK, Body: []byte("x"), Run: time.Second},
+	})
+	_, ok = g.Fence(0, 1)
+	must.False(t, ok)
+	_, ok = g.Fence(3, 9)
+	must.False(t, ok)
+}
+
+func TestAbortedTaskMayStartLater(t *testing.T) {
+	g := openGate()
+	g.Admit(0, start(1))
+	must.True(t, g.Abort(task(1)))
+	must.False(t, g.Abort(task(1)))
+	must.Eq(t, 0, g.State(0).Running)
+	must.Eq(t, result.OK, g.Admit(0, start(1)).Code)
+	g.End(0, Record{Task: task(1)})
+	must.False(t, g.Abort(task(1)))
+}
+
+func TestBodiesAreDroppedAndFactsStay(t *testing.T) {
+	ended := Record{Task: task(1), Code: result.OK, Body: make([]byte, 700_000)}
+	cases := []struct {
+		name string
+		drop func(g *Gate)
+	}{
+		{"released", func(g *Gate) { g.Release(task(1).Submission) }},
+		{"retention", func(g *Gate) { g.Expire(2 * time.Minute) }},
+		{"bound on bytes", func(g *Gate) {
+			g.Admit(0, start(2))
+			g.End(0, Record{Task: task(2), Body: make([]byte, 700_000)})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := openGate()
+			g.Admit(0, start(1))
+			g.End(0, ended)
+			must.Eq(t, int64(700_000), g.State(0).HeldBytes)
+			must.Eq(t, 700_000, len(g.Admit(0, start(1)).Record.Body))
+			c.drop(g)
+			d := g.Admit(0, start(1))
+			must.Eq(t, result.AlreadyStarted, d.Code)
+			must.Eq(t, result.AnswerExpired, d.Record.Code)
+			must.Eq(t, 0, len(d.Record.Body))
+			must.LessEq(t, 700_000, g.State(0).HeldBytes)
+		})
+	}
+}
+
+func TestRecordOutlivesItsID(t *testing.T) {
+	g := openGate()
+	g.Admit(0, start(1))
+	g.End(0, Record{Task: task(1)})
+	for now := time.Duration(0); now < 15*time.Minute; now += 500 * time.Millisecond {
+		g.Expire(now)
+		g.Stamp(now, Stamp{Echo: now, Generation: 1, ControlRevision: 5, InService: true})
+		s := start(1)
+		want := result.AlreadyStarted
+		if g.State(now).Records == 0 {
+			want = result.AnswerExpired
+		}
+		must.Eq(t, want, g.Admit(now, s).Code)
+	}
+	must.Eq(t, int64(0), g.State(0).Records)
+	must.Eq(t, int64(0), g.State(0).HeldBytes)
+}
+
+func TestRunningTaskKeepsItsRecord(t *testing.T) {
+	g := openGate()
+	g.Admit(0, start(1))
+	g.Expire(time.Hour)
+	must.Eq(t, int64(1), g.State(0).Records)
+	g.End(time.Hour, Record{Task: task(1), Body: []byte("x")})
+	g.Expire(time.Hour + time.Second)
+	records, _ := g.Fence(0, 2)
+	must.Eq(t, "x", string(records[0].Body))
+	g.Expire(time.Hour + 2*time.Minute)
+	must.Eq(t, int64(0), g.State(0).Records)
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	cfg := testConfig()
+	cfg.MaxRecords = 1
+	g := New(cfg)
+	g.Fence(0, 1)
+	g.Stamp(0, Stamp{Generation: 1, InService: true})
+	must.Eq(t, result.OK, g.Admit(0, start(1)).Code)
+	must.Eq(t, result.Overloaded, g.Admit(0, start(2)).Code)
+}
--- /dev/null
+++ b/internal/gate/records.go
@@ -0,0 +1,302 @@
+package gate
+
+import (
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+const (
+	shardCount = 16
+	// bucketSpan is the span of submission times that share a bucket; a
+	// bucket expires as a whole.
+	bucketSpan = time.Minute
+)
+
+// Task names one task of a submission.
+type Task struct {
+	Submission uuid.UUID
+	Index      uint32
+}
+
+// time returns the wall clock time in the submission id.
+func (t Task) time() time.Time {
+	return time.UnixMilli(t.millis())
+}
+
+// millis returns the first 48 bits of the submission id, which are its Unix
+// time in milliseconds.
+func (t Task) millis() int64 {
+	return int64(binary.BigEndian.Uint64(t.Submission[:8]) >> 16)
+}
+
+// Record is what is known of a task that was started.
+type Record struct {
+	Task    Task
+	Running bool
+	// Code is how an ended task ended. It is AnswerExpired in place of OK
+	// when the body is no longer held.
+	Code   result.Code
+	Body   []byte
+	Detail string
+	// Run is the time that the endpoint took.
+	Run time.Duration
+}
+
+// record is the stored form of a Record.
+type record struct {
+	// answer is nil while the task runs and once the body was dropped.
+	answer  *answer
+	runUS   uint32
+	code    uint16
+	running bool
+}
+
+// answer is the part of a record that is dropped early.
+type answer struct {
+	body   []byte
+	detail string
+}
+
+func (a *answer) bytes() int64 {
+	return int64(len(a.body) + len(a.detail))
+}
+
+func (r record) export(t Task) Record {
+	out := Record{
+		Task:    t,
+		Running: r.running,
+		Code:    result.Code(r.code),
+		Run:     time.Duration(r.runUS) * time.Microsecond,
+	}
+	if r.answer != nil {
+		out.Body = r.answer.body
+		out.Detail = r.answer.detail
+		return out
+	}
+	if !r.running && out.Code == result.OK {
+		out.Code = result.AnswerExpired
+	}
+	return out
+}
+
+// bucket holds the records of the submissions of one minute.
+type bucket struct {
+	records map[Task]record
+	running int
+	// lastEnd is the instant of the last end of a task.
+	lastEnd time.Duration
+}
+
+// shard holds the records of a part of the submissions.
+type shard struct {
+	mu sync.Mutex
+	// buckets are by the minute of the submission's time.
+	buckets map[int64]*bucket
+}
+
+// records holds the records of all started tasks.
+type records struct {
+	cfg    Config
+	shards [shardCount]shard
+	count  atomic.Int64
+	held   heldBodies
+}
+
+func newRecords(cfg Config) *records {
+	rs := &records{cfg: cfg}
+	for i := range rs.shards {
+		rs.shards[i].buckets = map[int64]*bucket{}
+	}
+	return rs
+}
+
+func (rs *records) shard(submission uuid.UUID) *shard {
+	return &rs.shards[xxhash.Sum64(submission[:])%shardCount]
+}
+
+func minute(t Task) int64 {
+	return t.millis() / bucketSpan.Milliseconds()
+}
+
+func (rs *records) full() bool {
+	return rs.count.Load() >= rs.cfg.MaxRecords
+}
+
+func (rs *records) get(t Task) (Record, bool) {
+	s := rs.shard(t.Submission)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.buckets[minute(t)]
+	if b == nil {
+		return Record{}, false
+	}
+	r, ok := b.records[t]
+	return r.export(t), ok
+}
+
+// begin makes the record of a task that has none.
+func (rs *records) begin(t Task) {
+	s := rs.shard(t.Submission)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := minute(t)
+	b := s.buckets[m]
+	if b == nil {
+		b = &bucket{records: map[Task]record{}}
+		s.buckets[m] = b
+	}
+	b.records[t] = record{running: true}
+	b.running++
+	rs.count.Add(1)
+}
+
+func (rs *records) end(now time.Duration, r Record) bool {
+	a := &answer{body: r.Body, detail: r.Detail}
+	if !rs.store(now, r, a) {
+		return false
+	}
+	rs.held.add(now, r.Task, a.bytes())
+	for {
+		t, ok := rs.held.next(rs.cfg.MaxBodyBytes)
+		if !ok {
+			return true
+		}
+		rs.dropAnswer(t)
+	}
+}
+
+func (rs *records) store(now time.Duration, r Record, a *answer) bool {
+	s := rs.shard(r.Task.Submission)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.running(r.Task)
+	if !ok {
+		return false
+	}
+	b.records[r.Task] = record{answer: a, code: uint16(r.Code), runUS: micros(r.Run)}
+	b.running--
+	b.lastEnd = now
+	return true
+}
+
+// abort removes the record of a running task.
+func (rs *records) abort(t Task) bool {
+	s := rs.shard(t.Submission)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.running(t)
+	if !ok {
+		return false
+	}
+	delete(b.records, t)
+	b.running--
+	rs.count.Add(-1)
+	return true
+}
+
+// running returns the bucket of a task that runs.
+func (s *shard) running(t Task) (*bucket, bool) {
+	b := s.buckets[minute(t)]
+	if b == nil {
+		return nil, false
+	}
+	return b, b.records[t].running
+}
+
+func (rs *records) release(submission uuid.UUID) {
+	for index := range uint32(api.MaxTasks) {
+		rs.dropAnswer(Task{Submission: submission, Index: index})
+	}
+}
+
+func (rs *records) dropAnswers(tasks []Task) {
+	for _, t := range tasks {
+		rs.dropAnswer(t)
+	}
+}
+
+// dropAnswer drops the body of an ended task and keeps the fact.
+func (rs *records) dropAnswer(t Task) {
+	s := rs.shard(t.Submission)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.buckets[minute(t)]
+	if b == nil {
+		return
+	}
+	r, ok := b.records[t]
+	if !ok || r.answer == nil {
+		return
+	}
+	rs.held.free(r.answer.bytes())
+	r.answer = nil
+	b.records[t] = r
+}
+
+// all returns every record.
+func (rs *records) all() []Record {
+	out := make([]Record, 0, rs.count.Load())
+	for i := range rs.shards {
+		out = rs.shards[i].appendTo(out)
+	}
+	return out
+}
+
+func (s *shard) appendTo(out []Record) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.buckets {
+		for t, r := range b.records {
+			out = append(out, r.export(t))
+		}
+	}
+	return out
+}
+
+// expire drops old bodies, and the buckets whose ids checkAge refuses.
+func (rs *records) expire(now time.Duration) {
+	rs.dropAnswers(rs.held.expire(now - rs.cfg.BodyRetention))
+	for i := range rs.shards {
+		rs.expireShard(now, &rs.shards[i])
+	}
+}
+
+func (rs *records) expireShard(now time.Duration, s *shard) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for m, b := range s.buckets {
+		if !rs.expired(now, m, b) {
+			continue
+		}
+		for _, r := range b.records {
+			if r.answer != nil {
+				rs.held.free(r.answer.bytes())
+			}
+		}
+		rs.count.Add(-int64(len(b.records)))
+		delete(s.buckets, m)
+	}
+}
+
+// expired tells whether no id of the bucket may start any more and nobody
+// waits for the outcomes.
+func (rs *records) expired(now time.Duration, m int64, b *bucket) bool {
+	if b.running > 0 || now-b.lastEnd < rs.cfg.BodyRetention {
+		return false
+	}
+	end := time.UnixMilli((m + 1) * bucketSpan.Milliseconds())
+	return rs.cfg.Epoch.Add(now).Sub(end) > rs.cfg.RecordRetention
+}
+
+// micros returns d in microseconds, bounded to what fits.
+func micros(d time.Duration) uint32 {
+	return uint32(min(max(d.Microseconds(), 0), 1<<32-1))
+}
