Serve operators and check tokens at the entry

Cause: the query language, the operators' API and access stood beside the entry; callers saw every team's jobs.

Change: the admin handler and the guard are wired in; a caller sees and cancels its own team's jobs only, and another team's id is not found.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -271,3 +273,10 @@
 	}
 	return merged
 }
+
+// Names returns the endpoints whose agents are attached.
+func (a *agents) Names() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Sorted(maps.Keys(a.links))
+}
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -251,3 +252,10 @@
 	defer b.mu.Unlock()
 	b.notify()
 }
+
+// Acks returns the revisions that members are known to hold.
+func (b *board) Acks() map[string]uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.acks)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -10,9 +11,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"github.com/pomelosill/pomelosill/internal/access"
 	"github.com/pomelosill/pomelosill/internal/api"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
-	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/sched"
 )
@@ -23,8 +24,11 @@
 	mux.HandleFunc("POST /v1/jobs", e.postJob)
 	mux.HandleFunc("GET /v1/jobs/{id}", e.getJob)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.deleteJob)
-	mux.HandleFunc("GET /ready", e.ready)
-	return mux
+	refuse := func(w http.ResponseWriter, err error) { writeAnswer(w, refusal("", err)) }
+	open := http.NewServeMux()
+	open.HandleFunc("GET /ready", e.ready)
+	open.Handle("/v1/", e.guard.Require(mux, refuse))
+	return open
 }
 
 // ready tells the platform's balancer whether to send callers here.
@@ -67,18 +71,17 @@
 
 func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (api.Job, error) {
 	var job api.Job
-	body := http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes)
-	dec := json.NewDecoder(body)
-	dec.DisallowUnknownFields()
-	err := dec.Decode(&job)
-	var tooLarge *http.MaxBytesError
-	if asTooLarge(err, &tooLarge) {
-		return job, result.Errorf(result.TooLarge, "the body may have %d bytes", tooLarge.Limit)
-	}
+	limits := access.BodyLimits{MaxBytes: e.settings.MaxBodyBytes, Timeout: access.BodyTimeout}
+	body, err := limits.Read(w, r)
 	if err != nil {
+		return job, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&job); err != nil {
 		return job, result.Wrap(result.Malformed, err, "body")
 	}
-	return job, nil
+	return job, access.From(r.Context()).MayUseTeam(job.Team)
 }
 
 // submission checks a job and turns it into the form that entries exchange.
@@ -147,12 +150,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), inspectTimeout)
 	defer cancel()
-	a, err := e.lookup(ctx, id)
+	a, err := e.lookupFor(ctx, id)
 	if err != nil {
 		writeAnswer(w, refusal(r.PathValue("id"), err))
 		return
 	}
-	process.WriteJSON(w, http.StatusOK, a)
+	access.WriteJSON(w, http.StatusOK, a)
 }
 
 func (e *Entry) deleteJob(w http.ResponseWriter, r *http.Request) {
@@ -161,10 +164,28 @@
 		writeAnswer(w, refusal(r.PathValue("id"), err))
 		return
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), inspectTimeout)
+	defer cancel()
+	if _, err := e.lookupFor(ctx, id); err != nil {
+		writeAnswer(w, refusal(r.PathValue("id"), err))
+		return
+	}
 	e.relay.Cancel(e.base, id)
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// lookupFor finds a job that the caller in ctx may see.
+func (e *Entry) lookupFor(ctx context.Context, id sched.Key) (*jobAnswer, error) {
+	a, err := e.lookup(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if access.From(ctx).MayUseTeam(a.Team) != nil {
+		return nil, result.Errorf(result.NotFound, "no owner knows this id")
+	}
+	return a, nil
+}
+
 func refusal(id string, err error) api.Answer {
 	code := result.CodeOf(err)
 	in := result.Describe(code)
@@ -214,5 +235,5 @@
 }
 
 func writeAnswer(w http.ResponseWriter, a api.Answer) {
-	process.WriteJSON(w, result.Describe(a.Code).HTTP, a)
+	access.WriteJSON(w, result.Describe(a.Code).HTTP, a)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,8 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/access"
+	"github.com/pomelosill/pomelosill/internal/admin"
 	"github.com/pomelosill/pomelosill/internal/cell"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
@@ -49,6 +51,8 @@
 	relay    *relay
 	counters *counters
 	store    *store.HTTP
+	guard    *access.Guard
+	admin    *admin.Handler
 	// base outlives callers' requests and ends with the entry.
 	base context.Context
 	// open counts callers' requests in progress.
@@ -103,6 +107,8 @@
 	e.confirms = newConfirms(e.board, e.peers.Soon, 2*s.Freshness.Std())
 	e.relay = newRelay(e.board, e.client, e.confirms, e.counters, part("relay"))
 	e.relay.cells = e.ownership.Cell
+	e.guard = access.NewGuard(s.Tokens, log)
+	e.admin = admin.NewHandler(admin.Options{Backend: e, Guard: e.guard, Log: log, Now: time.Now})
 	return e
 }
 
@@ -176,7 +182,7 @@
 	peer := http.NewServeMux()
 	peer.Handle(pomelosillv1connect.NewDispatchServiceHandler(e))
 	operators := http.NewServeMux()
-	operators.Handle("/v1/", e.operators())
+	operators.Handle("/v1/", e.admin)
 	e.debug.Mount(operators, func() any { return e.State() })
 	return []*http.Server{
 		process.NewServer(e.callers()),
@@ -271,7 +277,9 @@
 	InProgress    int               `json:"submissions_in_progress"`
 	Agents        []string          `json:"agents_attached"`
 	Counters      map[string]int64  `json:"counters"`
-	StoreCalls    any               `json:"store_calls"`
+	StoreCalls    store.Counts      `json:"store_calls"`
+	// Commands are the last audited commands given to this entry.
+	Commands []admin.Command `json:"commands"`
 }
 
 // State returns what the entry knows now.
@@ -290,6 +298,7 @@
 		InProgress:    e.relay.InProgress(),
 		Agents:        e.agents.Names(),
 		StoreCalls:    e.store.Counts(),
+		Commands:      e.admin.Commands(),
 	}
 	for _, c := range e.ownership.Cells() {
 		s.Cells = append(s.Cells, c.State())
@@ -326,7 +335,3 @@
 	}
 	return nil
 }
-
-func asTooLarge(err error, target **http.MaxBytesError) bool {
-	return errors.As(err, target)
-}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/access"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/sched"
 	"github.com/pomelosill/pomelosill/internal/settings"
@@ -51,6 +52,9 @@
 	DrainTimeout settings.Duration `json:"drain_timeout"`
 	// DefaultTeams are made at the first start of all.
 	DefaultTeams []TeamSettings `json:"default_teams"`
+	// Tokens are the operators' and callers' tokens; access is open without
+	// any.
+	Tokens access.Tokens `json:"tokens"`
 	// MaxWaiting bounds the waiting tasks of one cell.
 	MaxWaiting int    `json:"max_waiting"`
 	LogLevel   string `json:"log_level"`
@@ -106,7 +110,7 @@
 	if s.MaxWaiting < 1 {
 		return bad("max_waiting", "must be at least 1")
 	}
-	return nil
+	return s.Tokens.Validate()
 }
 
 func (s *Settings) validateAddresses() error {
