Test the cell and the control document

Cause: the decision core had no tests of its own.

An entry without a control document says so at once instead of after the deadline.

In a scratch copy the property test fails at once when the previous roster does not count towards acceptance, and the roster test when changes of the roster need not be accepted one by one. One of the tests was wrong while it was written (it counted the starts of one of two endpoints).

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+func member(i int) Member {
+	return Member{ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), FailureDomain: fmt.Sprintf("d%d", i%3)}
+}
+
+func all(string) bool  { return true }
+func none(string) bool { return false }
+
+func TestQuorumMeetsEveryMajority(t *testing.T) {
+	for n := 1; n <= 60; n++ {
+		must.Greater(t, n, Quorum(n)+Majority(n))
+		must.Eq(t, n, Quorum(n)+Majority(n)-1)
+	}
+}
+
+func TestBasis(t *testing.T) {
+	now := time.Now()
+	ago := func(s int) time.Time { return now.Add(-time.Duration(s) * time.Second) }
+	d := &Document{Roster: []Member{member(0), member(1), member(2), member(3), member(4)}}
+	for name, c := range map[string]struct {
+		self string
+		conf Confirmations
+		want time.Time
+	}{
+		"nothing":              {"e0", Confirmations{}, time.Time{}},
+		"store":                {"e0", Confirmations{Store: ago(2)}, ago(2)},
+		"one peer is too few":  {"e0", Confirmations{Peers: map[string]time.Time{"e1": ago(1)}}, time.Time{}},
+		"second of two peers":  {"e0", Confirmations{Peers: map[string]time.Time{"e1": ago(1), "e2": ago(3)}}, ago(3)},
+		"second of three":      {"e0", Confirmations{Peers: map[string]time.Time{"e1": ago(1), "e2": ago(3), "e3": ago(2)}}, ago(2)},
+		"strangers don't vote": {"e0", Confirmations{Peers: map[string]time.Time{"e1": ago(1), "x": ago(1)}}, time.Time{}},
+		"not on the roster":    {"x", Confirmations{Peers: map[string]time.Time{"e1": ago(1), "e2": ago(1)}}, time.Time{}},
+		"the later counts":     {"e0", Confirmations{Store: ago(1), Peers: map[string]time.Time{"e1": ago(2), "e2": ago(2)}}, ago(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.want, Basis(d, c.self, c.conf, now))
+		})
+	}
+}
+
+// An accepted revision leaves nobody who could vouch an entry at an older one
+// into freshness, whatever roster it knows.
+func TestAcceptedLeavesNoOlderMajority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		docs := []*Document{New(member(0), 1, "op")}
+		held := map[string]int{"e0": 0}
+		last := func() *Document { return docs[len(docs)-1] }
+		acked := func(id string) bool { return held[id] == len(docs)-1 }
+		for next := 1; next < 40; next++ {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if d, err := Join(last().Settled(acked), member(next), "op", acked); err == nil {
+					docs = append(docs, d)
+					held[member(next).ID] = len(docs) - 1
+				}
+			case 1:
+				out := rapid.SampledFrom(last().Roster).Draw(t, "out").ID
+				if d, err := Remove(last().Settled(acked), out, "op", false, acked); err == nil && len(d.Roster) > 0 {
+					docs = append(docs, d)
+				}
+			default:
+				id := rapid.SampledFrom(last().Roster).Draw(t, "ack").ID
+				held[id] = len(docs) - 1
+			}
+			if Accepted(last(), acked) {
+				checkNoOlderMajority(t, docs, held)
+			}
+		}
+	})
+}
+
+func checkNoOlderMajority(t *rapid.T, docs []*Document, held map[string]int) {
+	for r, d := range docs[:len(docs)-1] {
+		could := 0
+		for _, m := range d.Roster {
+			if held[m.ID] <= r {
+				could++
+			}
+		}
+		if could >= Majority(len(d.Roster)) {
+			t.Fatalf("a majority of revision %d's roster could still vouch for it after %d was accepted", r, len(docs)-1)
+		}
+	}
+}
+
+func TestRosterChangesOneAtATime(t *testing.T) {
+	d := New(member(0), 1, "op")
+	d2, err := Join(d, member(1), "op", none)
+	must.NoError(t, err)
+	must.Len(t, 1, d2.PreviousRoster)
+	_, err = Join(d2, member(2), "op", none)
+	must.Eq(t, result.StoreConflict, result.CodeOf(err))
+	d3, err := Join(d2, member(2), "op", func(id string) bool { return id == "e0" })
+	must.NoError(t, err)
+	must.Len(t, 3, d3.Roster)
+}
+
+func TestRestartOnTheSameAddressEndsThePredecessor(t *testing.T) {
+	d := &Document{Revision: 5, Roster: []Member{member(0), member(1), member(2)}, Cells: []Cell{{Owner: "e0", Generation: 4}}}
+	for i := range 3 {
+		m := member(i)
+		m.ID += "b"
+		own := func(id string) bool { return id == m.ID || len(id) == 3 }
+		n, err := Join(d, m, "op", own)
+		must.NoError(t, err, must.Sprintf("entry %d", i))
+		must.Len(t, 3, n.Roster)
+		d = n
+	}
+	must.Eq(t, "", d.Cells[0].Owner)
+	must.Eq(t, 4, d.Cells[0].Generation)
+}
+
+func TestEdits(t *testing.T) {
+	weight := 3
+	negative := -1
+	for name, c := range map[string]struct {
+		edit Edit
+		code result.Code
+		nop  bool
+	}{
+		"domain out":       {edit: Edit{Domain: &ServiceEdit{Name: "Comas", Out: true}}},
+		"domain is in":     {edit: Edit{Domain: &ServiceEdit{Name: "Comas"}}, nop: true},
+		"no name":          {edit: Edit{Domain: &ServiceEdit{Out: true}}, code: result.CommandRefused},
+		"team":             {edit: Edit{Team: &TeamEdit{Name: "a", Weight: &weight}}},
+		"bad limit":        {edit: Edit{Team: &TeamEdit{Name: "a", MaxQueued: &negative}}, code: result.CommandRefused},
+		"unknown team":     {edit: Edit{Team: &TeamEdit{Name: "b", Remove: true}}, code: result.CommandRefused},
+		"other revision":   {edit: Edit{IfRevision: 9, Domain: &ServiceEdit{Name: "Comas", Out: true}}, code: result.CommandConflict},
+		"same revision":    {edit: Edit{IfRevision: 1, Domain: &ServiceEdit{Name: "Comas", Out: true}}},
+		"nothing to do":    {edit: Edit{}, code: result.CommandRefused},
+		"endpoint is in":   {edit: Edit{Endpoint: &ServiceEdit{Name: "e-1"}}, nop: true},
+		"endpoint goes":    {edit: Edit{Endpoint: &ServiceEdit{Name: "e-1", Out: true}}},
+		"name with breaks": {edit: Edit{Endpoint: &ServiceEdit{Name: "a\nb", Out: true}}, code: result.CommandRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New(member(0), 1, "op")
+			n, err := Edited(d, c.edit, "op2", time.Now())
+			must.Eq(t, c.code, result.CodeOf(err))
+			must.Eq(t, c.nop || c.code != result.OK, n == nil)
+			must.Eq(t, 1, d.Revision)
+			if n != nil {
+				must.Eq(t, 2, n.Revision)
+				must.Len(t, 1, n.History)
+			}
+		})
+	}
+}
+
+func TestCandidateAndDeputy(t *testing.T) {
+	d := &Document{Cells: make([]Cell, 20)}
+	for i := range 6 {
+		d.Roster = append(d.Roster, member(i))
+	}
+	counts := map[string]int{}
+	for i := range d.Cells {
+		counts[Candidate(d, i, all)]++
+	}
+	must.Greater(t, 3, len(counts))
+	d.Cells[0] = Cell{Owner: "e0", Deputy: "e1"}
+	dead := func(ids ...string) func(string) bool {
+		return func(id string) bool {
+			for _, x := range ids {
+				if x == id {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	must.Eq(t, "e0", Candidate(d, 0, all))
+	must.Eq(t, "e1", Candidate(d, 0, dead("e0")))
+	third := Candidate(d, 0, dead("e0", "e1"))
+	must.NotEq(t, "e0", third)
+	must.NotEq(t, "e1", third)
+	n := TakeOver(d, []int{0}, third, "op", dead("e0"))
+	must.Eq(t, 1, n.Cells[0].Generation)
+	must.Eq(t, d.Revision+1, n.Revision)
+	deputy, _ := n.Member(n.Cells[0].Deputy)
+	must.NotEq(t, third, deputy.ID)
+	must.NotEq(t, "e0", deputy.ID)
+}
+
+func TestCellsSpread(t *testing.T) {
+	counts := make([]int, 50)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 50000 {
+		var id [16]byte
+		for i := range id {
+			id[i] = byte(rnd.Uint32())
+		}
+		counts[CellOfSubmission(id, 50)]++
+	}
+	for _, n := range counts {
+		must.Between(t, 800, n, 1200)
+	}
+}
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -22,8 +22,6 @@
 	confirmations control.Confirmations
 	// acks are the revisions that members are known to hold.
 	acks map[string]uint64
-	// heard is when each member last answered.
-	heard map[string]time.Time
 	// leaseGone are members whose lease in the store has lapsed.
 	leaseGone map[string]bool
 	leaving   bool
@@ -35,7 +33,6 @@
 		self:          self,
 		confirmations: control.Confirmations{Peers: map[string]time.Time{}},
 		acks:          map[string]uint64{},
-		heard:         map[string]time.Time{},
 		leaseGone:     map[string]bool{},
 		changed:       make(chan struct{}),
 	}
@@ -119,7 +116,6 @@
 func (b *board) PeerAnswered(id string, revision uint64, vouched bool, asked time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.heard[id] = time.Now()
 	b.acks[id] = max(b.acks[id], revision)
 	if vouched && asked.After(b.confirmations.Peers[id]) {
 		b.confirmations.Peers[id] = asked
@@ -131,7 +127,6 @@
 func (b *board) Heard(id string, revision uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.heard[id] = time.Now()
 	if revision > b.acks[id] {
 		b.acks[id] = revision
 		b.notify()
@@ -161,16 +156,6 @@
 	return b.leaseGone[id]
 }
 
-// Alive tells whether a member was heard within the time given.
-func (b *board) Alive(id string, within time.Duration) bool {
-	if id == b.self {
-		return !b.Leaving()
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Since(b.heard[id]) < within
-}
-
 // Basis returns the instant since which nothing newer can have been accepted.
 func (b *board) Basis(now time.Time) time.Time {
 	b.mu.Lock()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -53,8 +53,8 @@
 		writeAnswer(w, refusal(job.ID, err))
 		return
 	}
-	if e.board.Leaving() {
-		writeAnswer(w, refusal(job.ID, result.Errorf(result.ShuttingDown, "")))
+	if err := e.admits(); err != nil {
+		writeAnswer(w, refusal(job.ID, err))
 		return
 	}
 	e.open.Add(1)
@@ -69,6 +69,17 @@
 	}
 }
 
+// admits tells whether this entry can pass submissions on at all.
+func (e *Entry) admits() error {
+	if e.board.Leaving() {
+		return result.Errorf(result.ShuttingDown, "")
+	}
+	if e.board.Doc() == nil {
+		return result.Errorf(result.NoOwner, "the store has not answered since this entry began, so it knows no owner")
+	}
+	return nil
+}
+
 func (e *Entry) readJob(w http.ResponseWriter, r *http.Request) (api.Job, error) {
 	var job api.Job
 	limits := access.BodyLimits{MaxBytes: e.settings.MaxBodyBytes, Timeout: access.BodyTimeout}
