Push the end of service to agents with a stamp that they take

Cause: the gate takes the service state only from stamps of the owner's generation; the pushed stamp had none, so agents waited for their next heartbeat.

Change: the pushed stamp has the cell's generation and an age that permits nothing.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -191,16 +191,25 @@
 	}
 }
 
-// PushStop tells every agent at once that it went out of service, rather than
-// with its next heartbeat's stamp.
+// permitsNothing is the age of a stamp that only carries the service state.
+const permitsNothing = time.Hour
+
+// PushStop tells every agent of the own cells at once that it went out of
+// service, rather than with its next heartbeat's stamp.
 func (a *agents) PushStop(d *control.Document) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, l := range a.links {
-		if d.Config.InService(l.hello.GetEndpoint(), l.hello.GetFailureDomain()) {
+		c := a.cells(l.hello.GetCell())
+		if c == nil || d.Config.InService(l.hello.GetEndpoint(), l.hello.GetFailureDomain()) {
 			continue
 		}
-		l.out.Put(&pb.OwnerFrame{Stamp: &pb.Stamp{Cell: l.hello.GetCell(), ControlRevision: d.Revision}})
+		l.out.Put(&pb.OwnerFrame{Stamp: &pb.Stamp{
+			Cell:            l.hello.GetCell(),
+			Generation:      c.Generation(),
+			ControlRevision: d.Revision,
+			AgeNs:           int64(permitsNothing),
+		}})
 	}
 }
 
