--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -145,7 +145,7 @@
 }
 
 func (p *peers) exchange(ctx context.Context, m control.Member, d *control.Document) {
-	ctx, cancel := context.WithTimeout(ctx, p.interval*2)
+	ctx, cancel := context.WithTimeout(ctx, p.interval)
 	defer cancel()
 	req := &pb.ExchangeRequest{Entry: p.board.self, Revision: d.Revision}
 	if !p.board.Acked(d.Revision)(m.ID) {
