--- a/cmd/pomelosill-standin/main.go
+++ b/cmd/pomelosill-standin/main.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -29,6 +30,8 @@
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
 	Slots  int    `json:"slots"`
+	// Journal is a file that gets a line per start, empty for none.
+	Journal string `json:"journal"`
 }
 
 func main() {
@@ -76,9 +79,15 @@
 			&cli.StringFlag{Name: "listen", Required: true, Usage: "`ADDRESS` as ip:port"},
 			&cli.IntFlag{Name: "slots", Value: 8, Usage: "how many tasks may run at once"},
 			&cli.StringFlag{Name: "name", Required: true, Usage: "`NAME` in its answers"},
+			&cli.StringFlag{Name: "journal", Usage: "append a line of JSON per start to `FILE`"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return serveEndpoint(ctx, endpointSpec{Name: c.String("name"), Listen: c.String("listen"), Slots: c.Int("slots")})
+			return serveEndpoint(ctx, endpointSpec{
+				Name:    c.String("name"),
+				Listen:  c.String("listen"),
+				Slots:   c.Int("slots"),
+				Journal: c.String("journal"),
+			})
 		},
 	}
 }
@@ -87,7 +96,7 @@
 	return &cli.Command{
 		Name:  "endpoints",
 		Usage: "serve many endpoints in one process",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "file", Required: true, Usage: "`FILE` with a JSON list of {name, listen, slots}"}},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "file", Required: true, Usage: "`FILE` with a JSON list of {name, listen, slots, journal}"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			text, err := os.ReadFile(c.String("file"))
 			if err != nil {
@@ -107,10 +116,22 @@
 }
 
 func serveEndpoint(ctx context.Context, spec endpointSpec) error {
-	s := endpoint.NewServer(spec.Name, spec.Slots)
+	journal, err := openJournal(spec.Journal)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = journal.Close() }()
+	s := endpoint.NewServer(spec.Name, spec.Slots, journal)
 	return serve(ctx, spec.Listen, s.Handler(), s.Close)
 }
 
+func openJournal(path string) (io.WriteCloser, error) {
+	if path == "" {
+		path = os.DevNull
+	}
+	return os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+}
+
 // serve serves h until ctx ends, then lets the requests in progress finish;
 // release ends those that wait on something other than time.
 func serve(ctx context.Context, addr string, h http.Handler, release func()) error {
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -58,10 +58,12 @@
 
 // Starts is the body of GET /starts.
 type Starts struct {
-	Endpoint string  `json:"endpoint"`
-	Slots    int     `json:"slots"`
-	Running  int     `json:"running"`
-	Starts   []Start `json:"starts"`
+	Endpoint string `json:"endpoint"`
+	Slots    int    `json:"slots"`
+	Running  int    `json:"running"`
+	// Open counts the requests that have no answer yet, frozen ones included.
+	Open   int     `json:"open"`
+	Starts []Start `json:"starts"`
 	// AboveSlots counts the starts that found every slot taken.
 	AboveSlots int `json:"above_slots"`
 }
@@ -78,13 +80,17 @@
 	changed    chan struct{}
 	starts     []Start
 	running    int
+	open       int
 	aboveSlots int
+	journal    io.Writer
 }
 
-// NewServer returns an endpoint with that many slots.
-func NewServer(name string, slots int) *Server {
+// NewServer returns an endpoint with that many slots. Each start is written
+// to journal as one line of JSON before the run begins, so that the record
+// outlives the process.
+func NewServer(name string, slots int, journal io.Writer) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{name: name, slots: slots, ctx: ctx, close: cancel, changed: make(chan struct{})}
+	return &Server{name: name, slots: slots, ctx: ctx, close: cancel, changed: make(chan struct{}), journal: journal}
 }
 
 // Close cuts whatever waits on a freeze, so that the process can end.
@@ -112,6 +118,7 @@
 		Endpoint:   s.name,
 		Slots:      s.slots,
 		Running:    s.running,
+		Open:       s.open,
 		Starts:     slices.Clone(s.starts),
 		AboveSlots: s.aboveSlots,
 	}
@@ -149,6 +156,8 @@
 	if s.currentFaults().Refuse {
 		cut()
 	}
+	s.countOpen(1)
+	defer s.countOpen(-1)
 	task, err := strconv.Atoi(r.Header.Get(TaskHeader))
 	if err != nil {
 		http.Error(w, "bad task index", http.StatusBadRequest)
@@ -228,6 +237,9 @@
 	}
 	s.running++
 	s.starts = append(s.starts, start)
+	if err := json.NewEncoder(s.journal).Encode(start); err != nil {
+		panic(err)
+	}
 	return len(s.starts) - 1, s.faults
 }
 
@@ -238,6 +250,12 @@
 	s.starts[index].Ended = time.Now()
 }
 
+func (s *Server) countOpen(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += n
+}
+
 // cutNow uses up one of the cuts that count points at.
 func (s *Server) cutNow(count func(*Faults) *int) bool {
 	s.mu.Lock()
--- a/internal/standin/endpoint/server_test.go
+++ b/internal/standin/endpoint/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,7 +24,7 @@
 }
 
 func start(t *testing.T) *fixture {
-	s := endpoint.NewServer("e1", 1)
+	s := endpoint.NewServer("e1", 1, io.Discard)
 	server := httptest.NewServer(s.Handler())
 	client := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(func() {
