Add a harness that runs the programs as real processes

Cause: the promises have to be proved by killing, stopping and cutting real processes. Change: test/fleet builds the programs once, gives each test process a loopback address of its own with ports below the clients' range, starts and signals processes, sets the stand-ins' faults, records every answer, and has the oracle check the history when a test ends.

--- /dev/null
+++ b/test/fleet/client.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
+	"github.com/pomelosill/pomelosill/test/oracle"
+)
+
+const (
+	// jobTimeout is the deadline that jobs carry.
+	jobTimeout = 30 * time.Second
+	// answerSlack is how long a caller waits beyond the deadline.
+	answerSlack = 10 * time.Second
+	// maxAnswerBytes bounds an answer that is read.
+	maxAnswerBytes = 64 << 20
+)
+
+// Job is a job with what its tasks must echo.
+type Job struct {
+	api.Job
+	echoes []string
+}
+
+// NewJob makes a job of that many tasks, each of which runs for run.
+func NewJob(tasks int, run time.Duration) Job {
+	id, err := uuid.NewV7()
+	if err != nil {
+		panic(err)
+	}
+	j := Job{Job: api.Job{ID: id.String(), Team: Team, TimeoutMS: jobTimeout.Milliseconds()}}
+	for i := range tasks {
+		j.add(i, run)
+	}
+	return j
+}
+
+func (j *Job) add(i int, run time.Duration) {
+	echo := fmt.Sprintf("%s/%d", j.ID, i)
+	payload, err := json.Marshal(endpoint.Payload{RunMS: run.Milliseconds(), Echo: echo})
+	if err != nil {
+		panic(err)
+	}
+	j.Tasks = append(j.Tasks, api.Task{Payload: payload})
+	j.echoes = append(j.echoes, echo)
+}
+
+// Call is a submission on its way.
+type Call struct {
+	Job  Job
+	done chan struct{}
+	ans  api.Answer
+	err  error
+}
+
+// Submit sends a job to an entry and waits for the answer. What the caller was
+// told goes into the fleet's history.
+func (f *Fleet) Submit(ctx context.Context, e *Entry, j Job) (api.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(j.TimeoutMS)*time.Millisecond+answerSlack)
+	defer cancel()
+	a := oracle.Attempt{ID: j.ID, Echoes: j.echoes, Sent: time.Now()}
+	text, err := f.post(ctx, "http://"+e.Callers+"/v1/jobs", j.Job)
+	if err == nil {
+		a.Answered, a.Answer = time.Now(), text
+	}
+	f.mu.Lock()
+	f.attempts = append(f.attempts, a)
+	f.mu.Unlock()
+	if err != nil {
+		return api.Answer{}, err
+	}
+	var ans api.Answer
+	err = json.Unmarshal(text, &ans)
+	return ans, err
+}
+
+// Go submits in the background.
+func (f *Fleet) Go(ctx context.Context, e *Entry, j Job) *Call {
+	c := &Call{Job: j, done: make(chan struct{})}
+	f.callers.Go(func() {
+		defer close(c.done)
+		c.ans, c.err = f.Submit(ctx, e, j)
+	})
+	return c
+}
+
+// Wait returns the answer once it is there.
+func (c *Call) Wait() (api.Answer, error) {
+	<-c.done
+	return c.ans, c.err
+}
+
+// MustAnswer returns the answer once it is there and checks its code.
+func (c *Call) MustAnswer(t *testing.T, codes ...result.Code) api.Answer {
+	t.Helper()
+	ans, err := c.Wait()
+	must.NoError(t, err)
+	must.SliceContains(t, codes, ans.Code, must.Sprintf("%s: %s %s", ans.ID, ans.Code, ans.Detail))
+	return ans
+}
+
+// MustSubmit submits and checks the answer's code.
+func (f *Fleet) MustSubmit(t *testing.T, e *Entry, j Job, codes ...result.Code) api.Answer {
+	t.Helper()
+	return f.Go(t.Context(), e, j).MustAnswer(t, codes...)
+}
+
+// Probe gets a job of one short task done.
+func (f *Fleet) Probe(ctx context.Context, e *Entry) error {
+	ans, err := f.Submit(ctx, e, NewJob(1, 0))
+	if err != nil {
+		return err
+	}
+	if ans.Code != result.OK {
+		return result.Errorf(ans.Code, "%s", ans.Detail)
+	}
+	return nil
+}
+
+// Cancel asks an entry to cancel a job.
+func (f *Fleet) Cancel(ctx context.Context, e *Entry, id string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+e.Callers+"/v1/jobs/"+id, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Query sends one statement to an entry's operators' API.
+func (f *Fleet) Query(ctx context.Context, e *Entry, text string) (api.Reply, error) {
+	return f.Command(ctx, e, api.Statement{Text: text})
+}
+
+// Command sends one statement with its options.
+func (f *Fleet) Command(ctx context.Context, e *Entry, s api.Statement) (api.Reply, error) {
+	body, err := f.post(ctx, "http://"+e.Admin+"/v1/query", s)
+	if err != nil {
+		return api.Reply{}, err
+	}
+	var reply api.Reply
+	err = json.Unmarshal(body, &reply)
+	return reply, err
+}
+
+// Document reads the control document from the store.
+func (f *Fleet) Document(ctx context.Context) (control.Document, error) {
+	var d control.Document
+	e, err := f.store.Get(ctx, control.DocumentKey)
+	if err != nil {
+		return d, err
+	}
+	err = json.Unmarshal(e.Value, &d)
+	return d, err
+}
+
+// ownerIn returns the entry that owns cell 0, or nil.
+func (f *Fleet) ownerIn(d control.Document) *Entry {
+	if len(d.Cells) == 0 {
+		return nil
+	}
+	for _, m := range d.Roster {
+		if m.ID == d.Cells[0].Owner {
+			return f.entryAt(m.Address)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) entryAt(address string) *Entry {
+	for _, e := range f.Entries {
+		if e.Peer == address {
+			return e
+		}
+	}
+	return nil
+}
+
+// post sends v as JSON and returns the whole body of the answer.
+func (f *Fleet) post(ctx context.Context, url string, v any) ([]byte, error) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+}
+
+func (f *Fleet) get(ctx context.Context, url string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,312 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/store"
+	"github.com/pomelosill/pomelosill/test/oracle"
+)
+
+const (
+	// Patience bounds every wait for a condition.
+	Patience = 40 * time.Second
+	// pollEvery is the pause between two looks at a condition.
+	pollEvery = 20 * time.Millisecond
+	// atOnce is how many fleets run at the same time.
+	atOnce = 3
+)
+
+// running holds a token for each fleet that runs.
+var running = make(chan struct{}, atOnce)
+
+// Config is the size of a fleet.
+type Config struct {
+	Entries int
+	// Domains are the failure domains; each gets EndpointsPerDomain.
+	Domains            []string
+	EndpointsPerDomain int
+	// Slots is the number of slots of each endpoint.
+	Slots int
+}
+
+// Small is enough for most tests: a majority of entries outlives one of them,
+// and a failure domain can go.
+func Small() Config {
+	return Config{Entries: 3, Domains: []string{"comas", "carabayllo"}, EndpointsPerDomain: 2, Slots: 4}
+}
+
+// Team is the team that every fleet knows.
+const Team = "alerts"
+
+// Fleet is a running system.
+type Fleet struct {
+	Platform  *Platform
+	Entries   []*Entry
+	Endpoints []*Endpoint
+
+	dir    string
+	client *http.Client
+	store  *store.HTTP
+
+	mu       sync.Mutex
+	attempts []oracle.Attempt
+	callers  sync.WaitGroup
+}
+
+// Platform is the stand-in of the platform's store.
+type Platform struct {
+	*Process
+	URL string
+}
+
+// Entry is one entry.
+type Entry struct {
+	*Process
+	// Callers, Peer and Admin are its addresses as IP:port.
+	Callers string
+	Peer    string
+	Admin   string
+	Domain  string
+}
+
+// Endpoint is one stand-in endpoint with the agent beside it.
+type Endpoint struct {
+	*Process
+	Agent   *Process
+	URL     string
+	Debug   string
+	Domain  string
+	journal string
+}
+
+// New prepares the processes of a fleet and starts none. When the test ends,
+// the fleet's history is checked and every process is killed.
+func New(t *testing.T, c Config) *Fleet {
+	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	f := &Fleet{dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	t.Cleanup(f.client.CloseIdleConnections)
+	f.addPlatform(t)
+	for i := range c.Entries {
+		f.addEntry(t, i, c.Domains[i%len(c.Domains)])
+	}
+	for _, domain := range c.Domains {
+		for i := range c.EndpointsPerDomain {
+			f.addEndpoint(t, fmt.Sprintf("%s-%d", domain, i+1), domain, c.Slots)
+		}
+	}
+	t.Cleanup(func() { f.end(t) })
+	return f
+}
+
+// Start starts a whole fleet and waits until it serves.
+func Start(t *testing.T, c Config) *Fleet {
+	t.Helper()
+	f := New(t, c)
+	f.StartPlatform(t)
+	for _, e := range f.Entries {
+		e.Start(t)
+	}
+	for _, e := range f.Endpoints {
+		f.StartEndpoint(t, e)
+		e.Agent.Start(t)
+	}
+	f.AwaitReady(t)
+	return f
+}
+
+func (f *Fleet) addPlatform(t *testing.T) {
+	addr := freeAddress(t)
+	f.Platform = &Platform{
+		Process: newProcess(f.dir, "platform", "pomelosill-standin", "platform", "--listen", addr),
+		URL:     "http://" + addr,
+	}
+	f.store = store.NewHTTP(f.Platform.URL, f.client, store.WithClientID("test"))
+}
+
+func (f *Fleet) addEntry(t *testing.T, i int, domain string) {
+	name := fmt.Sprintf("entry-%d", i+1)
+	e := &Entry{Callers: freeAddress(t), Peer: freeAddress(t), Admin: freeAddress(t), Domain: domain}
+	path := writeSettings(t, f.dir, name, entrySettings{
+		Listen:        e.Callers,
+		Peer:          e.Peer,
+		Admin:         e.Admin,
+		FailureDomain: domain,
+		Store:         f.Platform.URL,
+		DefaultTeams:  []teamSettings{{Name: Team, Weight: 1}},
+		DrainTimeout:  "30s",
+		LogLevel:      "debug",
+	})
+	e.Process = newProcess(f.dir, name, "pomelosill-entry", "--settings", path)
+	f.Entries = append(f.Entries, e)
+}
+
+func (f *Fleet) addEndpoint(t *testing.T, name, domain string, slots int) {
+	addr := freeAddress(t)
+	e := &Endpoint{URL: "http://" + addr, Debug: freeAddress(t), Domain: domain, journal: filepath.Join(f.dir, name+".starts")}
+	e.Process = newProcess(f.dir, name, "pomelosill-standin",
+		"endpoint", "--listen", addr, "--slots", fmt.Sprint(slots), "--name", name, "--journal", e.journal)
+	path := writeSettings(t, f.dir, name+"-agent", agentSettings{
+		Endpoint:      name,
+		FailureDomain: domain,
+		Slots:         slots,
+		EndpointURL:   e.URL,
+		Listen:        e.Debug,
+		Entries:       f.peers(),
+		LogLevel:      "debug",
+	})
+	e.Agent = newProcess(f.dir, name+"-agent", "pomelosill-agent", "--settings", path)
+	f.Endpoints = append(f.Endpoints, e)
+}
+
+func (f *Fleet) peers() []string {
+	var out []string
+	for _, e := range f.Entries {
+		out = append(out, e.Peer)
+	}
+	return out
+}
+
+// StartPlatform starts the store and waits until it answers.
+func (f *Fleet) StartPlatform(t *testing.T) {
+	t.Helper()
+	f.Platform.Start(t)
+	awaitListener(t, f.Platform.URL[len("http://"):])
+}
+
+// StartEndpoint starts an endpoint, not its agent, and waits until it answers.
+func (f *Fleet) StartEndpoint(t *testing.T, e *Endpoint) {
+	t.Helper()
+	e.Start(t)
+	awaitListener(t, e.URL[len("http://"):])
+}
+
+// AwaitReady waits until every running entry answers a job and sees every
+// endpoint.
+func (f *Fleet) AwaitReady(t *testing.T) {
+	t.Helper()
+	for _, e := range f.Entries {
+		Eventually(t, e.Name+" sees every endpoint", func(ctx context.Context) error {
+			return f.seesAll(ctx, e)
+		})
+		Eventually(t, e.Name+" gets a job done", func(ctx context.Context) error {
+			return f.Probe(ctx, e)
+		})
+	}
+}
+
+func (f *Fleet) seesAll(ctx context.Context, e *Entry) error {
+	reply, err := f.Query(ctx, e, "endpoints")
+	if err != nil {
+		return err
+	}
+	if len(reply.Rows) != len(f.Endpoints) {
+		return fmt.Errorf("%d of %d endpoints: %v %s", len(reply.Rows), len(f.Endpoints), reply.Rows, reply.Text)
+	}
+	return nil
+}
+
+// Eventually waits until check returns nil.
+func Eventually(t *testing.T, what string, check func(ctx context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), Patience)
+	defer cancel()
+	for {
+		err := check(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s: not within %v: %v", what, Patience, err)
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// end thaws everything, waits until the endpoints are quiet, checks the
+// history, and kills every process.
+func (f *Fleet) end(t *testing.T) {
+	defer f.killAll(t)
+	for _, p := range f.processes() {
+		p.Continue()
+	}
+	f.callers.Wait()
+	f.awaitQuiet(t)
+	for _, broken := range f.Broken(t) {
+		t.Error(broken)
+	}
+}
+
+func (f *Fleet) killAll(t *testing.T) {
+	for _, p := range f.processes() {
+		p.Kill()
+	}
+	if !t.Failed() {
+		return
+	}
+	for _, p := range f.processes() {
+		p.printLog(t)
+	}
+}
+
+func (f *Fleet) processes() []*Process {
+	all := []*Process{f.Platform.Process}
+	for _, e := range f.Entries {
+		all = append(all, e.Process)
+	}
+	for _, e := range f.Endpoints {
+		all = append(all, e.Process, e.Agent)
+	}
+	return all
+}
+
+func awaitListener(t *testing.T, addr string) {
+	t.Helper()
+	Eventually(t, addr+" listens", func(ctx context.Context) error {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})
+}
+
+// MustOwner returns the running entry that owns cell 0 by the document in the
+// store.
+func (f *Fleet) MustOwner(t *testing.T) *Entry {
+	t.Helper()
+	var owner *Entry
+	Eventually(t, "cell 0 has a running owner", func(ctx context.Context) error {
+		d, err := f.Document(ctx)
+		if err != nil {
+			return err
+		}
+		owner = f.ownerIn(d)
+		if owner == nil || !owner.Running() {
+			return fmt.Errorf("owner %q", d.Cells[0].Owner)
+		}
+		return nil
+	})
+	return owner
+}
+
+// Others returns the entries besides e.
+func (f *Fleet) Others(e *Entry) []*Entry {
+	var out []*Entry
+	for _, o := range f.Entries {
+		if o != e {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/test/fleet/fleet_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+func TestMain(m *testing.M) { os.Exit(Main(m)) }
+
+// standIns starts a fleet without entries and agents.
+func standIns(t *testing.T) *Fleet {
+	f := New(t, Config{Domains: []string{"comas"}, EndpointsPerDomain: 1, Slots: 2})
+	f.StartPlatform(t)
+	f.StartEndpoint(t, f.Endpoints[0])
+	return f
+}
+
+// runOn runs one task of the job directly on the endpoint.
+func runOn(t *testing.T, f *Fleet, e *Endpoint, j Job) error {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.URL+"/run", strings.NewReader(string(j.Tasks[0].Payload)))
+	must.NoError(t, err)
+	req.Header.Set(endpoint.SubmissionHeader, j.ID)
+	req.Header.Set(endpoint.TaskHeader, "0")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func TestFreeAddressesDiffer(t *testing.T) {
+	a, b := freeAddress(t), freeAddress(t)
+	must.NotEq(t, a, b)
+	l, err := net.Listen("tcp", a)
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+}
+
+func TestStandInsEndOnTerm(t *testing.T) {
+	f := standIns(t)
+	f.Platform.Term()
+	f.Platform.MustExit(t, 0, Patience)
+	f.Endpoints[0].Term()
+	f.Endpoints[0].MustExit(t, 0, Patience)
+}
+
+func TestJournalOutlivesKill(t *testing.T) {
+	f := standIns(t)
+	e := f.Endpoints[0]
+	j := NewJob(1, 0)
+	must.NoError(t, runOn(t, f, e, j))
+	e.Kill()
+	must.Len(t, 1, f.StartsOf(t, j))
+	must.Len(t, 1, f.Broken(t), must.Sprint("no caller had asked for the start"))
+	f.attempts = nil
+	must.NoError(t, os.Remove(e.journal))
+}
+
+func TestStoppedPlatformAnswersLater(t *testing.T) {
+	f := standIns(t)
+	f.Platform.Stop()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := f.store.Get(t.Context(), "missing")
+		answered <- err
+	}()
+	f.Platform.Continue()
+	must.Eq(t, result.StoreNotFound, result.CodeOf(<-answered))
+}
+
+func TestFaultsReachTheStandIns(t *testing.T) {
+	f := standIns(t)
+	f.StoreFaults(t, platform.Fault{Kind: platform.Outage, Clients: []string{"test"}})
+	_, err := f.store.Get(t.Context(), "missing")
+	must.Eq(t, result.StoreUnavailable, result.CodeOf(err))
+	f.StoreFaults(t)
+	must.Eq(t, store.Counts{Get: 1}, f.StoreCalls(t).Calls)
+	f.EndpointFaults(t, f.Endpoints[0], endpoint.Faults{Refuse: true})
+	must.Error(t, runOn(t, f, f.Endpoints[0], NewJob(1, 0)))
+	must.SliceEmpty(t, f.Starts(t))
+}
+
+func TestRestartedProcessKeepsItsAddress(t *testing.T) {
+	f := standIns(t)
+	e := f.Endpoints[0]
+	e.Kill()
+	must.False(t, e.Running())
+	f.StartEndpoint(t, e)
+	must.True(t, e.Running())
+}
--- /dev/null
+++ b/test/fleet/history.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+	"github.com/pomelosill/pomelosill/test/oracle"
+)
+
+// StoreFaults replaces the faults of the platform's store; none ends them.
+func (f *Fleet) StoreFaults(t *testing.T, faults ...platform.Fault) {
+	t.Helper()
+	_, err := f.post(t.Context(), f.Platform.URL+"/faults", platform.Faults{Faults: faults})
+	must.NoError(t, err)
+}
+
+// StoreCalls returns the counts of calls that the store got.
+func (f *Fleet) StoreCalls(t *testing.T) platform.Calls {
+	t.Helper()
+	var c platform.Calls
+	must.NoError(t, f.get(t.Context(), f.Platform.URL+"/calls", &c))
+	return c
+}
+
+// EndpointFaults replaces the faults of an endpoint.
+func (f *Fleet) EndpointFaults(t *testing.T, e *Endpoint, faults endpoint.Faults) {
+	t.Helper()
+	_, err := f.post(t.Context(), e.URL+"/faults", faults)
+	must.NoError(t, err)
+}
+
+// Starts returns every start that the endpoints recorded, killed ones
+// included.
+func (f *Fleet) Starts(t *testing.T) []oracle.Start {
+	t.Helper()
+	var all []oracle.Start
+	for _, e := range f.Endpoints {
+		all = append(all, readJournal(t, e)...)
+	}
+	return all
+}
+
+// StartsOf returns the starts of one job.
+func (f *Fleet) StartsOf(t *testing.T, j Job) []oracle.Start {
+	t.Helper()
+	return slices.DeleteFunc(f.Starts(t), func(s oracle.Start) bool { return s.Submission != j.ID })
+}
+
+// AwaitStarts waits until that many tasks of a job have started.
+func (f *Fleet) AwaitStarts(t *testing.T, j Job, n int) {
+	t.Helper()
+	Eventually(t, fmt.Sprintf("%d tasks started", n), func(context.Context) error {
+		if got := len(f.StartsOf(t, j)); got < n {
+			return fmt.Errorf("%d started", got)
+		}
+		return nil
+	})
+}
+
+// Broken returns what the oracle finds in the history so far.
+func (f *Fleet) Broken(t *testing.T) []string {
+	t.Helper()
+	f.mu.Lock()
+	attempts := slices.Clone(f.attempts)
+	f.mu.Unlock()
+	return oracle.Check(f.Starts(t), attempts)
+}
+
+// awaitQuiet clears the endpoints' faults and waits until no request of them
+// is open.
+func (f *Fleet) awaitQuiet(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), Patience)
+	defer cancel()
+	for _, e := range f.Endpoints {
+		if !e.Running() {
+			continue
+		}
+		if _, err := f.post(ctx, e.URL+"/faults", endpoint.Faults{}); err != nil {
+			t.Errorf("%s: %v", e.Name, err)
+			continue
+		}
+		f.awaitIdle(ctx, t, e)
+	}
+}
+
+func (f *Fleet) awaitIdle(ctx context.Context, t *testing.T, e *Endpoint) {
+	for {
+		var s endpoint.Starts
+		err := f.get(ctx, e.URL+"/starts", &s)
+		if err == nil && s.Open == 0 {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Errorf("%s is not idle: %d open, %v", e.Name, s.Open, err)
+			return
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// readJournal reads the starts that an endpoint wrote to its journal.
+func readJournal(t *testing.T, e *Endpoint) []oracle.Start {
+	t.Helper()
+	file, err := os.Open(e.journal)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	must.NoError(t, err)
+	defer func() { _ = file.Close() }()
+	var starts []oracle.Start
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var s endpoint.Start
+		if json.Unmarshal(lines.Bytes(), &s) != nil {
+			// The last line is still being written.
+			continue
+		}
+		starts = append(starts, oracle.Start{
+			Submission: s.Submission, Task: s.Task, Endpoint: e.Name, Domain: e.Domain, At: s.Started,
+		})
+	}
+	must.NoError(t, lines.Err())
+	return starts
+}
--- /dev/null
+++ b/test/fleet/port.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+)
+
+// Ports are taken below the range that the system gives to clients.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var ports = struct {
+	sync.Mutex
+	next int
+}{next: firstPort}
+
+// loopback is an address of this test process alone, so that two test
+// processes cannot take each other's ports.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+(pid>>8)%250, pid%256)
+}
+
+// freeAddress returns an address that can be bound now and that this process
+// gives out once.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	for ports.next < lastPort {
+		addr := fmt.Sprintf("%s:%d", loopback(), ports.next)
+		ports.next++
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port is left")
+	return ""
+}
--- /dev/null
+++ b/test/fleet/process.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// logTail is how much of each log a failed test prints, in bytes.
+const logTail = 6000
+
+// Process is one program that can be started again after it ended.
+type Process struct {
+	Name string
+	args []string
+	log  string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// newProcess prepares a program; its log goes to a file in dir.
+func newProcess(dir, name, program string, args ...string) *Process {
+	return &Process{
+		Name: name,
+		args: append([]string{filepath.Join(binaries, program)}, args...),
+		log:  filepath.Join(dir, name+".log"),
+	}
+}
+
+// Start starts the program, also again after it ended.
+func (p *Process) Start(t *testing.T) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	must.NoError(t, err)
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.args[0], p.args[1:]...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must.NoError(t, cmd.Start())
+	exited := make(chan struct{})
+	p.cmd, p.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	p.awaitExit(time.Minute)
+}
+
+// Stop freezes the process.
+func (p *Process) Stop() { p.signal(syscall.SIGSTOP) }
+
+// Continue thaws the process.
+func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
+
+// Term asks the process to shut down gracefully, and does not wait.
+func (p *Process) Term() { p.signal(syscall.SIGTERM) }
+
+// Running tells whether the process has not ended.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.exited == nil {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// MustExit waits for the end of the process and checks its exit status.
+func (p *Process) MustExit(t *testing.T, status int, within time.Duration) {
+	t.Helper()
+	must.True(t, p.awaitExit(within), must.Sprintf("%s still runs after %v", p.Name, within))
+	must.Eq(t, status, p.cmd.ProcessState.ExitCode(), must.Sprint(p.Name))
+}
+
+// Log returns what the process wrote so far.
+func (p *Process) Log() string {
+	text, _ := os.ReadFile(p.log)
+	return string(text)
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	if !p.Running() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s)
+}
+
+func (p *Process) awaitExit(within time.Duration) bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited == nil {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// printLog prints the end of the log of a failed test.
+func (p *Process) printLog(t *testing.T) {
+	text := p.Log()
+	if len(text) > logTail {
+		text = "... " + text[len(text)-logTail:]
+	}
+	t.Logf("log of %s:\n%s", p.Name, strings.TrimSpace(text))
+}
