--- /dev/null
+++ b/test/failure/resubmit_test.go
@@ -0,0 +1,180 @@
+package failure
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+	"github.com/pomelosill/pomelosill/internal/store/wire"
+	"github.com/pomelosill/pomelosill/test/fleet"
+)
+
+// Promise: no task of a submission starts twice, even when its client
+// resubmits the job. The oracle counts the starts.
+
+// tasks is the number of tasks of a job that fills the small fleet and waits
+// in the queue too.
+const tasks = 24
+
+// resubmit sends the job through every entry given, all at once.
+func resubmit(t *testing.T, f *fleet.Fleet, j fleet.Job, entries ...*fleet.Entry) []*fleet.Call {
+	t.Helper()
+	var calls []*fleet.Call
+	for _, e := range entries {
+		calls = append(calls, f.Go(t.Context(), e, j))
+	}
+	return calls
+}
+
+func mustAnswerAll(t *testing.T, calls []*fleet.Call, codes ...result.Code) {
+	t.Helper()
+	for _, c := range calls {
+		c.MustAnswer(t, codes...)
+	}
+}
+
+func TestResubmitWhileRunning(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, longRun)
+	first := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 1)
+	again := resubmit(t, f, j, f.Entries...)
+	first.MustAnswer(t, result.OK)
+	mustAnswerAll(t, again, result.OK)
+	must.Len(t, tasks, f.StartsOf(t, j))
+}
+
+func TestResubmitAfterAnswer(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, shortRun)
+	f.MustSubmit(t, f.Entries[0], j, result.OK)
+	mustAnswerAll(t, resubmit(t, f, j, f.Entries...), result.OK)
+	must.Len(t, tasks, f.StartsOf(t, j))
+}
+
+func TestSameIDWithAnotherBodyIsRefused(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(2, shortRun)
+	f.MustSubmit(t, f.Entries[0], j, result.OK)
+	other := fleet.NewJob(2, longRun)
+	other.ID = j.ID
+	mustAnswerAll(t, resubmit(t, f, other, f.Entries...), result.IDConflict)
+	must.Len(t, 2, f.StartsOf(t, j))
+}
+
+func TestResubmitAfterOwnerKilled(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	others := f.Others(owner)
+	j := fleet.NewJob(tasks, longRun)
+	first := f.Go(t.Context(), others[0], j)
+	lost := f.Go(t.Context(), owner, j)
+	f.AwaitStarts(t, j, 1)
+	owner.Kill()
+	again := resubmit(t, f, j, others...)
+	_, err := lost.Wait()
+	must.Error(t, err)
+	first.MustAnswer(t, result.OK)
+	mustAnswerAll(t, again, result.OK)
+	must.Len(t, tasks, f.StartsOf(t, j))
+	f.MustSubmit(t, others[0], fleet.NewJob(tasks, shortRun), result.OK)
+}
+
+func TestResubmitAfterOwnerAndAgentKilledTogether(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	others := f.Others(owner)
+	j := fleet.NewJob(tasks, longRun)
+	first := f.Go(t.Context(), owner, j)
+	f.AwaitStarts(t, j, 16)
+	f.Endpoints[0].Agent.Kill()
+	owner.Kill()
+	_, err := first.Wait()
+	must.Error(t, err)
+	mustAnswerAll(t, resubmit(t, f, j, others...), result.OutcomeUnknown)
+	f.Endpoints[0].Agent.Start(t)
+	mustAnswerAll(t, resubmit(t, f, j, others...), result.OutcomeUnknown)
+	f.MustSubmit(t, others[0], fleet.NewJob(tasks, shortRun), result.OK)
+}
+
+func TestResubmitWhileOwnerIsStopped(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	others := f.Others(owner)
+	j := fleet.NewJob(2*tasks, longRun)
+	first := f.Go(t.Context(), owner, j)
+	f.AwaitStarts(t, j, 16)
+	owner.Stop()
+	f.AwaitOtherOwner(t, owner)
+	again := resubmit(t, f, j, others...)
+	mustAnswerAll(t, again, result.OK)
+	owner.Continue()
+	mustAnswerAll(t, resubmit(t, f, j, f.Entries...), result.OK)
+	if ans, err := first.Wait(); err == nil {
+		must.Eq(t, result.OK, ans.Code, must.Sprint(ans.Detail))
+	}
+	must.Len(t, 2*tasks, f.StartsOf(t, j))
+}
+
+// TestOwnerContinuedWithStartsInFlight stops the owner under load, again and
+// again past its time, and wakes it while it has starts to send.
+func TestOwnerContinuedWithStartsInFlight(t *testing.T) {
+	f := start(t)
+	load := f.StartLoad(t, 8, 6, shortRun, f.Entries...)
+	for range 2 {
+		load.AwaitMore(t, 10)
+		owner := f.MustOwner(t)
+		owner.Stop()
+		f.AwaitOtherOwner(t, owner)
+		owner.Continue()
+		load.AwaitMore(t, 10)
+	}
+	mustAllBeDone(t, load.Stop())
+}
+
+func TestResubmitDuringStoreOutage(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, longRun)
+	first := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 1)
+	f.StoreFaults(t, platform.Fault{Kind: platform.Outage})
+	again := resubmit(t, f, j, f.Entries...)
+	first.MustAnswer(t, result.OK)
+	mustAnswerAll(t, again, result.OK)
+	must.Len(t, tasks, f.StartsOf(t, j))
+}
+
+func TestOwnerKilledDuringStoreOutage(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	others := f.Others(owner)
+	j := fleet.NewJob(tasks, longRun)
+	first := f.Go(t.Context(), others[0], j)
+	f.AwaitStarts(t, j, 1)
+	f.StoreFaults(t, platform.Fault{Kind: platform.Outage})
+	owner.Kill()
+	again := resubmit(t, f, j, others...)
+	first.MustAnswer(t, result.OK, result.NoOwner, result.OutcomeUnknown, result.DeadlineAfterStart)
+	mustAnswerAll(t, again, result.OK, result.NoOwner, result.OutcomeUnknown, result.DeadlineAfterStart)
+	f.StoreFaults(t)
+	load := f.StartLoad(t, 2, 2, shortRun, others...)
+	load.AwaitMore(t, 4)
+	mustAllBeDone(t, load.Stop())
+}
+
+func TestAnswerOfOwnershipChangeLost(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	others := f.Others(owner)
+	j := fleet.NewJob(tasks, longRun)
+	first := f.Go(t.Context(), others[0], j)
+	f.AwaitStarts(t, j, 1)
+	f.StoreFaults(t, platform.Fault{Kind: platform.LoseAnswers, Calls: []wire.Kind{wire.CompareAndSwap}, Count: 6})
+	owner.Kill()
+	again := resubmit(t, f, j, others...)
+	first.MustAnswer(t, result.OK)
+	mustAnswerAll(t, again, result.OK)
+	must.Len(t, tasks, f.StartsOf(t, j))
+}
--- /dev/null
+++ b/test/failure/whole_test.go
@@ -0,0 +1,93 @@
+package failure
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
+	"github.com/pomelosill/pomelosill/test/fleet"
+)
+
+// Promise: a job's answer is either complete or failed, never partial, and
+// belongs to its own request. The oracle compares each answer with its own
+// tasks.
+
+func TestAgentKilledAmidJob(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, longRun)
+	call := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 16)
+	f.Endpoints[0].Agent.Kill()
+	call.MustAnswer(t, result.OutcomeUnknown)
+	f.MustSubmit(t, f.Entries[1], fleet.NewJob(tasks, shortRun), result.OK)
+}
+
+func TestAgentKilledAndRestartedAmidJob(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, longRun)
+	call := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 16)
+	f.Endpoints[0].Agent.Kill()
+	f.Endpoints[0].Agent.Start(t)
+	call.MustAnswer(t, result.OutcomeUnknown)
+	mustAnswerAll(t, resubmit(t, f, j, f.Entries...), result.OutcomeUnknown)
+}
+
+func TestEndpointKilledAmidJob(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, longRun)
+	call := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 16)
+	f.Endpoints[0].Kill()
+	call.MustAnswer(t, result.OutcomeUnknown, result.TaskFailed)
+	mustAnswerAll(t, resubmit(t, f, j, f.Entries...), result.OutcomeUnknown, result.TaskFailed)
+}
+
+func TestReceivingEntryKilledAmidJob(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	receiver := f.Others(owner)[0]
+	j := fleet.NewJob(tasks, longRun)
+	call := f.Go(t.Context(), receiver, j)
+	f.AwaitStarts(t, j, 1)
+	receiver.Kill()
+	_, err := call.Wait()
+	must.Error(t, err)
+	mustAnswerAll(t, resubmit(t, f, j, f.Others(receiver)...), result.OK)
+	must.Len(t, tasks, f.StartsOf(t, j))
+}
+
+// TestStoppedAgentAnswersLate lets answers come after another owner has taken
+// over, or after the job was given up.
+func TestStoppedAgentAnswersLate(t *testing.T) {
+	f := start(t)
+	j := fleet.NewJob(tasks, longRun)
+	call := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 16)
+	f.Endpoints[0].Agent.Stop()
+	call.MustAnswer(t, result.OK, result.OutcomeUnknown)
+	f.Endpoints[0].Agent.Continue()
+	mustAnswerAll(t, resubmit(t, f, j, f.Entries...), result.OK, result.OutcomeUnknown)
+}
+
+// TestManyCallersGetTheirOwnAnswers mixes many ids on shared connections while
+// an endpoint answers slowly and another cuts connections.
+func TestManyCallersGetTheirOwnAnswers(t *testing.T) {
+	f := start(t)
+	f.EndpointFaults(t, f.Endpoints[0], endpoint.Faults{SlowFactor: 5})
+	f.EndpointFaults(t, f.Endpoints[1], endpoint.Faults{CutAfter: 5})
+	load := f.StartLoad(t, 16, 5, shortRun, f.Entries...)
+	load.AwaitMore(t, 100)
+	done := 0
+	for _, o := range load.Stop() {
+		must.NoError(t, o.Err)
+		if o.Answer.Code == result.OK {
+			done++
+			continue
+		}
+		must.Eq(t, result.OutcomeUnknown, o.Answer.Code, must.Sprint(o.Answer.Detail))
+	}
+	must.Positive(t, done)
+}
--- a/test/fleet/client.go
+++ b/test/fleet/client.go
@@ -223,3 +223,18 @@
 	defer func() { _ = resp.Body.Close() }()
 	return json.NewDecoder(resp.Body).Decode(into)
 }
+
+// AwaitOtherOwner waits until the store names another owner of cell 0 than e.
+func (f *Fleet) AwaitOtherOwner(t *testing.T, e *Entry) {
+	t.Helper()
+	Eventually(t, "another entry owns cell 0", func(ctx context.Context) error {
+		d, err := f.Document(ctx)
+		if err != nil {
+			return err
+		}
+		if owner := f.ownerIn(d); owner == nil || owner == e {
+			return fmt.Errorf("owner %q", d.Cells[0].Owner)
+		}
+		return nil
+	})
+}
