Name the calling entry in its calls to the store

Cause: a fault that hits one entry alone needs to know which entry calls. Change: the entry sends its peer address as the store's client id.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,7 @@
 		started:  time.Now(),
 	}
 	part := func(name string) *zap.Logger { return process.Prefixed(log, name) }
-	e.store = store.NewHTTP(s.Store, &http.Client{})
+	e.store = store.NewHTTP(s.Store, nil, store.WithClientID(s.Peer))
 	e.board = newBoard(e.id)
 	e.sync = &storeSync{
 		store: e.store, board: e.board, confirm: s.Confirm.Std(), timeout: s.StoreTimeout.Std(),
