--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -21,8 +22,6 @@
 	confirmations control.Confirmations
 	// acks are the revisions that members are known to hold.
 	acks map[string]uint64
-	// heard is when each member last answered.
-	heard map[string]time.Time
 	// leaseGone are members whose lease in the store has lapsed.
 	leaseGone map[string]bool
 	leaving   bool
@@ -34,7 +33,6 @@
 		self:          self,
 		confirmations: control.Confirmations{Peers: map[string]time.Time{}},
 		acks:          map[string]uint64{},
-		heard:         map[string]time.Time{},
 		leaseGone:     map[string]bool{},
 		changed:       make(chan struct{}),
 	}
@@ -118,7 +116,6 @@
 func (b *board) PeerAnswered(id string, revision uint64, vouched bool, asked time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.heard[id] = time.Now()
 	b.acks[id] = max(b.acks[id], revision)
 	if vouched && asked.After(b.confirmations.Peers[id]) {
 		b.confirmations.Peers[id] = asked
@@ -130,7 +127,6 @@
 func (b *board) Heard(id string, revision uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.heard[id] = time.Now()
 	if revision > b.acks[id] {
 		b.acks[id] = revision
 		b.notify()
@@ -160,16 +156,6 @@
 	return b.leaseGone[id]
 }
 
-// Alive tells whether a member was heard within the time given.
-func (b *board) Alive(id string, within time.Duration) bool {
-	if id == b.self {
-		return !b.Leaving()
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Since(b.heard[id]) < within
-}
-
 // Basis returns the instant since which nothing newer can have been accepted.
 func (b *board) Basis(now time.Time) time.Time {
 	b.mu.Lock()
@@ -251,3 +237,10 @@
 	defer b.mu.Unlock()
 	b.notify()
 }
+
+// Acks returns the revisions that members are known to hold.
+func (b *board) Acks() map[string]uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.acks)
+}
