--- /dev/null
+++ b/internal/load/ideal/ideal_test.go
@@ -0,0 +1,75 @@
+package ideal
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pomelosill/pomelosill/internal/load/trace"
+)
+
+const second = time.Second
+
+func job(at time.Duration, runs ...time.Duration) trace.Job {
+	return trace.Job{At: at, Runs: runs}
+}
+
+func TestQueue(t *testing.T) {
+	cases := []struct {
+		name       string
+		jobs       []trace.Job
+		capacities []Capacity
+		want       []time.Duration
+	}{
+		{"enough slots", []trace.Job{job(0, second, 2*second)}, []Capacity{{0, 2}}, []time.Duration{2 * second}},
+		{"longest first", []trace.Job{job(0, second, 2*second, 3*second)}, []Capacity{{0, 2}}, []time.Duration{3 * second}},
+		{
+			"fewest running first",
+			[]trace.Job{job(0, second, second, second, second), job(0, second)},
+			[]Capacity{{0, 2}},
+			[]time.Duration{3 * second, second},
+		},
+		{
+			"a later job gets the next slot",
+			[]trace.Job{job(0, second, second, second, second), job(second/2, second)},
+			[]Capacity{{0, 2}},
+			[]time.Duration{3 * second, 1500 * time.Millisecond},
+		},
+		{
+			"fewer slots and back",
+			[]trace.Job{job(0, second, second), job(second, second, second), job(4*second, second, second)},
+			[]Capacity{{0, 2}, {second, 1}, {4 * second, 2}},
+			[]time.Duration{second, 2 * second, second},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := Queue(trace.Trace{Jobs: c.jobs}, c.capacities)
+			must.Eq(t, c.want, got.Responses)
+		})
+	}
+}
+
+func TestQueueNeverBeatsNoWaitNorTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 100).Draw(t, "slots")
+		tr := trace.New(trace.Options{
+			Seed: rapid.Uint64().Draw(t, "seed"), Slots: slots, Load: 0.9,
+			Length: 20 * second, Teams: []string{"a"},
+		})
+		got := Queue(tr, []Capacity{{0, slots}})
+		must.Len(t, tr.Tasks(), got.Spans)
+		for i, j := range tr.Jobs {
+			must.GreaterEq(t, NoWait(j, 0), got.Responses[i])
+		}
+		window := Span{5 * second, 6 * second}
+		must.LessEq(t, time.Duration(slots)*second, Overlap(got.Spans, window))
+	})
+}
+
+func TestOverlap(t *testing.T) {
+	spans := []Span{{0, 2 * second}, {3 * second, 9 * second}, {10 * second, 11 * second}}
+	must.Eq(t, 3*second, Overlap(spans, Span{second, 5 * second}))
+}
