--- a/internal/load/trace/trace.go
+++ b/internal/load/trace/trace.go
@@ -3,6 +3,7 @@
 package trace
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -131,7 +132,7 @@
 }
 
 func newJob(rng *rand.Rand, o Options) Job {
-	runs := make([]time.Duration, 1+rng.IntN(MaxTasks))
+	runs := make([]time.Duration, jobSize(rng))
 	for i := range runs {
 		runs[i] = runTime(rng)
 	}
@@ -142,6 +143,11 @@
 	}
 }
 
+// jobSize has a logarithm spread evenly: small jobs are many, large ones few.
+func jobSize(rng *rand.Rand) int {
+	return int(math.Pow(MaxTasks+1, rng.Float64()))
+}
+
 // runTime is a whole number of milliseconds, as the endpoints take it.
 func runTime(rng *rand.Rand) time.Duration {
 	low, high := ShortMin, ShortMax
