--- /dev/null
+++ b/cmd/pomelosill-load/main.go
@@ -0,0 +1,101 @@
+// Command pomelosill-load submits open-loop load to a running fleet, computes
+// the ideal beside the measured run, and writes one JSON line per scenario.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/pomelosill/pomelosill/internal/load/report"
+	"github.com/pomelosill/pomelosill/internal/load/scenario"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/settings"
+)
+
+// version is set by the linker.
+var version = "development"
+
+const defaultLength = time.Minute
+
+func main() {
+	if err := execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "pomelosill-load:", err)
+		os.Exit(1)
+	}
+}
+
+func execute() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return command().Run(ctx, os.Args)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "pomelosill-load",
+		Usage:   "measure a running fleet against the ideal, or against queues kept for comparison only",
+		Version: version,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run one scenario and print its JSON line", Flags: runFlags(), Action: run},
+			{Name: "table", Usage: "turn JSON lines on standard input into a table", Action: table},
+			{Name: "scenarios", Usage: "list the scenarios", Action: scenarios},
+		},
+	}
+}
+
+func runFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "fleet", Required: true, Usage: "`FILE` that says where the fleet listens (JSON with comments)"},
+		&cli.StringFlag{Name: "scenario", Value: "steady", Usage: "`NAME` of a scenario"},
+		&cli.StringFlag{Name: "policy", Value: scenario.PolicyProduct, Usage: "product; or for comparison only: fcfs, two-choices"},
+		&cli.StringFlag{Name: "size", Usage: "`NAME` of the user's size, copied to the line"},
+		&cli.FloatFlag{Name: "load", Usage: "work offered as a `SHARE` of the slots (default: the scenario's)"},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the trace"},
+		&cli.DurationFlag{Name: "length", Value: defaultLength, Usage: "time over which jobs are submitted"},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	log, err := process.NewLogger("info")
+	if err != nil {
+		return err
+	}
+	var fleet scenario.Fleet
+	if err := settings.Load(c.String("fleet"), &fleet); err != nil {
+		return err
+	}
+	runner := scenario.Runner{Fleet: &fleet, Log: process.Prefixed(log, "load")}
+	line, err := runner.Run(ctx, scenario.Options{
+		Scenario: c.String("scenario"),
+		Policy:   c.String("policy"),
+		Size:     c.String("size"),
+		Load:     c.Float("load"),
+		Seed:     c.Uint64("seed"),
+		Length:   c.Duration("length"),
+	})
+	if err != nil {
+		return err
+	}
+	return report.WriteJSON(os.Stdout, line)
+}
+
+func table(context.Context, *cli.Command) error {
+	lines, err := report.ReadJSON(os.Stdin)
+	if err != nil {
+		return err
+	}
+	return report.WriteTable(os.Stdout, lines)
+}
+
+func scenarios(context.Context, *cli.Command) error {
+	for _, s := range scenario.List() {
+		fmt.Printf("%-18s %s\n", s.Name, s.Summary)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/drive/drive_test.go
@@ -0,0 +1,173 @@
+package drive
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/load/trace"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func request(tasks int) Request {
+	return Request{
+		ID: uuid.MustParse("0190a000-0000-7000-8000-000000000001"),
+		Job: trace.Job{
+			Team:    "alerts",
+			Runs:    make([]time.Duration, tasks),
+			Timeout: time.Minute,
+		},
+	}
+}
+
+func answer(r Request) api.Answer {
+	a := api.Answer{ID: r.ID.String()}
+	for i := range r.Job.Runs {
+		body, _ := json.Marshal(taskEcho{r.Echo(i)})
+		a.Tasks = append(a.Tasks, api.TaskAnswer{Index: i, Effect: result.EffectDone, Body: body})
+	}
+	return a
+}
+
+func TestCheck(t *testing.T) {
+	r := request(2)
+	cases := []struct {
+		name   string
+		change func(*api.Answer)
+		want   Outcome
+	}{
+		{"whole", func(*api.Answer) {}, Outcome{Answered: true}},
+		{"other id", func(a *api.Answer) { a.ID = uuid.NewString() }, Outcome{Answered: true, Foreign: true}},
+		{"task missing", func(a *api.Answer) { a.Tasks = a.Tasks[:1] }, Outcome{Answered: true, Partial: true}},
+		{"task twice", func(a *api.Answer) { a.Tasks[1].Index = 0 }, Outcome{Answered: true, Partial: true}},
+		{"failed task under OK", func(a *api.Answer) { a.Tasks[1].Code = result.TaskFailed }, Outcome{Answered: true, Partial: true}},
+		{"other task's echo", func(a *api.Answer) { a.Tasks[1].Body = a.Tasks[0].Body }, Outcome{Answered: true, Foreign: true}},
+		{
+			"refused",
+			func(a *api.Answer) { a.Code, a.Tasks = result.QueueFull, nil },
+			Outcome{Answered: true, Code: result.QueueFull, NotRun: []int{0, 1}},
+		},
+		{
+			"failed in part",
+			func(a *api.Answer) {
+				a.Code = result.CancelledAfterStart
+				a.Tasks[1].Code, a.Tasks[1].Effect = result.Cancelled, result.EffectNotRun
+			},
+			Outcome{Answered: true, Code: result.CancelledAfterStart, NotRun: []int{1}},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := answer(r)
+			c.change(&a)
+			must.Eq(t, c.want, Check(r, a))
+		})
+	}
+}
+
+// fakeEntry answers whole and counts submissions by id; the first cut answers
+// are cut off.
+type fakeEntry struct {
+	cut  atomic.Int64
+	mu   sync.Mutex
+	seen map[string]int
+}
+
+func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var job api.Job
+	_ = json.NewDecoder(r.Body).Decode(&job)
+	f.mu.Lock()
+	f.seen[job.ID]++
+	f.mu.Unlock()
+	if f.cut.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+	a := api.Answer{ID: job.ID}
+	for i, task := range job.Tasks {
+		a.Tasks = append(a.Tasks, api.TaskAnswer{Index: i, Body: task.Payload})
+	}
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+func TestProductSendsTheSameIDAgainWhenCut(t *testing.T) {
+	fake := &fakeEntry{seen: map[string]int{}}
+	fake.cut.Store(2)
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	client := NewClient()
+	defer client.CloseIdleConnections()
+	p := NewProduct(client, []string{server.URL, server.URL}, "")
+	r := request(3)
+	must.Eq(t, Outcome{Answered: true, Resubmitted: 2}, p.Submit(context.Background(), r))
+	must.Eq(t, map[string]int{r.ID.String(): 3}, fake.seen)
+}
+
+// fakeEndpoint echoes and keeps the highest number of runs at once.
+type fakeEndpoint struct {
+	running atomic.Int64
+	highest atomic.Int64
+}
+
+func (f *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := f.running.Add(1)
+	defer f.running.Add(-1)
+	for high := f.highest.Load(); n > high && !f.highest.CompareAndSwap(high, n); high = f.highest.Load() {
+	}
+	var p taskPayload
+	_ = json.NewDecoder(r.Body).Decode(&p)
+	_ = json.NewEncoder(w).Encode(taskEcho{p.Echo})
+}
+
+func TestComparisonsRunEveryTaskWithinTheSlots(t *testing.T) {
+	const slots = 2
+	fakes := []*fakeEndpoint{{}, {}, {}}
+	var urls []string
+	for _, f := range fakes {
+		server := httptest.NewServer(f)
+		defer server.Close()
+		urls = append(urls, server.URL)
+	}
+	client := NewClient()
+	defer client.CloseIdleConnections()
+	fcfs := NewFCFS(client, urls, slots)
+	defer fcfs.Close()
+	choices := NewTwoChoices(client, urls, slots, 2, 1)
+	defer choices.Close()
+	batch := trace.Batch("alerts", 20, 30, 0, 0, 0, time.Minute)
+	for _, s := range []Submitter{fcfs, choices} {
+		records := Run(context.Background(), s, trace.Trace{Jobs: batch}, time.Now())
+		must.Len(t, len(batch), records)
+		for _, r := range records {
+			must.Eq(t, Outcome{Answered: true}, r.Outcome)
+		}
+	}
+	for _, f := range fakes {
+		must.Between(t, 1, f.highest.Load(), slots)
+	}
+}
+
+func TestDispatcherTakesTheLessLoaded(t *testing.T) {
+	choices := NewTwoChoices(nil, nil, 0, 1, 1)
+	d := choices.dispatchers[0]
+	d.sent = []int{1000, 0}
+	for range 100 {
+		if e := d.choose(); e == 0 {
+			// Both of the two choices were endpoint 0.
+			d.release(0)
+		}
+	}
+	must.Eq(t, 1000, d.sent[0])
+	must.Greater(t, 50, d.sent[1])
+}
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -184,17 +184,24 @@
 // WriteTable writes the lines as a table.
 func WriteTable(w io.Writer, lines []Line) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, header+"\t")
+	text := header + "\t\n"
 	for _, l := range lines {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%g\t%d\t%d\t", l.Scenario, l.Policy, l.Size, l.Load, l.Jobs, l.OK)
-		for _, v := range l.columns() {
-			fmt.Fprintf(t, "%s\t", cell(v))
-		}
-		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t\n", l.DoubleStarts, l.PartialAnswers, l.ForeignAnswers, l.FalseNotRun, l.NoAnswer)
+		text += l.row()
+	}
+	if _, err := io.WriteString(t, text); err != nil {
+		return err
 	}
 	return t.Flush()
 }
 
+func (l Line) row() string {
+	row := fmt.Sprintf("%s\t%s\t%s\t%g\t%d\t%d\t", l.Scenario, l.Policy, l.Size, l.Load, l.Jobs, l.OK)
+	for _, v := range l.columns() {
+		row += cell(v) + "\t"
+	}
+	return row + fmt.Sprintf("%d\t%d\t%d\t%d\t%d\t\n", l.DoubleStarts, l.PartialAnswers, l.ForeignAnswers, l.FalseNotRun, l.NoAnswer)
+}
+
 func (l Line) columns() []*float64 {
 	return []*float64{
 		l.ResponseRatioP50, l.ResponseRatioP99,
