--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,6 @@
 generate: ## regenerate internal/gen from proto/
 	go tool -modfile=tools/buf/go.mod buf lint
 	go tool -modfile=tools/buf/go.mod buf generate
+
+bench: build ## every load scenario at both sizes: JSON lines on stdout, a table on stderr
+	@scripts/bench.sh
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,91 @@
+#!/usr/bin/env bash
+# Runs every load scenario at both users' sizes against fleets of real
+# processes on loopback. Prints one JSON line per scenario on standard output
+# and a table on standard error. Use: scripts/bench.sh [OUTPUT_FOLDER]
+#
+# BENCH_SECONDS is the time over which a scenario submits jobs (half of it for
+# each run of a scenario that compares two), BENCH_SEED the first seed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+
+BENCH_SECONDS=${BENCH_SECONDS:-100}
+BENCH_SEED=${BENCH_SEED:-1}
+OUT=${1:-$(mktemp -d)}
+FIRST_FLEET=${BENCH_FIRST_FLEET:-100}
+COUNT=0
+
+# kill_owner DIR kills the cell's owner a third into the run.
+kill_owner() {
+  until grep -q 'trace begins' "$1/load.log" 2>/dev/null; do
+    sleep 0.1
+  done
+  sleep $((BENCH_SECONDS / 3))
+  local owner
+  owner=$(fleet_owner "$1")
+  echo "bench: killing the owner $owner of $1" >&2
+  fleet_kill "$1" "$owner" KILL
+}
+
+# run_scenario DIR NUMBER SIZE SEED SCENARIO POLICY LOAD SECONDS
+run_scenario() {
+  local dir=$1 kind=$3
+  [[ $6 == product ]] || kind=endpoints
+  mkdir -p "$dir"
+  fleet_start "$dir" "$kind" "$2"
+  if fleet_wait "$dir"; then
+    [[ $kind == endpoints ]] || fleet_teams "$dir" alerts masterings
+    [[ $5 == owner-killed ]] && kill_owner "$dir" &
+    "$FLEET_BIN/pomelosill-load" run --fleet "$dir/fleet.json" --size "$3" --seed "$4" \
+      --scenario "$5" --policy "$6" --load "$7" --length "$8s" >"$dir/line.json" 2>"$dir/load.log" ||
+      echo "bench: $5 $6 at $3 failed, see $dir/load.log" >&2
+  fi
+  fleet_stop "$dir"
+}
+
+# begin SIZE SEED SCENARIO POLICY LOAD SECONDS starts a scenario in the
+# background on a fleet of its own.
+begin() {
+  COUNT=$((COUNT + 1))
+  local dir
+  dir=$OUT/$(printf %02d "$COUNT")-$1-$3-$4-$5
+  run_scenario "$dir" $((FIRST_FLEET + COUNT)) "$@" &
+}
+
+# steady_runs SIZE SEED: the three loads under every policy.
+steady_runs() {
+  local load policy
+  for load in 0.5 0.8 0.95; do
+    for policy in product fcfs two-choices; do
+      begin "$1" "$2" steady "$policy" "$load" "$BENCH_SECONDS"
+    done
+  done
+}
+
+# fault_runs SIZE SEED: the product under faults and bursts.
+fault_runs() {
+  local name
+  for name in domain owner-killed failing-endpoint; do
+    begin "$1" "$2" "$name" product 0.7 "$BENCH_SECONDS"
+  done
+  begin "$1" "$2" overload product 2 $((BENCH_SECONDS / 2))
+  for name in head-of-line straggler cancel-wave; do
+    begin "$1" "$2" "$name" product 0.5 $((BENCH_SECONDS / 2))
+  done
+}
+
+both_sizes() {
+  "$1" umbral "$BENCH_SEED"
+  "$1" ayoola $((BENCH_SEED + 1))
+  wait
+}
+
+BEGAN=$SECONDS
+both_sizes steady_runs
+both_sizes fault_runs
+LINES=("$OUT"/*/line.json)
+cat "${LINES[@]}"
+cat "${LINES[@]}" | "$FLEET_BIN/pomelosill-load" table >&2
+echo "bench: $(cat "${LINES[@]}" | wc -l) of $COUNT lines in $((SECONDS - BEGAN)) s, files in $OUT" >&2
+[[ $(cat "${LINES[@]}" | wc -l) -eq $COUNT ]]
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,207 @@
+#!/usr/bin/env bash
+# Functions that run a whole fleet of real processes on loopback, for the
+# bench and the demo. Source this file; nothing runs by itself.
+#
+#   fleet_start DIR SIZE NUMBER  write settings into DIR and start every process
+#   fleet_wait DIR               wait until every process is ready, or fail
+#   fleet_pid DIR NAME           print the pid of one process
+#   fleet_names DIR              print the names of all processes
+#   fleet_kill DIR NAME SIGNAL   send a signal to one process
+#   fleet_owner DIR              print the name of the entry that owns the cell
+#   fleet_teams DIR TEAM...      give each team a quota without bounds
+#   fleet_stop DIR               SIGTERM to all, SIGKILL after FLEET_STOP_SECONDS
+#
+# SIZE is umbral or ayoola, or endpoints for the stand-in endpoints alone.
+# NUMBER (1 to 250) chooses the fleet's own loopback address, 127.0.NUMBER.1,
+# so that fleets run side by side. DIR gets fleet.json for pomelosill-load,
+# and per process NAME.jsonc, NAME.log and NAME.pid. The names are platform,
+# endpoints, entry-1 ... and agent-1 ....
+#
+# These variables change the shape: FLEET_ENTRIES, FLEET_AGENTS, FLEET_SLOTS,
+# FLEET_BIN (folder of the programs), FLEET_READY_SECONDS, FLEET_STOP_SECONDS.
+
+FLEET_ENTRIES=${FLEET_ENTRIES:-3}
+FLEET_AGENTS=${FLEET_AGENTS:-11}
+FLEET_SLOTS=${FLEET_SLOTS:-8}
+FLEET_BIN=${FLEET_BIN:-bin}
+FLEET_READY_SECONDS=${FLEET_READY_SECONDS:-30}
+FLEET_STOP_SECONDS=${FLEET_STOP_SECONDS:-15}
+
+# The ports on a fleet's address. The last four count up per process.
+FLEET_PLATFORM_PORT=21000
+FLEET_ENDPOINT_PORT=22000
+FLEET_CALLER_PORT=23000
+FLEET_ADMIN_PORT=24000
+FLEET_PEER_PORT=25000
+FLEET_AGENT_PORT=26000
+
+# fleet_domains SIZE prints the failure domains, one a line.
+fleet_domains() {
+  case $1 in
+    umbral) printf '%s\n' "Comas" "Carabayllo" "Independencia" "Los Olivos" ;;
+    ayoola | endpoints) printf '%s\n' "Ikeja" "Lekki" "Yaba" "Surulere" ;;
+    *) echo "fleet: unknown size $1" >&2; return 1 ;;
+  esac
+}
+
+# fleet_domain SIZE INDEX prints the failure domain of the INDEXth process.
+fleet_domain() {
+  local domains
+  mapfile -t domains < <(fleet_domains "$1")
+  echo "${domains[$((($2 - 1) % ${#domains[@]}))]}"
+}
+
+# fleet_launch DIR NAME COMMAND... starts one process and keeps its pid.
+fleet_launch() {
+  local dir=$1 name=$2
+  shift 2
+  "$@" >"$dir/$name.log" 2>&1 &
+  echo $! >"$dir/$name.pid"
+}
+
+# fleet_join joins its lines of input by commas.
+fleet_join() {
+  paste -sd, -
+}
+
+# fleet_urls IP PORT COUNT prints a JSON list of URLs on ports above PORT.
+fleet_urls() {
+  local i
+  echo "[$(for ((i = 1; i <= $3; i++)); do echo "\"http://$1:$(($2 + i))\""; done | fleet_join)]"
+}
+
+# fleet_endpoints_file IP prints the settings of the stand-in endpoints.
+fleet_endpoints_file() {
+  local i
+  echo "[$(for ((i = 1; i <= FLEET_AGENTS; i++)); do
+    echo "{\"name\":\"endpoint-$i\",\"listen\":\"$1:$((FLEET_ENDPOINT_PORT + i))\",\"slots\":$FLEET_SLOTS}"
+  done | fleet_join)]"
+}
+
+# fleet_load_file IP SIZE ENTRIES prints the settings of pomelosill-load.
+fleet_load_file() {
+  local i endpoints
+  endpoints=$(for ((i = 1; i <= FLEET_AGENTS; i++)); do
+    echo "{\"name\":\"endpoint-$i\",\"domain\":\"$(fleet_domain "$2" "$i")\",\"url\":\"http://$1:$((FLEET_ENDPOINT_PORT + i))\"}"
+  done | fleet_join)
+  cat <<JSON
+{
+  "entries": $(fleet_urls "$1" $FLEET_CALLER_PORT "$3"),
+  "debug": $(fleet_urls "$1" $FLEET_ADMIN_PORT "$3"),
+  "admin": $(fleet_urls "$1" $FLEET_ADMIN_PORT "$3"),
+  "endpoints": [$endpoints],
+  "platform": "http://$1:$FLEET_PLATFORM_PORT",
+  "slots": $FLEET_SLOTS,
+  "caller_token": "",
+  "operator_token": ""
+}
+JSON
+}
+
+# fleet_entry_file IP SIZE INDEX prints the settings of one entry.
+fleet_entry_file() {
+  cat <<JSON
+{}
+JSON
+}
+
+# fleet_agent_file IP SIZE INDEX prints the settings of one agent.
+fleet_agent_file() {
+  cat <<JSON
+{}
+JSON
+}
+
+fleet_start() {
+  local dir=$1 size=$2 ip="127.0.$3.1" i entries=$FLEET_ENTRIES
+  mkdir -p "$dir"
+  [[ $size == endpoints ]] && entries=0
+  fleet_load_file "$ip" "$size" "$entries" >"$dir/fleet.json" || return 1
+  fleet_endpoints_file "$ip" >"$dir/endpoints.json"
+  fleet_launch "$dir" endpoints "$FLEET_BIN/pomelosill-standin" endpoints --file "$dir/endpoints.json"
+  [[ $size == endpoints ]] && return 0
+  fleet_launch "$dir" platform "$FLEET_BIN/pomelosill-standin" platform --listen "$ip:$FLEET_PLATFORM_PORT"
+  for ((i = 1; i <= FLEET_ENTRIES; i++)); do
+    fleet_entry_file "$ip" "$size" "$i" >"$dir/entry-$i.jsonc"
+    fleet_launch "$dir" "entry-$i" "$FLEET_BIN/pomelosill-entry" --settings "$dir/entry-$i.jsonc"
+  done
+  for ((i = 1; i <= FLEET_AGENTS; i++)); do
+    fleet_agent_file "$ip" "$size" "$i" >"$dir/agent-$i.jsonc"
+    fleet_launch "$dir" "agent-$i" "$FLEET_BIN/pomelosill-agent" --settings "$dir/agent-$i.jsonc"
+  done
+}
+
+fleet_pid() {
+  cat "$1/$2.pid"
+}
+
+fleet_names() {
+  local file
+  for file in "$1"/*.pid; do
+    basename "$file" .pid
+  done
+}
+
+fleet_kill() {
+  kill -s "$3" "$(fleet_pid "$1" "$2")"
+}
+
+# fleet_get URL prints a page.
+fleet_get() {
+  curl -sf --max-time 2 "$1"
+}
+
+# fleet_address DIR FIELD prints the first URL of a list in fleet.json.
+fleet_address() {
+  sed -n "s/^  \"$2\": \[*\(.*\)/\1/p" "$1/fleet.json" | grep -o 'http://[0-9.:]*' | head -1
+}
+
+# fleet_attached DIR prints how many endpoints are in service.
+fleet_attached() {
+  "$FLEET_BIN/pomelosill" query --admin "$(fleet_address "$1" admin)" --json 'endpoints' 2>/dev/null |
+    grep -o '"in service"' | wc -l
+}
+
+fleet_ready() {
+  fleet_get "$(fleet_address "$1" endpoints)/faults" >/dev/null || return 1
+  [[ -z $(fleet_address "$1" entries) ]] && return 0
+  [[ $(fleet_attached "$1") -ge $FLEET_AGENTS ]]
+}
+
+fleet_wait() {
+  local end=$((SECONDS + FLEET_READY_SECONDS))
+  until fleet_ready "$1"; do
+    if ((SECONDS >= end)); then
+      echo "fleet: $1 is not ready after $FLEET_READY_SECONDS s" >&2
+      return 1
+    fi
+    sleep 0.2
+  done
+}
+
+# fleet_alive DIR tells whether any process of the fleet still runs.
+fleet_alive() {
+  local name
+  for name in $(fleet_names "$1"); do
+    kill -0 "$(fleet_pid "$1" "$name")" 2>/dev/null && return 0
+  done
+  return 1
+}
+
+fleet_signal_all() {
+  local name
+  for name in $(fleet_names "$1"); do
+    kill -s "$2" "$(fleet_pid "$1" "$name")" 2>/dev/null
+  done
+  return 0
+}
+
+fleet_stop() {
+  local end=$((SECONDS + FLEET_STOP_SECONDS))
+  fleet_signal_all "$1" TERM
+  while fleet_alive "$1" && ((SECONDS < end)); do
+    sleep 0.1
+  done
+  fleet_signal_all "$1" KILL
+  rm -f "$1"/*.pid
+}
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# Measures what each process costs against the size of the fleet: processor
+# time, memory, and bytes on its TCP connections; idle and under load. Prints
+# one JSON line per fleet size, state and role (mean over the role's
+# processes), and the slopes per agent on standard error.
+# Use: scripts/slopes.sh [OUTPUT_FOLDER]
+#
+# SLOPE_AGENTS lists the fleet sizes, SLOPE_SECONDS is the length of each
+# measurement, SLOPE_LOAD the load of the second.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+
+SLOPE_AGENTS=${SLOPE_AGENTS:-"11 50 150"}
+SLOPE_SECONDS=${SLOPE_SECONDS:-20}
+SLOPE_LOAD=${SLOPE_LOAD:-0.5}
+FIRST_FLEET=${SLOPE_FIRST_FLEET:-60}
+OUT=${1:-$(mktemp -d)}
+TICKS=$(getconf CLK_TCK)
+
+# cpu_ms PID prints the processor time used so far in milliseconds.
+cpu_ms() {
+  awk -v ticks="$TICKS" '{ sub(/.*\) /, ""); print ($12 + $13) * 1000 / ticks }' "/proc/$1/stat"
+}
+
+rss_kb() {
+  awk '/^VmRSS/ { print $2 }' "/proc/$1/status"
+}
+
+# tcp_bytes FILE writes "pid bytes" for every TCP connection.
+tcp_bytes() {
+  ss -tinpOH | awk '{
+    if (!match($0, /pid=[0-9]+/)) next
+    pid = substr($0, RSTART + 4, RLENGTH - 4)
+    sent = match($0, /bytes_sent:[0-9]+/) ? substr($0, RSTART + 11, RLENGTH - 11) : 0
+    got = match($0, /bytes_received:[0-9]+/) ? substr($0, RSTART + 15, RLENGTH - 15) : 0
+    print pid, sent + got }' >"$1"
+}
+
+# sample DIR FILE writes "name cpu_ms rss_kb bytes" for every process.
+sample() {
+  local name pid
+  tcp_bytes "$2.tcp"
+  for name in $(fleet_names "$1"); do
+    pid=$(fleet_pid "$1" "$name")
+    echo "$name $(cpu_ms "$pid") $(rss_kb "$pid") $(awk -v p="$pid" '$1 == p { n += $2 } END { print n + 0 }' "$2.tcp")"
+  done >"$2"
+}
+
+# costs AGENTS STATE SECONDS BEFORE AFTER prints a line per role.
+costs() {
+  awk -v agents="$1" -v state="$2" -v seconds="$3" '
+    NR == FNR { cpu[$1] = $2; bytes[$1] = $4; next }
+    { role = $1; sub(/-[0-9]+$/, "", role)
+      n[role]++; c[role] += $2 - cpu[$1]; m[role] += $3; b[role] += $4 - bytes[$1]
+      if ($2 - cpu[$1] > top[role]) top[role] = $2 - cpu[$1] }
+    END { for (r in n) printf "{\"agents\":%d,\"state\":\"%s\",\"role\":\"%s\",\"processes\":%d,\"cpu_ms_per_s\":%.3f,\"cpu_ms_per_s_highest\":%.3f,\"rss_mb\":%.1f,\"bytes_per_s\":%.0f}\n",
+      agents, state, r, n[r], c[r] / n[r] / seconds, top[r] / seconds, m[r] / n[r] / 1024, b[r] / n[r] / seconds }
+  ' "$4" "$5"
+}
+
+measure_idle() {
+  sample "$2" "$2/idle-before"
+  sleep "$SLOPE_SECONDS"
+  sample "$2" "$2/idle-after"
+  costs "$1" idle "$SLOPE_SECONDS" "$2/idle-before" "$2/idle-after"
+}
+
+measure_loaded() {
+  local began=$SECONDS
+  sample "$2" "$2/loaded-before"
+  "$FLEET_BIN/pomelosill-load" run --fleet "$2/fleet.json" --size "$1" --load "$SLOPE_LOAD" \
+    --length "${SLOPE_SECONDS}s" >"$2/line.json" 2>"$2/load.log"
+  sample "$2" "$2/loaded-after"
+  costs "$1" loaded $((SECONDS - began)) "$2/loaded-before" "$2/loaded-after"
+}
+
+# slope prints the least-squares slope per agent of every role and field.
+slope() {
+  jq -rs 'group_by([.state, .role])[] | {state: .[0].state, role: .[0].role, rows: .}
+    | . as $g | ("cpu_ms_per_s", "rss_mb", "bytes_per_s") as $f
+    | ($g.rows | map({x: .agents, y: .[$f]})) as $p | ($p | length) as $n
+    | ([$p[].x] | add / $n) as $mx | ([$p[].y] | add / $n) as $my
+    | ([$p[] | (.x - $mx) * (.y - $my)] | add) as $sxy
+    | ([$p[] | (.x - $mx) * (.x - $mx)] | add) as $sxx
+    | select($sxx > 0)
+    | "\($g.state) \($g.role) \($f): \($my - $sxy / $sxx * $mx) + \($sxy / $sxx) per agent"'
+}
+
+number=$FIRST_FLEET
+for agents in $SLOPE_AGENTS; do
+  number=$((number + 1))
+  dir=$OUT/$agents
+  FLEET_AGENTS=$agents
+  fleet_start "$dir" umbral "$number"
+  if fleet_wait "$dir"; then
+    fleet_teams "$dir" alerts masterings
+    measure_idle "$agents" "$dir"
+    measure_loaded "$agents" "$dir"
+  fi
+  fleet_stop "$dir"
+done | tee "$OUT/slopes.jsonl"
+slope <"$OUT/slopes.jsonl" >&2
