--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -17,7 +17,7 @@
 # and per process NAME.jsonc, NAME.log and NAME.pid. The names are platform,
 # endpoints, entry-1 ... and agent-1 ....
 #
-# These variables change the shape: FLEET_ENTRIES, FLEET_AGENTS, FLEET_SLOTS,
+# Besides the programs it needs curl and jq. These variables change the shape: FLEET_ENTRIES, FLEET_AGENTS, FLEET_SLOTS,
 # FLEET_BIN (folder of the programs), FLEET_READY_SECONDS, FLEET_STOP_SECONDS.
 
 FLEET_ENTRIES=${FLEET_ENTRIES:-3}
@@ -101,14 +101,34 @@
 # fleet_entry_file IP SIZE INDEX prints the settings of one entry.
 fleet_entry_file() {
   cat <<JSON
-{}
+{
+  "listen": "$1:$((FLEET_CALLER_PORT + $3))",
+  "peer": "$1:$((FLEET_PEER_PORT + $3))",
+  "admin": "$1:$((FLEET_ADMIN_PORT + $3))",
+  "failure_domain": "$(fleet_domain "$2" "$3")",
+  "store": "http://$1:$FLEET_PLATFORM_PORT",
+  "failure_domains": [$(fleet_domains "$2" | sed 's/.*/"&"/' | fleet_join)]
+}
 JSON
 }
 
+# fleet_peers IP prints the entries' addresses for agents as a JSON list.
+fleet_peers() {
+  fleet_urls "$1" "$FLEET_PEER_PORT" "$FLEET_ENTRIES" | sed 's,http://,,g'
+}
+
 # fleet_agent_file IP SIZE INDEX prints the settings of one agent.
 fleet_agent_file() {
   cat <<JSON
-{}
+{
+  "endpoint": "endpoint-$3",
+  "failure_domain": "$(fleet_domain "$2" "$3")",
+  "slots": $FLEET_SLOTS,
+  "connections": $((FLEET_SLOTS > 60 ? FLEET_SLOTS : 60)),
+  "endpoint_url": "http://$1:$((FLEET_ENDPOINT_PORT + $3))",
+  "listen": "$1:$((FLEET_AGENT_PORT + $3))",
+  "entries": $(fleet_peers "$1")
+}
 JSON
 }
 
@@ -146,26 +166,40 @@
   kill -s "$3" "$(fleet_pid "$1" "$2")"
 }
 
-# fleet_get URL prints a page.
-fleet_get() {
-  curl -sf --max-time 2 "$1"
-}
-
-# fleet_address DIR FIELD prints the first URL of a list in fleet.json.
-fleet_address() {
-  sed -n "s/^  \"$2\": \[*\(.*\)/\1/p" "$1/fleet.json" | grep -o 'http://[0-9.:]*' | head -1
+# fleet_query DIR SENTENCE prints the reply of the first entry that answers.
+fleet_query() {
+  local url body
+  body=$(jq -cn --arg text "$2" '{text: $text, wait_ms: 4000}')
+  for url in $(jq -r '.admin[]' "$1/fleet.json"); do
+    curl -sf --max-time 6 -d "$body" "$url/v1/query" 2>/dev/null && return 0
+  done
+  return 1
 }
 
 # fleet_attached DIR prints how many endpoints are in service.
 fleet_attached() {
-  "$FLEET_BIN/pomelosill" query --admin "$(fleet_address "$1" admin)" --json 'endpoints' 2>/dev/null |
-    grep -o '"in service"' | wc -l
+  fleet_query "$1" 'endpoints where state = in_service' | jq '.rows // [] | length'
+}
+
+fleet_owner() {
+  local address
+  address=$(fleet_query "$1" 'entries where cells > 0' |
+    jq -r '(.columns | index("address")) as $i | .rows[0][$i]')
+  echo "entry-$((${address##*:} - FLEET_PEER_PORT))"
+}
+
+fleet_teams() {
+  local dir=$1 team
+  shift
+  for team in "$@"; do
+    fleet_query "$dir" "set team $team weight 1" | jq -e '.code == 0 or .code == 303' >/dev/null || return 1
+  done
 }
 
 fleet_ready() {
-  fleet_get "$(fleet_address "$1" endpoints)/faults" >/dev/null || return 1
-  [[ -z $(fleet_address "$1" entries) ]] && return 0
-  [[ $(fleet_attached "$1") -ge $FLEET_AGENTS ]]
+  curl -sf --max-time 2 "$(jq -r '.endpoints[0].url' "$1/fleet.json")/faults" >/dev/null || return 1
+  [[ $(jq '.entries | length' "$1/fleet.json") -eq 0 ]] && return 0
+  [[ $(fleet_attached "$1") -ge $(jq '.endpoints | length' "$1/fleet.json") ]]
 }
 
 fleet_wait() {
