Put a team's jobs in order by age and remaining work

Cause: with fewest running tasks first, a nearly done job gives its slots to jobs that have just begun, so that many jobs are under way and all end late.

Change: a job's rank is its arrival plus half of its expected remaining work from learned run times; the lowest goes first. It changes only when a task ends, so Next no longer moves jobs in the heap.

Also: Restore sets the team of a job that was known from Occupy alone.

--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -10,6 +10,7 @@
 type Config struct {
 	// MaxWaiting bounds the waiting tasks of the cell.
 	MaxWaiting int
+	Order      OrderConfig
 	Ejection   EjectionConfig
 	Ramp       RampConfig
 	Overload   OverloadConfig
@@ -17,6 +18,14 @@
 	Retry      RetryConfig
 }
 
+// OrderConfig decides which of a team's jobs goes first.
+type OrderConfig struct {
+	// WorkWeight is how long a job is put back behind younger ones of its
+	// team, for each second of its expected remaining work. At 0 the oldest
+	// job goes first.
+	WorkWeight float64
+}
+
 // EjectionConfig decides when an endpoint that fails its tasks gets no work.
 type EjectionConfig struct {
 	// MinEndings is how many tasks must have ended on an endpoint, since its
@@ -86,6 +95,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxWaiting: 200_000,
+		Order:      OrderConfig{WorkWeight: 0.5},
 		Ejection: EjectionConfig{
 			MinEndings: 3,
 			Threshold:  0.5,
@@ -121,6 +131,7 @@
 		ok   bool
 	}{
 		{"MaxWaiting", c.MaxWaiting > 0},
+		{"Order.WorkWeight", c.Order.WorkWeight >= 0},
 		{"Ejection.MinEndings", c.Ejection.MinEndings > 0},
 		{"Ejection.Threshold", isShare(c.Ejection.Threshold)},
 		{"Ejection.MaxShare", c.Ejection.MaxShare >= 0 && c.Ejection.MaxShare < 1},
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -93,7 +93,8 @@
 	occupied := rapid.IntRange(0, len(j.Waiting)).Draw(b.t, "occupied")
 	for _, i := range j.Waiting[:occupied] {
 		name := rapid.SampledFrom(bookEndpoints).Draw(b.t, "endpoint")
-		b.s.Occupy(j.Key, i, name, j.Team)
+		team := rapid.SampledFrom([]string{j.Team, ""}).Draw(b.t, "known team")
+		b.s.Occupy(j.Key, i, name, team)
 		b.running[taskRef{j.Key, i}] = name
 		b.team[j.Key] = j.Team
 	}
--- /dev/null
+++ b/internal/sched/schedtest/replay_test.go
@@ -0,0 +1,83 @@
+package schedtest
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+const oneWay = 500 * time.Microsecond
+
+var (
+	today   = Endpoints{Count: 11, Slots: 8, Domains: 4}
+	oneTeam = []sched.Team{{Name: "a", Weight: 1}}
+)
+
+// slots is the number of slots of today's fleet.
+const slots = 88
+
+func mixed(team string, load float64, length time.Duration) Stream {
+	return Stream{
+		Team: team, Load: load * slots, To: length, Tasks: MostlySmall, MeanTasks: MostlySmallMean,
+		Run: MixedRun, MeanRun: MixedMean, Timeout: time.Hour,
+	}
+}
+
+// checked returns a Scheduler and the replay of jobs on it, with invariants
+// checked at each step.
+func checked(t *testing.T, cfg sched.Config, teams []sched.Team, jobs []*Job) (*Sched, Replay) {
+	s := NewSched(cfg, today, teams)
+	steps := 0
+	check := func(time.Duration) {
+		if steps++; steps%100 == 0 {
+			must.NoError(t, s.Check())
+		}
+	}
+	return s, Replay{Jobs: jobs, Policy: s, OneWay: oneWay, Check: check}
+}
+
+// row is the percentiles of response ratios over several seeds.
+type row []float64
+
+func (r *row) add(res *Result) {
+	*r = append(*r, res.Ratios("")...)
+	slices.Sort(*r)
+}
+
+func (r row) p(p float64) float64 { return Percentile(r, p) }
+
+func (r row) log(t *testing.T, name string) {
+	t.Helper()
+	t.Logf("%-24s n %6d  p50 %.3f  p90 %.3f  p99 %.3f  p99.9 %.3f", name, len(r), r.p(50), r.p(90), r.p(99), r.p(99.9))
+}
+
+// TestResponseAgainstOtherPolicies compares with a queue that is fair between
+// jobs and sees everything at once, with one that is first come first served,
+// and with two choices without a central view.
+func TestResponseAgainstOtherPolicies(t *testing.T) {
+	for _, load := range []float64{0.5, 0.8, 0.95} {
+		var ours, fair, fcfs, two row
+		for seed := uint64(1); seed <= 4; seed++ {
+			jobs := mixed("a", load, 600*time.Second).Jobs(seed)
+			_, replay := checked(t, sched.DefaultConfig(), oneTeam, jobs)
+			ours.add(replay.Run())
+			fair.add(Replay{Jobs: jobs, Policy: NewReference(today, true)}.Run())
+			fcfs.add(Replay{Jobs: jobs, Policy: NewReference(today, false), OneWay: oneWay}.Run())
+			two.add(TwoChoices(jobs, today, 4, oneWay, seed))
+		}
+		t.Logf("load %.2f", load)
+		ours.log(t, "scheduler")
+		fair.log(t, "fair queue, no delay")
+		fcfs.log(t, "first come first served")
+		two.log(t, "two choices")
+		for _, p := range []float64{50, 90, 99} {
+			must.LessEq(t, 1.01*fair.p(p), ours.p(p))
+			must.LessEq(t, fcfs.p(p), ours.p(p))
+			must.LessEq(t, two.p(p), ours.p(p))
+		}
+	}
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -13,7 +13,8 @@
 type Scheduler struct {
 	cfg Config
 	rnd *rand.Rand
-	// now is the latest time that a caller passed.
+	// first and now are the first and the latest time that a caller passed.
+	first     time.Time
 	now       time.Time
 	endpoints map[string]*endpoint
 	// domains are in the order in which they were first seen.
@@ -93,7 +94,8 @@
 // Restore queues a job after a takeover, without the limits of Admit. It may
 // come before or after Occupy calls for tasks of the same job. The Scheduler
 // keeps j.Waiting.
-func (s *Scheduler) Restore(_ time.Time, j Job) {
+func (s *Scheduler) Restore(now time.Time, j Job) {
+	s.tick(now)
 	old := s.jobs[j.Key]
 	if old != nil && (old.removed || len(old.waiting) > 0) {
 		s.failf("job %x restored twice", j.Key)
@@ -108,10 +110,12 @@
 		return
 	}
 	j := s.job(in.Key, in.Team)
+	s.moveTo(j, s.team(in.Team))
 	j.deadline = in.Deadline
 	j.declared = in.Declared
 	j.expected = s.expect(j.team, in.Declared)
 	j.waiting = in.Waiting
+	j.since = s.now.Sub(s.first)
 	s.countWaiting(j, len(in.Waiting))
 	s.makeReady(j)
 }
@@ -129,6 +133,21 @@
 	return j
 }
 
+// moveTo gives a job without waiting tasks to another team. Occupy may not
+// have known the job's team.
+func (s *Scheduler) moveTo(j *job, t *team) {
+	if j.team == t {
+		return
+	}
+	old := j.team
+	old.running -= len(j.running)
+	old.jobs--
+	t.running += len(j.running)
+	t.jobs++
+	j.team = t
+	s.dropIdleTeam(old)
+}
+
 // dropIdleJob forgets a job without waiting and running tasks.
 func (s *Scheduler) dropIdleJob(j *job) {
 	if len(j.waiting) > 0 || len(j.running) > 0 {
@@ -152,6 +171,7 @@
 	if j.expired || j.removed || len(j.waiting) == 0 {
 		return
 	}
+	s.rank(j)
 	if j.readyAt < 0 {
 		t := j.team
 		heap.Push(&t.ready, j)
@@ -165,6 +185,16 @@
 	}
 }
 
+// rank sets a job's place among its team's: by its age, put back by a share
+// of its remaining work, so that small jobs and those that are nearly done go
+// first and none waits for ever.
+func (s *Scheduler) rank(j *job) {
+	j.rank = j.since + time.Duration(s.cfg.Order.WorkWeight*float64(j.remaining()))
+	if j.readyAt >= 0 {
+		heap.Fix(&j.team.ready, j.readyAt)
+	}
+}
+
 // unready takes a job out of its team's heap and the heap of deadlines.
 func (s *Scheduler) unready(j *job) {
 	if j.readyAt >= 0 {
@@ -190,7 +220,8 @@
 }
 
 // Occupy makes a task that was found running at a takeover hold its slot
-// until Ended, also on an endpoint that is not known yet.
+// until Ended, also on an endpoint that is not known yet. Where the team is
+// not known it is empty; Restore sets it.
 func (s *Scheduler) Occupy(key Key, index int, endpointName string, teamName string) {
 	e := s.endpoints[endpointName]
 	if e == nil {
@@ -211,9 +242,6 @@
 	j.team.running++
 	e.running++
 	s.running++
-	if j.readyAt >= 0 {
-		heap.Fix(&j.team.ready, j.readyAt)
-	}
 }
 
 // release is the reverse of hold; it returns false when no such task runs.
@@ -233,9 +261,7 @@
 	j.team.running--
 	e.running--
 	s.running--
-	if j.readyAt >= 0 {
-		heap.Fix(&j.team.ready, j.readyAt)
-	}
+	s.rank(j)
 	return j, e, true
 }
 
@@ -401,6 +427,9 @@
 
 // tick notes the time; it never goes back.
 func (s *Scheduler) tick(now time.Time) {
+	if s.first.IsZero() {
+		s.first = now
+	}
 	if now.After(s.now) {
 		s.now = now
 	}
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -81,8 +81,8 @@
 	Running int   `json:"running"`
 	Done    int64 `json:"done"`
 	Failed  int64 `json:"failed"`
-	// Run is the learned run time of its tasks.
-	Run time.Duration `json:"run_ns"`
+	// MeanRun is the learned run time of its tasks.
+	MeanRun time.Duration `json:"mean_run_ns"`
 	// Slowness is its learned run time over the usual one.
 	Slowness float64 `json:"slowness"`
 	// FailureExcess is its failure rate beyond its teams' own.
@@ -99,6 +99,16 @@
 	return rows
 }
 
+// EndpointStats returns a view of one endpoint, as of the latest call; it is
+// empty for an endpoint that is not known.
+func (s *Scheduler) EndpointStats(name string) EndpointStats {
+	e := s.endpoints[name]
+	if e == nil {
+		return EndpointStats{}
+	}
+	return s.endpointStats(s.now, e)
+}
+
 func (s *Scheduler) endpointStats(now time.Time, e *endpoint) EndpointStats {
 	allowed, _ := e.allowed(now, &s.cfg)
 	return EndpointStats{
@@ -110,7 +120,7 @@
 		Running:       e.running,
 		Done:          e.done,
 		Failed:        e.failed,
-		Run:           time.Duration(e.runs.mean * float64(time.Second)),
+		MeanRun:       time.Duration(e.runs.mean * float64(time.Second)),
 		Slowness:      e.slowness(),
 		FailureExcess: float64(e.excess),
 	}
@@ -142,8 +152,8 @@
 	Running int    `json:"running"`
 	Waiting int    `json:"waiting"`
 	Jobs    int    `json:"jobs"`
-	// Run is the learned run time of its tasks.
-	Run time.Duration `json:"run_ns"`
+	// MeanRun is the learned run time of its tasks.
+	MeanRun time.Duration `json:"mean_run_ns"`
 	// FailureRate is the moving share of its tasks that failed.
 	FailureRate float64 `json:"failure_rate"`
 	// Work is the expected run time of its waiting tasks.
@@ -159,7 +169,7 @@
 			Running:     t.running,
 			Waiting:     t.waiting,
 			Jobs:        t.jobs,
-			Run:         time.Duration(t.runs.all.mean * float64(time.Second)),
+			MeanRun:     time.Duration(t.runs.all.mean * float64(time.Second)),
 			FailureRate: float64(t.failures),
 			Work:        t.work,
 		})
--- a/internal/sched/team.go
+++ b/internal/sched/team.go
@@ -55,10 +55,14 @@
 	seq      uint64
 	deadline time.Time
 	declared time.Duration
+	// since is when the job came, from the Scheduler's first instant on.
+	since time.Duration
 	// expected is the run time of one task as learned when the job came.
 	expected time.Duration
-	waiting  []int
-	running  []runningTask
+	// rank orders the team's jobs; lower is first.
+	rank    time.Duration
+	waiting []int
+	running []runningTask
 	// readyAt and deadlineAt are the places in the team's and the
 	// Scheduler's heap, or -1.
 	readyAt    int
@@ -92,14 +96,19 @@
 	j.running = j.running[:last]
 }
 
-// jobHeap orders jobs by running tasks, then by age.
+// remaining returns the expected run time of the tasks that have not ended.
+func (j *job) remaining() time.Duration {
+	return time.Duration(len(j.waiting)+len(j.running)) * j.expected
+}
+
+// jobHeap orders jobs by rank, then by age.
 type jobHeap []*job
 
 func (h jobHeap) Len() int { return len(h) }
 
 func (h jobHeap) Less(a, b int) bool {
-	if len(h[a].running) != len(h[b].running) {
-		return len(h[a].running) < len(h[b].running)
+	if h[a].rank != h[b].rank {
+		return h[a].rank < h[b].rank
 	}
 	return h[a].seq < h[b].seq
 }
