Tell the later of two racing operators of the winner; never block on the store

Cause: two conflicting commands were both accepted, the later silently undoing the earlier. The loop that applies the configuration to cells also wrote member lists, so a hanging store held a domain's leave back by its time limit. A failure from an owner that had been stopped could end a job that its new owner was running.

Change: an edit conflicts with a change of the same object that is newer than what its entry knew; takeovers, following the document, and member lists are three loops; from an owner that lost the submission only a whole answer counts.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+func TestTheLaterOfTwoRacingEditsIsToldOfTheWinner(t *testing.T) {
+	d := New(member(0), 1, "op")
+	out := Edit{Who: "ana", What: "take domain Comas out", Base: d.Revision, Domain: &ServiceEdit{Name: "Comas", Out: true}}
+	back := Edit{Who: "luz", What: "return domain Comas", Base: d.Revision, Domain: &ServiceEdit{Name: "Comas"}}
+	other := Edit{Who: "luz", Base: d.Revision, Domain: &ServiceEdit{Name: "Los Olivos", Out: true}}
+	won, err := Edited(d, out, "op2", time.Now())
+	must.NoError(t, err)
+	_, err = Edited(won, back, "op3", time.Now())
+	must.Eq(t, result.CommandConflict, result.CodeOf(err))
+	must.StrContains(t, err.Error(), "ana changed domain Comas in revision 2")
+	_, err = Edited(won, other, "op3", time.Now())
+	must.NoError(t, err)
+	back.Base = won.Revision
+	_, err = Edited(won, back, "op3", time.Now())
+	must.NoError(t, err)
+}
+
 func TestCandidateAndDeputy(t *testing.T) {
 	d := &Document{Cells: make([]Cell, 20)}
 	for i := range 6 {
--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -81,10 +81,12 @@
 
 // Change is one audited change of the configuration.
 type Change struct {
-	Revision uint64    `json:"revision"`
-	Who      string    `json:"who"`
-	What     string    `json:"what"`
-	At       time.Time `json:"at"`
+	Revision uint64 `json:"revision"`
+	Who      string `json:"who"`
+	What     string `json:"what"`
+	// Object is what was changed, such as "domain Comas".
+	Object string    `json:"object"`
+	At     time.Time `json:"at"`
 }
 
 // Edit is one operator's change of the configuration. Exactly one of
@@ -99,6 +101,9 @@
 	Team     *TeamEdit
 	// RemoveMember asserts that an entry's process has ended for good.
 	RemoveMember string
+	// Base is the revision that the operator's entry knew when the command
+	// arrived. The edit conflicts with a later change of the same object.
+	Base uint64
 	// IfRevision refuses the edit unless the document is at this revision;
 	// zero accepts any.
 	IfRevision uint64
--- a/internal/control/edit.go
+++ b/internal/control/edit.go
@@ -21,6 +21,9 @@
 	if e.IfRevision != 0 && e.IfRevision != d.Revision {
 		return nil, result.Errorf(result.CommandConflict, "the configuration is at revision %d", d.Revision)
 	}
+	if err := checkRace(d, e); err != nil {
+		return nil, err
+	}
 	n := d.next(operation)
 	if err := applyEdit(&n.Config, e); err != nil {
 		return nil, err
@@ -28,13 +31,36 @@
 	if equalConfig(&n.Config, &d.Config) {
 		return nil, nil
 	}
-	n.History = append(n.History, Change{Revision: n.Revision, Who: e.Who, What: e.What, At: now.UTC()})
+	n.History = append(n.History, Change{Revision: n.Revision, Who: e.Who, What: e.What, Object: e.object(), At: now.UTC()})
 	if extra := len(n.History) - HistoryLength; extra > 0 {
 		n.History = slices.Delete(n.History, 0, extra)
 	}
 	return n, nil
 }
 
+// checkRace refuses an edit of an object that another operator changed after
+// the revision that this one acted on.
+func checkRace(d *Document, e Edit) error {
+	for _, h := range d.History {
+		if h.Revision > e.Base && h.Object == e.object() {
+			return result.Errorf(result.CommandConflict, "%s changed %s in revision %d: %s", h.Who, h.Object, h.Revision, h.What)
+		}
+	}
+	return nil
+}
+
+func (e *Edit) object() string {
+	switch {
+	case e.Domain != nil:
+		return "domain " + e.Domain.Name
+	case e.Endpoint != nil:
+		return "endpoint " + e.Endpoint.Name
+	case e.Team != nil:
+		return "team " + e.Team.Name
+	}
+	return ""
+}
+
 func applyEdit(c *Config, e Edit) error {
 	switch {
 	case e.Domain != nil:
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -114,6 +114,7 @@
 	if err := e.checkNames(ctx, edit); err != nil {
 		return admin.Applied{}, err
 	}
+	edit.Base = e.revision()
 	wctx, cancel := context.WithTimeout(ctx, max(wait, e.settings.StoreTimeout.Std()))
 	defer cancel()
 	next, err := e.writer.Write(wctx, func(d *control.Document, op string) (*control.Document, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,7 +102,7 @@
 	}
 	e.ownership = &ownership{
 		store: e.store, board: e.board, peers: e.peers, writer: e.writer, agents: e.agents,
-		settings: s, log: part("ownership"), cells: map[uint32]*ownedCell{},
+		settings: s, log: part("ownership"), cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{},
 	}
 	e.confirms = newConfirms(e.board, e.peers.Soon, 2*s.Freshness.Std())
 	e.relay = newRelay(e.board, e.client, e.confirms, e.counters, part("relay"))
@@ -153,7 +153,9 @@
 		e.sync.runWatch,
 		e.peers.run,
 		e.members.run,
-		e.ownership.run,
+		e.ownership.runTakeovers,
+		e.ownership.runFollow,
+		e.ownership.runMembers,
 		e.confirms.run,
 		e.relay.run,
 		e.tickCells,
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,8 @@
 
 	mu    sync.Mutex
 	cells map[uint32]*ownedCell
+	// opening are the cells whose member lists are being read.
+	opening map[uint32]bool
 }
 
 // ownedCell is a local cell with the state of its member list in the store.
@@ -44,32 +48,50 @@
 	storedVersion uint64
 }
 
-func (o *ownership) run(ctx context.Context) {
+// runTakeovers writes ownership and deputies to the store.
+func (o *ownership) runTakeovers(ctx context.Context) {
+	o.loop(ctx, func(d *control.Document) {
+		o.takeOver(ctx, d)
+		o.keepDeputies(ctx)
+	})
+}
+
+// runFollow keeps the local cells in step with the document. It never waits
+// for the store, so that a change of the configuration takes effect at once.
+func (o *ownership) runFollow(ctx context.Context) {
+	o.loop(ctx, func(d *control.Document) { o.follow(ctx, d) })
+	for _, c := range o.Cells() {
+		c.Close()
+	}
+}
+
+// runMembers keeps the member lists in the store up to date.
+func (o *ownership) runMembers(ctx context.Context) {
+	o.loop(ctx, func(*control.Document) {
+		for _, oc := range o.ownedCells() {
+			o.storeMembers(ctx, oc)
+		}
+	})
+}
+
+// loop calls step at each change of the board and at an interval.
+func (o *ownership) loop(ctx context.Context, step func(*control.Document)) {
 	tick := time.NewTicker(ownershipInterval)
 	defer tick.Stop()
 	for {
 		changed := o.board.Changed()
-		o.step(ctx)
+		if d := o.board.Doc(); d != nil {
+			step(d)
+		}
 		select {
 		case <-tick.C:
 		case <-changed:
 		case <-ctx.Done():
-			o.closeAll()
 			return
 		}
 	}
 }
 
-func (o *ownership) step(ctx context.Context) {
-	d := o.board.Doc()
-	if d == nil {
-		return
-	}
-	o.takeOver(ctx, d)
-	o.keepDeputies(ctx)
-	o.follow(ctx, o.board.Doc())
-}
-
 // alive combines what the peers' exchanges and the leases in the store tell.
 func (o *ownership) alive(id string) bool {
 	if id == o.board.self {
@@ -163,7 +185,7 @@
 			oc = nil
 		}
 		if mine && oc == nil {
-			oc = o.open(ctx, n, c.Generation, d)
+			o.beginOpen(ctx, n, c.Generation, d)
 		}
 		if oc == nil {
 			continue
@@ -173,10 +195,26 @@
 		if accepted && revision >= d.Revision {
 			oc.cell.Accepted(now)
 		}
-		o.storeMembers(ctx, oc)
 	}
 }
 
+// beginOpen opens a cell beside the loop, since that takes calls to the store.
+func (o *ownership) beginOpen(ctx context.Context, n uint32, generation uint64, d *control.Document) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.opening[n] {
+		return
+	}
+	o.opening[n] = true
+	go func() {
+		o.open(ctx, n, generation, d)
+		o.mu.Lock()
+		delete(o.opening, n)
+		o.mu.Unlock()
+		o.board.Poke()
+	}()
+}
+
 func (o *ownership) owned(n uint32) *ownedCell {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -193,15 +231,19 @@
 
 // Cells returns the local cells.
 func (o *ownership) Cells() []*cell.Cell {
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	var cells []*cell.Cell
-	for _, oc := range o.cells {
+	for _, oc := range o.ownedCells() {
 		cells = append(cells, oc.cell)
 	}
 	return cells
 }
 
+func (o *ownership) ownedCells() []*ownedCell {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Values(o.cells))
+}
+
 func (o *ownership) close(n uint32, oc *ownedCell) {
 	o.mu.Lock()
 	delete(o.cells, n)
@@ -211,24 +253,17 @@
 	o.board.Poke()
 }
 
-func (o *ownership) closeAll() {
-	for _, c := range o.Cells() {
-		c.Close()
-	}
-}
-
 // open makes a local cell. It first writes the member list under the new
 // generation, so that the old owner can add no agent any more.
-func (o *ownership) open(ctx context.Context, n uint32, generation uint64, d *control.Document) *ownedCell {
+func (o *ownership) open(ctx context.Context, n uint32, generation uint64, d *control.Document) {
 	old, storeRevision, err := o.readMembers(ctx, n)
 	if err != nil {
 		o.log.Warn("member list not read", zap.Uint32("cell", n), zap.Error(err))
 		pause(ctx, retryPause)
-		return nil
+		return
 	}
 	if old.Generation > generation {
-		o.board.Poke()
-		return nil
+		return
 	}
 	now := time.Now()
 	oc := &ownedCell{
@@ -236,15 +271,13 @@
 		storeRevision: storeRevision,
 	}
 	if !o.storeMembers(ctx, oc) {
-		return nil
+		return
 	}
 	o.mu.Lock()
 	o.cells[n] = oc
 	o.mu.Unlock()
 	o.agents.Adopt(oc.cell)
 	o.log.Info("opened a cell", zap.Uint32("cell", n), zap.Uint64("generation", generation))
-	o.board.Poke()
-	return oc
 }
 
 func (o *ownership) cellConfig(n uint32, generation uint64) cell.Config {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -169,9 +169,9 @@
 	}
 }
 
-// answered takes the owner's answer. NotOwner puts the submission back; an
-// answer from an owner that it was taken away from since is still whole and
-// true, and is used.
+// answered takes the owner's answer. NotOwner puts the submission back. From
+// an owner that it was taken away from since only a whole answer counts: its
+// failures may come from not having been awake.
 func (r *relay) answered(key sched.Key, from ownerRef, a *pb.Answer) {
 	sh := r.shard(key)
 	sh.mu.Lock()
@@ -187,6 +187,10 @@
 		}
 		return
 	}
+	if j.sentTo != from && result.Code(a.GetCode()) != result.OK {
+		r.counters.lateAnswers.Add(1)
+		return
+	}
 	delete(sh.jobs, key)
 	for _, w := range j.waiters {
 		w <- a
