--- /dev/null
+++ b/test/failure/notrun_test.go
@@ -0,0 +1,229 @@
+package failure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+	"github.com/pomelosill/pomelosill/test/fleet"
+)
+
+// Promise: a refusal that says "not run" is true. The oracle compares every
+// refusal with the endpoints' records.
+
+// command issues an operator's statement and waits until it is in force.
+func command(t *testing.T, f *fleet.Fleet, e *fleet.Entry, text string) api.Reply {
+	t.Helper()
+	reply, err := f.Command(t.Context(), e, api.Statement{Text: text, WaitMS: someSeconds.Milliseconds()})
+	must.NoError(t, err)
+	must.Eq(t, result.OK, reply.Code, must.Sprintf("%s: %s %s", text, reply.Text, reply.Detail))
+	return reply
+}
+
+func TestRefusalsBeforeAnyStart(t *testing.T) {
+	f := start(t)
+	command(t, f, f.Entries[0], "set team idle max_queued 3")
+	command(t, f, f.Entries[0], "set team elsewhere domains nowhere")
+	cases := []struct {
+		name string
+		edit func(j *fleet.Job)
+		code result.Code
+	}{
+		{"no id", func(j *fleet.Job) { j.ID = "x" }, result.BadSubmissionID},
+		{"random id", func(j *fleet.Job) { j.ID = uuid.NewString() }, result.BadSubmissionID},
+		{"id from the future", func(j *fleet.Job) { j.ID = "f" + j.ID[1:] }, result.IDFromFuture},
+		{"no tasks", func(j *fleet.Job) { j.Tasks = nil }, result.Malformed},
+		{"too many tasks", func(j *fleet.Job) { j.Tasks = make([]api.Task, api.MaxTasks+1) }, result.Malformed},
+		{"no deadline", func(j *fleet.Job) { j.TimeoutMS = 0 }, result.Malformed},
+		{"too large", func(j *fleet.Job) {
+			j.Tasks[0].Payload = json.RawMessage(`"` + strings.Repeat("x", 5<<20) + `"`)
+		}, result.TooLarge},
+		{"unknown team", func(j *fleet.Job) { j.Team = "nobody" }, result.UnknownTeam},
+		{"over the quota", func(j *fleet.Job) { j.Team = "idle" }, result.OverQuota},
+		{"no endpoint for the team", func(j *fleet.Job) { j.Team = "elsewhere" }, result.CannotRun},
+	}
+	for _, c := range cases {
+		for _, e := range f.Entries {
+			j := fleet.NewJob(4, shortRun)
+			c.edit(&j)
+			ans := f.MustSubmit(t, e, j, c.code)
+			must.Eq(t, result.EffectNotRun, ans.Effect, must.Sprint(c.name))
+			must.SliceEmpty(t, f.StartsOf(t, j), must.Sprint(c.name))
+		}
+	}
+}
+
+// fill occupies every slot of the fleet for a while.
+func fill(t *testing.T, f *fleet.Fleet, run time.Duration) *fleet.Call {
+	t.Helper()
+	j := fleet.NewJob(16, run)
+	c := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 16)
+	return c
+}
+
+func TestDeadlineOfWaitingJobs(t *testing.T) {
+	f := start(t)
+	busy := fill(t, f, 3*time.Second)
+	var calls []*fleet.Call
+	for _, e := range f.Entries {
+		j := fleet.NewJob(4, shortRun).WithTimeout(500 * time.Millisecond)
+		calls = append(calls, f.Go(t.Context(), e, j))
+	}
+	mustAnswerAll(t, calls, result.DeadlinePassed, result.Overloaded)
+	busy.MustAnswer(t, result.OK)
+}
+
+func TestCancellationOfWaitingAndRunningJobs(t *testing.T) {
+	f := start(t)
+	busyJob := fleet.NewJob(16, 3*time.Second)
+	busy := f.Go(t.Context(), f.Entries[0], busyJob)
+	f.AwaitStarts(t, busyJob, 16)
+	var waiting []*fleet.Call
+	for i := range 60 {
+		waiting = append(waiting, f.Go(t.Context(), f.Entries[i%3], fleet.NewJob(4, shortRun)))
+	}
+	fleet.Eventually(t, "the jobs wait", func(ctx context.Context) error { return jobsKnown(ctx, f, 61) })
+	for i, c := range waiting {
+		must.NoError(t, f.Cancel(t.Context(), f.Entries[(i+1)%3], c.Job.ID))
+	}
+	must.NoError(t, f.Cancel(t.Context(), f.Entries[1], busyJob.ID))
+	mustAnswerAll(t, waiting, result.Cancelled, result.CancelledAfterStart, result.OK)
+	busy.MustAnswer(t, result.CancelledAfterStart, result.OK)
+}
+
+func jobsKnown(ctx context.Context, f *fleet.Fleet, n int) error {
+	reply, err := f.Query(ctx, f.Entries[0], "jobs limit 1000")
+	if err != nil {
+		return err
+	}
+	if len(reply.Rows) < n {
+		return fmt.Errorf("%d of %d jobs", len(reply.Rows), n)
+	}
+	return nil
+}
+
+// TestCancellationRace cancels jobs while they start.
+func TestCancellationRace(t *testing.T) {
+	f := start(t)
+	var calls []*fleet.Call
+	for i := range 60 {
+		j := fleet.NewJob(6, shortRun)
+		calls = append(calls, f.Go(t.Context(), f.Entries[i%3], j))
+		if i%2 == 0 {
+			must.NoError(t, f.Cancel(t.Context(), f.Entries[(i+1)%3], j.ID))
+		}
+	}
+	mustAnswerAll(t, calls, result.OK, result.Cancelled, result.CancelledAfterStart, result.OutcomeUnknown)
+}
+
+// TestOverloadIsRefusedTruthfully sends far more than the fleet can do before
+// the deadlines.
+func TestOverloadIsRefusedTruthfully(t *testing.T) {
+	f := start(t)
+	var calls []*fleet.Call
+	for i := range 150 {
+		j := fleet.NewJob(16, 100*time.Millisecond).WithTimeout(3 * time.Second)
+		calls = append(calls, f.Go(t.Context(), f.Entries[i%3], j))
+	}
+	done := 0
+	for _, c := range calls {
+		ans := c.MustAnswer(t, result.OK, result.Overloaded, result.QueueFull, result.DeadlinePassed, result.DeadlineAfterStart)
+		if ans.Code == result.OK {
+			done++
+		}
+	}
+	must.Positive(t, done)
+}
+
+// TestEndpointsRefuseConnections kills the endpoints behind live agents: what
+// never reached an endpoint may be told "not run", and must be.
+func TestEndpointsRefuseConnections(t *testing.T) {
+	f := start(t)
+	for _, e := range f.Endpoints {
+		e.Kill()
+	}
+	j := fleet.NewJob(8, shortRun).WithTimeout(5 * time.Second)
+	ans := f.MustSubmit(t, f.Entries[0], j,
+		result.EndpointUnreachable, result.DeadlinePassed, result.Overloaded, result.OutcomeUnknown)
+	must.SliceEmpty(t, f.StartsOf(t, j), must.Sprint(ans.Detail))
+}
+
+func TestNoAgents(t *testing.T) {
+	f := start(t)
+	for _, e := range f.Endpoints {
+		e.Agent.Kill()
+	}
+	j := fleet.NewJob(8, shortRun).WithTimeout(3 * time.Second)
+	f.MustSubmit(t, f.Entries[0], j, result.DeadlinePassed, result.CannotRun, result.Overloaded, result.OutcomeUnknown)
+	must.SliceEmpty(t, f.StartsOf(t, j))
+}
+
+// TestEntryThatNeverSawTheStore starts an entry during an outage. It says what
+// it cannot do.
+func TestEntryThatNeverSawTheStore(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	late := f.Others(owner)[0]
+	late.Kill()
+	f.StoreFaults(t, platform.Fault{Kind: platform.Outage})
+	late.Start(t)
+	fleet.Eventually(t, "the entry answers", func(ctx context.Context) error {
+		_, err := f.Query(ctx, late, "entries")
+		return err
+	})
+	j := fleet.NewJob(2, shortRun).WithTimeout(2 * time.Second)
+	f.MustSubmit(t, late, j, result.NoOwner, result.OK)
+	f.MustSubmit(t, owner, fleet.NewJob(2, shortRun), result.OK)
+	f.StoreFaults(t)
+	fleet.Eventually(t, "the entry serves", func(ctx context.Context) error { return f.Probe(ctx, late) })
+}
+
+// cutCase is one way in which a connection to an endpoint is cut.
+type cutCase struct {
+	name   string
+	faults endpoint.Faults
+}
+
+func cutCases() []cutCase {
+	return []cutCase{
+		{"refused", endpoint.Faults{Refuse: true}},
+		{"before", endpoint.Faults{CutBefore: -1}},
+		{"during", endpoint.Faults{CutDuring: -1}},
+		{"after", endpoint.Faults{CutAfter: -1}},
+	}
+}
+
+// TestConnectionsCut checks the promise that a request that is not idempotent
+// runs at most once: the endpoints cut each connection at one point, the
+// caller sends the job again through every entry, and then the endpoints are
+// well again.
+func TestConnectionsCut(t *testing.T) {
+	f := start(t)
+	codes := []result.Code{result.OutcomeUnknown, result.EndpointUnreachable, result.TaskFailed}
+	for _, c := range cutCases() {
+		for _, e := range f.Endpoints {
+			f.EndpointFaults(t, e, c.faults)
+		}
+		j := fleet.NewJob(4, shortRun)
+		f.MustSubmit(t, f.Entries[0], j, codes...)
+		mustAnswerAll(t, resubmit(t, f, j, f.Entries...), codes...)
+		for _, e := range f.Endpoints {
+			f.EndpointFaults(t, e, endpoint.Faults{})
+		}
+		mustAnswerAll(t, resubmit(t, f, j, f.Entries...), append(codes, result.OK)...)
+		fleet.Eventually(t, "the endpoints are used again after "+c.name, func(ctx context.Context) error {
+			return f.Probe(ctx, f.Entries[0])
+		})
+	}
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/store"
 	"github.com/pomelosill/pomelosill/test/oracle"
 )
@@ -189,11 +190,14 @@
 	awaitListener(t, e.URL[len("http://"):])
 }
 
-// AwaitReady waits until every running entry answers a job and sees every
-// endpoint.
+// AwaitReady waits until every entry is on the roster and knows that the others
+// are, sees every endpoint, and answers a job.
 func (f *Fleet) AwaitReady(t *testing.T) {
 	t.Helper()
 	for _, e := range f.Entries {
+		Eventually(t, e.Name+" knows the whole roster", func(ctx context.Context) error {
+			return f.rosterSettled(ctx, e)
+		})
 		Eventually(t, e.Name+" sees every endpoint", func(ctx context.Context) error {
 			return f.seesAll(ctx, e)
 		})
@@ -203,6 +207,31 @@
 	}
 }
 
+// entryState is what the fleet reads of an entry's state dump.
+type entryState struct {
+	Document *control.Document `json:"document"`
+	// Acks are the revisions that members are known to hold.
+	Acks map[string]uint64 `json:"acks"`
+}
+
+// rosterSettled checks that an entry knows a roster of the whole fleet and
+// that each member holds that revision.
+func (f *Fleet) rosterSettled(ctx context.Context, e *Entry) error {
+	var s entryState
+	if err := f.get(ctx, "http://"+e.Admin+"/debug/state", &s); err != nil {
+		return err
+	}
+	if s.Document == nil || len(s.Document.Roster) != len(f.Entries) {
+		return fmt.Errorf("roster is %+v", s.Document)
+	}
+	for _, m := range s.Document.Roster {
+		if s.Acks[m.ID] < s.Document.Revision {
+			return fmt.Errorf("%s has not acknowledged revision %d", m.Address, s.Document.Revision)
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) seesAll(ctx context.Context, e *Entry) error {
 	reply, err := f.Query(ctx, e, "endpoints")
 	if err != nil {
