--- a/internal/load/audit/audit.go
+++ b/internal/load/audit/audit.go
@@ -81,7 +81,7 @@
 	Missing int
 	// Spans are the runs of all tasks, from the start of the trace.
 	Spans []ideal.Span
-	// GoodSpans are those of jobs answered OK.
+	// GoodSpans are those of jobs answered OK that nobody cancelled.
 	GoodSpans []ideal.Span
 }
 
@@ -99,7 +99,7 @@
 			continue
 		}
 		count[task{s.Submission, s.Task}]++
-		f.addSpan(s, start, r.Answered && r.Code == result.OK)
+		f.addSpan(s, start, r.Answered && r.Code == result.OK && r.Job.CancelAt == 0)
 	}
 	f.Started = len(count)
 	for _, n := range count {
--- a/internal/load/audit/counters.go
+++ b/internal/load/audit/counters.go
@@ -16,6 +16,7 @@
 	RelaysReceived    int64 `json:"relays_received"`
 	AnswersSent       int64 `json:"answers_sent"`
 	DuplicateOutcomes int64 `json:"duplicate_outcomes"`
+	LateAnswers       int64 `json:"late_answers"`
 	Heartbeats        int64 `json:"heartbeats_received"`
 	StampsSent        int64 `json:"stamps_sent"`
 	ExchangesSent     int64 `json:"exchanges_sent"`
@@ -53,6 +54,7 @@
 	c.RelaysReceived += sign * o.RelaysReceived
 	c.AnswersSent += sign * o.AnswersSent
 	c.DuplicateOutcomes += sign * o.DuplicateOutcomes
+	c.LateAnswers += sign * o.LateAnswers
 	c.Heartbeats += sign * o.Heartbeats
 	c.StampsSent += sign * o.StampsSent
 	c.ExchangesSent += sign * o.ExchangesSent
@@ -65,6 +67,7 @@
 		ExtraStarts:       max(c.StartsSent-int64(started), 0),
 		Refusals:          c.RefusalsReceived,
 		DuplicateOutcomes: c.DuplicateOutcomes,
+		LateAnswers:       c.LateAnswers,
 		Relays:            2 * c.RelaysSent,
 		Heartbeats:        c.Heartbeats,
 		Stamps:            c.StampsSent,
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -90,6 +90,7 @@
 	ExtraStarts       int64 `json:"extra_starts"`
 	Refusals          int64 `json:"refusals"`
 	DuplicateOutcomes int64 `json:"duplicate_outcomes"`
+	LateAnswers       int64 `json:"late_answers"`
 	// Relays are submissions and answers between entries.
 	Relays     int64 `json:"relays"`
 	Heartbeats int64 `json:"heartbeats"`
@@ -99,7 +100,7 @@
 
 // Work is the number of wasted work messages.
 func (w Wasted) Work() int64 {
-	return w.ExtraStarts + w.Refusals + w.DuplicateOutcomes + w.Relays
+	return w.ExtraStarts + w.Refusals + w.DuplicateOutcomes + w.LateAnswers + w.Relays
 }
 
 // Control is the number of control messages.
--- a/internal/load/scenario/run.go
+++ b/internal/load/scenario/run.go
@@ -313,6 +313,9 @@
 }
 
 func addWork(line *report.Line, b *builder, p plan, m measurement) {
+	if p.slowed {
+		return
+	}
 	kept, _ := withoutCancelled(m)
 	best := ideal.Overlap(ideal.Queue(kept, p.capacities).Spans, p.window)
 	done := ideal.Overlap(m.findings.GoodSpans, p.window)
