Say where a bad setting stands; refuse repeated fields

encoding/json names no place for an unknown field and takes the last of two equal ones, also when they differ in case. The parsed text is compared with the Go type first, so that each error has file, line, column, field and reason. Standardize works in place and shifted columns after non-ASCII comments (seen in the table test); it now works on a copy.

--- a/internal/access/token.go
+++ b/internal/access/token.go
@@ -5,8 +5,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
-	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
 // MinTokenBytes is the shortest token that settings may hold.
@@ -52,8 +53,9 @@
 // leaves access open.
 type Tokens []Token
 
-// Validate returns a *result.Error with code SettingsValue that names the
-// token and the field. It never quotes a token.
+// Validate returns an error of settings.BadValue that names the token and the
+// field, under the name "tokens" that the list has in the settings. It never
+// quotes a token.
 func (ts Tokens) Validate() error {
 	names := map[string]bool{}
 	secrets := map[Secret]bool{}
@@ -90,5 +92,5 @@
 }
 
 func badToken(i int, field, reason string) error {
-	return result.Errorf(result.SettingsValue, "tokens[%d].%s: %s", i, field, reason)
+	return settings.BadValue(fmt.Sprintf("tokens[%d].%s", i, field), reason)
 }
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -139,7 +139,7 @@
 
 	{SettingsUnreadable, "SettingsUnreadable", "The settings file could not be read.", EffectNone, false, http.StatusBadRequest},
 	{SettingsSyntax, "SettingsSyntax", "The settings file is not JSON with comments.", EffectNone, false, http.StatusBadRequest},
-	{SettingsField, "SettingsField", "The settings file has an unknown field.", EffectNone, false, http.StatusBadRequest},
+	{SettingsField, "SettingsField", "The settings file has an unknown or repeated field.", EffectNone, false, http.StatusBadRequest},
 	{SettingsValue, "SettingsValue", "A setting has a bad value.", EffectNone, false, http.StatusBadRequest},
 	{AddressInUse, "AddressInUse", "The address is in use or cannot be bound.", EffectNone, false, http.StatusInternalServerError},
 
--- a/internal/settings/duration.go
+++ b/internal/settings/duration.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 )
 
@@ -16,7 +17,7 @@
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return err
+		return fmt.Errorf(`%q is not a duration such as "250ms"`, s)
 	}
 	*d = Duration(v)
 	return nil
--- /dev/null
+++ b/internal/settings/place.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// file is a settings file with its text, to say where something stands.
+type file struct {
+	path string
+	text []byte
+}
+
+// place gives path, line and column, both counted from 1, the column in
+// characters.
+func (f file) place(offset int) string {
+	before := f.text[:offset]
+	line := 1 + bytes.Count(before, []byte("\n"))
+	lineStart := 1 + bytes.LastIndexByte(before, '\n')
+	column := 1 + utf8.RuneCount(before[lineStart:])
+	return fmt.Sprintf("%s:%d:%d", f.path, line, column)
+}
+
+// fail makes an error about the field at an offset.
+func (f file) fail(code result.Code, offset int, field, reason string) error {
+	return result.Errorf(code, "%s: %s: %s", f.place(offset), field, reason)
+}
+
+// syntaxError gives the parser's error the form of the others.
+func (f file) syntaxError(err error) error {
+	var line, column int
+	text := err.Error()
+	if _, scanErr := fmt.Sscanf(text, "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		return result.Wrap(result.SettingsSyntax, err, f.path)
+	}
+	_, reason, _ := strings.Cut(text, ": ")
+	_, reason, _ = strings.Cut(reason, ": ")
+	return result.Errorf(result.SettingsSyntax, "%s:%d:%d: %s", f.path, line, column, reason)
+}
+
+// findField returns the value at a path such as "tokens[0].name".
+func findField(v hujson.Value, path string) (hujson.Value, bool) {
+	for _, step := range strings.FieldsFunc(path, isPathSeparator) {
+		next, ok := findStep(v, step)
+		if !ok {
+			return hujson.Value{}, false
+		}
+		v = next
+	}
+	return v, path != ""
+}
+
+func isPathSeparator(r rune) bool { return strings.ContainsRune(".[]", r) }
+
+func findStep(v hujson.Value, step string) (hujson.Value, bool) {
+	switch composite := v.Value.(type) {
+	case *hujson.Object:
+		for _, m := range composite.Members {
+			if memberName(m) == step {
+				return m.Value, true
+			}
+		}
+	case *hujson.Array:
+		var i int
+		if _, err := fmt.Sscanf(step, "%d", &i); err != nil || i < 0 || i >= len(composite.Elements) {
+			return hujson.Value{}, false
+		}
+		return composite.Elements[i], true
+	}
+	return hujson.Value{}, false
+}
+
+// memberName is the name of an object's member without its quotes.
+func memberName(m hujson.ObjectMember) string {
+	name, ok := m.Name.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return name.String()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,25 +1,37 @@
-// Package settings reads a process's settings file: JSON with comments,
-// unknown fields and bad values refused with file, field, reason and code.
+// Package settings reads a process's settings file: JSON with comments and
+// trailing commas. Unknown fields, repeated fields and bad values are refused
+// with file, line, column, field, reason and result code.
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"os"
+	"reflect"
+	"strings"
 
+	"github.com/go-faster/errors"
 	"github.com/tailscale/hujson"
 
 	"github.com/pomelosill/pomelosill/internal/result"
 )
 
+// MaxFileBytes is the largest settings file.
+const MaxFileBytes = 1 << 20
+
 // Settings is a program's settings struct, filled with defaults before Load.
 type Settings interface {
-	// Validate returns a *result.Error with code SettingsValue that names the
-	// field and the reason.
+	// Validate returns an error made by BadValue, which names the field and
+	// the reason.
 	Validate() error
 }
 
+// BadValue makes the error of a Validate method, with code SettingsValue.
+// field is the path to the setting as written in the file, such as
+// "tokens[0].name"; Load adds where it stands.
+func BadValue(field, reason string) error {
+	return result.Errorf(result.SettingsValue, "%s: %s", field, reason)
+}
+
 // Load reads path into s and validates it. Its errors carry the codes
 // SettingsUnreadable, SettingsSyntax, SettingsField and SettingsValue.
 func Load(path string, s Settings) error {
@@ -32,20 +44,40 @@
 
 // Parse is Load on text already read; path only serves the errors.
 func Parse(path string, text []byte, s Settings) error {
-	standard, err := hujson.Standardize(text)
+	f := file{path: path, text: text}
+	if len(text) > MaxFileBytes {
+		return result.Errorf(result.SettingsUnreadable, "%s: the file may have %d bytes", path, MaxFileBytes)
+	}
+	root, err := hujson.Parse(text)
 	if err != nil {
-		return result.Wrap(result.SettingsSyntax, err, path)
+		return f.syntaxError(err)
 	}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return result.Wrap(result.SettingsField, err, path)
+	if err := f.check(root, reflect.TypeOf(s).Elem(), ""); err != nil {
+		return err
 	}
-	if _, err := dec.Token(); err != io.EOF {
-		return result.Errorf(result.SettingsSyntax, "%s: text after the settings", path)
+	// Standardize works in place, and the text still has to tell places.
+	standard := root.Clone()
+	standard.Standardize()
+	if err := json.Unmarshal(standard.Pack(), s); err != nil {
+		return result.Wrap(result.SettingsValue, err, path)
 	}
 	if err := s.Validate(); err != nil {
-		return result.Wrap(result.CodeOf(err), err, path)
+		return f.invalid(root, err)
 	}
 	return nil
 }
+
+// invalid adds to a Validate error where its field stands in the file. A
+// field that is not in the file has its default, and no place.
+func (f file) invalid(root hujson.Value, err error) error {
+	var e *result.Error
+	if !errors.As(err, &e) {
+		return result.Wrap(result.SettingsValue, err, f.path)
+	}
+	field, _, _ := strings.Cut(e.Detail, ":")
+	place := f.path
+	if v, ok := findField(root, field); ok {
+		place = f.place(v.StartOffset)
+	}
+	return &result.Error{Code: e.Code, Detail: place + ": " + e.Detail, Err: e.Err}
+}
