Add the command line of operators and callers

The exit status tells refused from unknown and from unreachable. submit goes on to the next entry with the same id when a connection breaks; query does so only when nothing was sent, since a command may not be made twice. Code 117 EntryUnreachable is new: none said that a client never sent its request.

Tables are ordered by their first field unless a sort says otherwise: an owner's rows come in no order. A failure domain's state is written as an endpoint's is (in_service), one word that the language needs no quotes for. 'remove entry' gives the control document's RemoveMember a sentence. EndpointStats has MeanRun where rows.go named Run; the build needs it.

--- /dev/null
+++ b/cmd/pomelosill/jobs.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// inspectTimeout bounds a look at one job.
+const inspectTimeout = 15 * time.Second
+
+const submitDescription = `Submits one job and waits for its whole answer. The id is printed first, so
+that the job can be resubmitted with --id through any entry: a job never starts
+twice under one id.
+
+   pomelosill submit --team alerts --tasks 20 --run-ms 100
+   pomelosill submit --file job.json --id 01997d0c-...
+
+Without --file the tasks' payload is {"run_ms": N}, which the stand-in
+endpoints of tests and demos understand. The file holds the job as callers
+post it: {"team": "alerts", "timeout_ms": 30000, "tasks": [{"payload": {}}]}.`
+
+func submitCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "submit",
+		Usage:       "submit a job and wait for its whole answer",
+		Description: submitDescription,
+		Flags: []cli.Flag{
+			entryFlag(),
+			tokenFlag(),
+			jsonFlag(),
+			&cli.StringFlag{Name: "team", Usage: "the job's `TEAM`"},
+			&cli.IntFlag{Name: "tasks", Value: 1, Usage: "number of tasks, at most 120"},
+			&cli.Int64Flag{Name: "run-ms", Value: 100, Usage: "run time of each task in milliseconds"},
+			&cli.BoolFlag{Name: "idempotent", Usage: "mark the tasks as idempotent"},
+			&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "time until the job's deadline"},
+			&cli.StringFlag{Name: "file", Usage: "read the job from a JSON `FILE`"},
+			&cli.StringFlag{Name: "id", Usage: "submission `ID`, to resubmit a job (default: a new one)"},
+		},
+		Action: runSubmit,
+	}
+}
+
+func runSubmit(ctx context.Context, c *cli.Command) error {
+	job, err := jobFromFlags(c)
+	if err != nil {
+		return err
+	}
+	conn, err := newClient(c, "entry")
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if !c.Bool("json") {
+		_, _ = fmt.Fprintln(c.Root().ErrWriter, "submitting", job.ID)
+	}
+	timeout := time.Duration(job.TimeoutMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout+graceTime)
+	defer cancel()
+	answer, err := conn.Submit(ctx, job)
+	if err != nil {
+		return err
+	}
+	return showAnswer(c, answer)
+}
+
+func jobFromFlags(c *cli.Command) (api.Job, error) {
+	job, err := jobBody(c)
+	if err != nil {
+		return job, err
+	}
+	if c.String("id") != "" {
+		job.ID = c.String("id")
+	}
+	if job.ID == "" {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return job, err
+		}
+		job.ID = id.String()
+	}
+	return job, nil
+}
+
+// jobBody reads the job from the file, or makes one for stand-in endpoints.
+func jobBody(c *cli.Command) (api.Job, error) {
+	if path := c.String("file"); path != "" {
+		return readJob(path)
+	}
+	if c.String("team") == "" {
+		return api.Job{}, usageErrorf("give --team or --file; see pomelosill submit --help")
+	}
+	tasks := c.Int("tasks")
+	if tasks < 1 || tasks > api.MaxTasks {
+		return api.Job{}, usageErrorf("--tasks must be from 1 to %d", api.MaxTasks)
+	}
+	job := api.Job{Team: c.String("team"), TimeoutMS: c.Duration("timeout").Milliseconds()}
+	payload := fmt.Appendf(nil, `{"run_ms":%d}`, c.Int64("run-ms"))
+	for range tasks {
+		job.Tasks = append(job.Tasks, api.Task{
+			Payload:       payload,
+			Idempotent:    c.Bool("idempotent"),
+			DeclaredRunMS: c.Int64("run-ms"),
+		})
+	}
+	return job, nil
+}
+
+func readJob(path string) (api.Job, error) {
+	var job api.Job
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return job, usageErrorf("%v", err)
+	}
+	if err := json.Unmarshal(text, &job); err != nil {
+		return job, usageErrorf("%s: %v", path, err)
+	}
+	return job, nil
+}
+
+func jobCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "job",
+		Usage:     "show the state of a job, and its answer once it has ended",
+		ArgsUsage: "ID",
+		Flags:     []cli.Flag{entryFlag(), tokenFlag(), jsonFlag()},
+		Action:    runJob,
+	}
+}
+
+func runJob(ctx context.Context, c *cli.Command) error {
+	id, err := oneArgument(c, "a submission id")
+	if err != nil {
+		return err
+	}
+	conn, err := newClient(c, "entry")
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	status, err := conn.Job(ctx, id)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, status)
+	}
+	if status.Answer == nil {
+		_, err = fmt.Fprintf(c.Root().Writer, "%s  team %s  %s\n", id, status.Team, status.State)
+		return err
+	}
+	return writeAnswer(c.Root().Writer, *status.Answer)
+}
+
+func cancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "ask for a job to be cancelled; the job's own answer tells whether it came in time",
+		ArgsUsage: "ID",
+		Flags:     []cli.Flag{entryFlag(), tokenFlag()},
+		Action:    runCancel,
+	}
+}
+
+func runCancel(ctx context.Context, c *cli.Command) error {
+	id, err := oneArgument(c, "a submission id")
+	if err != nil {
+		return err
+	}
+	conn, err := newClient(c, "entry")
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	if err := conn.Cancel(ctx, id); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.Root().Writer, "cancel sent")
+	return err
+}
+
+// showAnswer prints an answer and turns its code into the exit status.
+func showAnswer(c *cli.Command, a api.Answer) error {
+	var err error
+	if c.Bool("json") {
+		err = writeJSON(c.Root().Writer, a)
+	} else {
+		err = writeAnswer(c.Root().Writer, a)
+	}
+	if err == nil && a.Code != result.OK {
+		err = statusOnly(a.Code)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/pomelosill/look.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/pomelosill/pomelosill/internal/agent"
+	"github.com/pomelosill/pomelosill/internal/client"
+	"github.com/pomelosill/pomelosill/internal/entry"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/settings"
+)
+
+func dumpCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "dump",
+		Usage:     "print the state dump of a process as JSON",
+		ArgsUsage: "ADDRESS",
+		Description: "ADDRESS is an entry's admin address or an agent's listen address, IP:port.\n" +
+			"Any field of the dump can then be picked by a tool such as jq.",
+		Flags:  []cli.Flag{tokenFlag()},
+		Action: runDump,
+	}
+}
+
+func runDump(ctx context.Context, c *cli.Command) error {
+	address, err := oneArgument(c, "an address")
+	if err != nil {
+		return err
+	}
+	conn, err := client.New([]string{address}, c.String("token"))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	state, err := conn.Dump(ctx)
+	if err != nil {
+		return err
+	}
+	return writeJSON(c.Root().Writer, state)
+}
+
+// programs gives the settings of each program with its defaults.
+var programs = map[string]func() settings.Settings{
+	"entry": func() settings.Settings { return entry.DefaultSettings() },
+	"agent": func() settings.Settings {
+		s := agent.DefaultSettings()
+		return &s
+	},
+}
+
+func programNames() string {
+	return strings.Join(slices.Sorted(maps.Keys(programs)), " or ")
+}
+
+func settingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "work with settings files",
+		Commands: []*cli.Command{{
+			Name:      "check",
+			Usage:     "check a settings file; a bad one is told by file, line, column, field and reason",
+			ArgsUsage: "FILE",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "program", Required: true, Usage: "the `PROGRAM` that reads the file: " + programNames()},
+				&cli.BoolFlag{Name: "show", Usage: "print the settings with every default filled in, tokens hidden"},
+			},
+			Action: runSettingsCheck,
+		}},
+	}
+}
+
+func runSettingsCheck(_ context.Context, c *cli.Command) error {
+	path, err := oneArgument(c, "a settings file")
+	if err != nil {
+		return err
+	}
+	newSettings, ok := programs[c.String("program")]
+	if !ok {
+		return usageErrorf("--program must be %s", programNames())
+	}
+	s := newSettings()
+	if err := settings.Load(path, s); err != nil {
+		return err
+	}
+	if c.Bool("show") {
+		return writeJSON(c.Root().Writer, s)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "%s: good settings of pomelosill-%s\n", path, c.String("program"))
+	return err
+}
+
+func codesCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "codes",
+		Usage:  "list the result codes and what each says about the work",
+		Flags:  []cli.Flag{jsonFlag()},
+		Action: runCodes,
+	}
+}
+
+func runCodes(_ context.Context, c *cli.Command) error {
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, result.Table())
+	}
+	var rows [][]any
+	for _, in := range result.Table() {
+		rows = append(rows, []any{uint32(in.Code), in.Name, in.Effect, in.Retry, in.HTTP, in.Text})
+	}
+	return writeTable(c.Root().Writer, []string{"code", "name", "effect", "retry", "http", "text"}, rows)
+}
--- /dev/null
+++ b/cmd/pomelosill/query.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/pomelosill/pomelosill/internal/admin"
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// defaultWait is within what a change may take to be in force everywhere.
+const defaultWait = 4 * time.Second
+
+const queryDescription = `The words are joined to one sentence; quote them from the shell where needed.
+
+   pomelosill q domains
+   pomelosill q 'endpoints where running > 3 sort running desc'
+   pomelosill q --dry-run take domain '"Los Olivos"' out
+   pomelosill q take domain '"Los Olivos"' out
+   pomelosill q set team alerts weight 3 max_running 40 domains Comas,Carabayllo
+   pomelosill q 'cancel jobs where team = alerts and age > 1m'
+
+docs/QUERY.md describes the language.`
+
+func queryCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "query",
+		Aliases:     []string{"q"},
+		Usage:       "inspect or command the system with one sentence",
+		ArgsUsage:   "SENTENCE...",
+		Description: queryDescription,
+		Flags: []cli.Flag{
+			adminFlag(),
+			tokenFlag(),
+			jsonFlag(),
+			&cli.BoolFlag{Name: "dry-run", Usage: "check a command and show what it would touch"},
+			&cli.DurationFlag{Name: "wait", Value: defaultWait, Usage: "how long to wait for a command to be in force everywhere; 0s asks once"},
+		},
+		Action: runQuery,
+	}
+}
+
+func runQuery(ctx context.Context, c *cli.Command) error {
+	if !c.Args().Present() {
+		return usageErrorf("expected a sentence; see pomelosill query --help")
+	}
+	wait := c.Duration("wait")
+	if wait < 0 || wait > admin.MaxWait {
+		return usageErrorf("--wait must be from 0s to %s", admin.MaxWait)
+	}
+	conn, err := newClient(c, "admin")
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, wait+graceTime)
+	defer cancel()
+	reply, err := conn.Query(ctx, api.Statement{
+		Text:   strings.Join(c.Args().Slice(), " "),
+		DryRun: c.Bool("dry-run"),
+		WaitMS: int64(wait / time.Millisecond),
+	})
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = writeJSON(c.Root().Writer, reply)
+	} else {
+		err = writeReply(c.Root().Writer, reply)
+	}
+	if err == nil && reply.Code != result.OK {
+		err = statusOnly(reply.Code)
+	}
+	return err
+}
--- a/internal/admin/command.go
+++ b/internal/admin/command.go
@@ -70,8 +70,10 @@
 		return h.previewEndpoints(ctx, "domain", e.Domain.Name)
 	case e.Endpoint != nil:
 		return h.previewEndpoints(ctx, "name", e.Endpoint.Name)
-	default:
+	case e.Team != nil:
 		return h.previewTeam(ctx, e.Team.Name)
+	default:
+		return h.previewEntry(ctx, e.RemoveMember)
 	}
 }
 
@@ -129,6 +131,21 @@
 	return reply
 }
 
+func (h *Handler) previewEntry(ctx context.Context, id string) api.Reply {
+	rows, err := h.backend.Entries(ctx)
+	var touched []api.EntryRow
+	for _, row := range rows {
+		if row.ID == id {
+			touched = append(touched, row)
+		}
+	}
+	reply := tableReply(query.Inspect{Kind: query.Entries, Limit: query.DefaultLimit}, touched, err)
+	if err == nil {
+		reply.Detail = fmt.Sprintf("dry run, nothing changed; would remove %d entries", len(touched))
+	}
+	return reply
+}
+
 // cancel cancels the matching jobs that have not ended.
 func (h *Handler) cancel(ctx context.Context, c command, q query.Cancel) api.Reply {
 	rows, err := h.jobs(ctx, c.id)
--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -203,6 +203,7 @@
 		{"return endpoint e-2 if revision 6", "the configuration is at revision 7", 0, result.CommandConflict},
 		{"set team alerts weight 4", "present settings are shown", 1, result.OK},
 		{"set team new weight 4", "the team is new", 0, result.OK},
+		{"remove entry n-2", "would remove 1 entries", 1, result.OK},
 		{"cancel jobs where id ~ \"\"", "would cancel 2 jobs", 2, result.OK},
 	}
 	for _, c := range cases {
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -64,7 +64,7 @@
 			Failed:        st.Failed,
 			Cell:          int(c.cfg.Number),
 			Revision:      e.revision,
-			RunMS:         float64(st.Run.Microseconds()) / 1000,
+			RunMS:         float64(st.MeanRun.Microseconds()) / 1000,
 		})
 	}
 	return rows
--- /dev/null
+++ b/internal/client/calls.go
@@ -0,0 +1,97 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// Submit sends a job and waits for its whole answer. When a connection breaks
+// it sends the same id to the next entry, which attaches to the job. Its
+// errors carry EntryUnreachable (the job was never sent) and OutcomeUnknown
+// (submit the same id again).
+func (c *Client) Submit(ctx context.Context, job api.Job) (api.Answer, error) {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return api.Answer{}, result.Wrap(result.Malformed, err, "job")
+	}
+	got, err := c.send(ctx, request{method: http.MethodPost, path: "/v1/jobs", body: body, repeatable: true})
+	if err != nil {
+		return api.Answer{}, err
+	}
+	var a api.Answer
+	return a, got.decode(&a)
+}
+
+// Job tells the state of a job and, once it has ended, its answer. Its error
+// carries the code that the entry refused with, such as NotFound.
+func (c *Client) Job(ctx context.Context, id string) (api.JobStatus, error) {
+	got, err := c.send(ctx, request{method: http.MethodGet, path: jobPath(id), repeatable: true})
+	if err != nil {
+		return api.JobStatus{}, err
+	}
+	if got.status != http.StatusOK {
+		return api.JobStatus{}, refusalOf(got)
+	}
+	var status api.JobStatus
+	return status, got.decode(&status)
+}
+
+// Cancel asks for a job to be cancelled. The job's own answer tells whether
+// that came in time.
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	got, err := c.send(ctx, request{method: http.MethodDelete, path: jobPath(id), repeatable: true})
+	if err != nil {
+		return err
+	}
+	if got.status >= http.StatusBadRequest {
+		return refusalOf(got)
+	}
+	return nil
+}
+
+// Query sends one sentence of the query and command language. It goes to the
+// next address only if nothing was sent before: a command may not be made
+// twice. Its errors carry EntryUnreachable and CommandUnconfirmed.
+func (c *Client) Query(ctx context.Context, st api.Statement) (api.Reply, error) {
+	body, err := json.Marshal(st)
+	if err != nil {
+		return api.Reply{}, result.Wrap(result.Malformed, err, "statement")
+	}
+	got, err := c.send(ctx, request{method: http.MethodPost, path: "/v1/query", body: body})
+	if result.CodeOf(err) == result.OutcomeUnknown {
+		return api.Reply{}, result.Errorf(result.CommandUnconfirmed, "%s; look at changes", result.DetailOf(err))
+	}
+	if err != nil {
+		return api.Reply{}, err
+	}
+	var r api.Reply
+	return r, got.decode(&r)
+}
+
+// Dump returns the state dump of the first process that answers, as JSON.
+func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	got, err := c.send(ctx, request{method: http.MethodGet, path: "/debug/state", repeatable: true})
+	if err != nil {
+		return nil, err
+	}
+	if got.status != http.StatusOK || !json.Valid(got.body) {
+		return nil, result.Errorf(result.NotFound, "no state dump there (status %d)", got.status)
+	}
+	return got.body, nil
+}
+
+func jobPath(id string) string { return "/v1/jobs/" + url.PathEscape(id) }
+
+// refusalOf reads the code and detail of an answer that is not a success.
+func refusalOf(r reply) error {
+	var a api.Answer
+	if err := r.decode(&a); err != nil {
+		return err
+	}
+	return result.Errorf(a.Code, "%s", a.Detail)
+}
--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,117 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeEntry keeps the ids and tokens it saw.
+type fakeEntry struct {
+	*httptest.Server
+	ids, tokens []string
+}
+
+// newFakeEntry breaks each connection after it has read the request if
+// breaks is set, and answers with status otherwise.
+func newFakeEntry(t *testing.T, breaks bool, status int, answer any) *fakeEntry {
+	e := &fakeEntry{}
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var job api.Job
+		_ = json.NewDecoder(r.Body).Decode(&job)
+		e.ids = append(e.ids, job.ID)
+		e.tokens = append(e.tokens, r.Header.Get("Authorization"))
+		if breaks {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			must.NoError(t, err)
+			must.NoError(t, conn.Close())
+			return
+		}
+		process.WriteJSON(w, status, answer)
+	}))
+	t.Cleanup(e.Close)
+	return e
+}
+
+// deadAddress is an address that nobody listens on.
+func deadAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+func newClient(t *testing.T, addresses ...string) *Client {
+	c, err := New(addresses, "secret")
+	must.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestSubmitGoesOnWithTheSameID(t *testing.T) {
+	broken := newFakeEntry(t, true, 0, nil)
+	good := newFakeEntry(t, false, http.StatusOK, api.Answer{ID: "x", Code: result.OK})
+	c := newClient(t, deadAddress(t), broken.URL, good.URL)
+	a, err := c.Submit(context.Background(), api.Job{ID: "x"})
+	must.NoError(t, err)
+	must.Eq(t, result.OK, a.Code)
+	must.Eq(t, []string{"x"}, broken.ids)
+	must.Eq(t, []string{"x"}, good.ids)
+	must.Eq(t, []string{"Bearer secret"}, good.tokens)
+}
+
+func TestSubmitTellsNotSentFromUnknown(t *testing.T) {
+	dead := deadAddress(t)
+	_, err := newClient(t, dead).Submit(context.Background(), api.Job{})
+	must.Eq(t, result.EntryUnreachable, result.CodeOf(err))
+	must.True(t, result.CodeOf(err).NotRun())
+
+	broken := newFakeEntry(t, true, 0, nil)
+	_, err = newClient(t, broken.URL, dead).Submit(context.Background(), api.Job{})
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
+}
+
+func TestQueryIsNotSentTwice(t *testing.T) {
+	broken := newFakeEntry(t, true, 0, nil)
+	good := newFakeEntry(t, false, http.StatusOK, api.Reply{Code: result.OK, Revision: 8})
+	_, err := newClient(t, broken.URL, good.URL).Query(context.Background(), api.Statement{})
+	must.Eq(t, result.CommandUnconfirmed, result.CodeOf(err))
+	must.Len(t, 0, good.ids)
+
+	reply, err := newClient(t, deadAddress(t), good.URL).Query(context.Background(), api.Statement{})
+	must.NoError(t, err)
+	must.Eq(t, uint64(8), reply.Revision)
+}
+
+func TestRefusalsCarryTheEntrysCode(t *testing.T) {
+	refusing := newFakeEntry(t, false, http.StatusNotFound, api.Answer{Code: result.NotFound, Detail: "no owner knows this id"})
+	c := newClient(t, refusing.URL)
+	_, err := c.Job(context.Background(), "x")
+	must.Eq(t, result.NotFound, result.CodeOf(err))
+	must.Eq(t, result.NotFound, result.CodeOf(c.Cancel(context.Background(), "x")))
+	_, err = c.Dump(context.Background())
+	must.Eq(t, result.NotFound, result.CodeOf(err))
+}
+
+func TestAnswerThatIsNoJSON(t *testing.T) {
+	odd := newFakeEntry(t, false, http.StatusOK, "text")
+	_, err := newClient(t, odd.URL).Submit(context.Background(), api.Job{})
+	must.Eq(t, result.Malformed, result.CodeOf(err))
+}
+
+func TestNewNeedsAnAddress(t *testing.T) {
+	_, err := New(nil, "")
+	must.Eq(t, result.Malformed, result.CodeOf(err))
+}
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -13,6 +13,7 @@
 	"github.com/pomelosill/pomelosill/internal/cell"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
 )
 
 // inForcePoll is how often a waiting command looks whether it is in force.
@@ -42,7 +43,7 @@
 	row := func(name string) *api.FailureDomainRow {
 		r := byName[name]
 		if r == nil {
-			r = &api.FailureDomainRow{Name: name, State: "in service"}
+			r = &api.FailureDomainRow{Name: name, State: sched.StateInService}
 			byName[name] = r
 		}
 		return r
@@ -57,7 +58,7 @@
 		r.Running += ep.Running
 	}
 	for _, name := range d.Config.DomainsOut {
-		row(name).State = "out"
+		row(name).State = sched.StateOut
 	}
 	var rows []api.FailureDomainRow
 	for _, r := range byName {
--- a/internal/entry/inspect.go
+++ b/internal/entry/inspect.go
@@ -77,11 +77,7 @@
 }
 
 // jobAnswer is a job's state and, once it has ended, its answer.
-type jobAnswer struct {
-	Team   string      `json:"team"`
-	State  string      `json:"state"`
-	Answer *api.Answer `json:"answer,omitempty"`
-}
+type jobAnswer = api.JobStatus
 
 func (e *Entry) answerHere(id []byte) []jobAnswer {
 	if len(id) != len(sched.Key{}) {
--- a/internal/query/build.go
+++ b/internal/query/build.go
@@ -105,8 +105,13 @@
 		return nil, err
 	}
 	revision, err := buildGuard(n.If)
-	team := &control.TeamEdit{Name: name, Remove: true}
-	return &control.Edit{Team: team, IfRevision: revision}, err
+	edit := &control.Edit{IfRevision: revision}
+	if strings.EqualFold(n.Thing, "entry") {
+		edit.RemoveMember = name
+	} else {
+		edit.Team = &control.TeamEdit{Name: name, Remove: true}
+	}
+	return edit, err
 }
 
 func buildSet(n *setNode) (*control.Edit, error) {
--- a/internal/query/grammar.go
+++ b/internal/query/grammar.go
@@ -14,7 +14,7 @@
 	Take   *serviceNode `parser:"| 'take' @@"`
 	Return *returnNode  `parser:"| 'return' @@"`
 	Set    *setNode     `parser:"| 'set' 'team' @@"`
-	Remove *removeNode  `parser:"| 'remove' 'team' @@"`
+	Remove *removeNode  `parser:"| 'remove' @@"`
 	Show   *inspectNode `parser:"| 'show'? @@"`
 }
 
@@ -62,8 +62,9 @@
 }
 
 type removeNode struct {
-	Name textNode   `parser:"@@"`
-	If   *guardNode `parser:"@@?"`
+	Thing string     `parser:"@( 'team' | 'entry' )"`
+	Name  textNode   `parser:"@@"`
+	If    *guardNode `parser:"@@?"`
 }
 
 type cancelNode struct {
--- a/internal/query/parse_test.go
+++ b/internal/query/parse_test.go
@@ -24,6 +24,7 @@
 		{"return domain Comas if revision 17", control.Edit{Domain: &control.ServiceEdit{Name: "Comas"}, IfRevision: 17}},
 		{"take endpoint e-3 out", control.Edit{Endpoint: &control.ServiceEdit{Name: "e-3", Out: true}}},
 		{"return endpoint e-3", control.Edit{Endpoint: &control.ServiceEdit{Name: "e-3"}}},
+		{"remove entry n-1", control.Edit{RemoveMember: "n-1"}},
 		{"remove team x", control.Edit{Team: &control.TeamEdit{Name: "x", Remove: true}}},
 		{"set team alerts weight 3 max_running 40 max_queued 1000 domains Comas,Carabayllo max_timeout 30s if revision 2", control.Edit{
 			Team: &control.TeamEdit{
@@ -72,6 +73,7 @@
 		{"set team a weight", "column 18: expected a name or a value, found the end"},
 		{"set team a weight 3 if", "column 23: expected revision, found the end"},
 		{"set team a weight 3 if revision", "column 32: expected a number, found the end"},
+		{"remove x", `column 8: expected team or entry, found "x"`},
 		{"cancel jobs", "column 12: expected where, found the end"},
 		{"jobs where ñandú x y", "column 18: expected one of"},
 	}
@@ -126,7 +128,7 @@
 		`jobs where team = "alerts" and state = running sort age desc limit 20`,
 		"show domains", "endpoints where running > 3 sort name asc, slots", "entries", "teams where domains ~ com",
 		"changes where at > 2026-01-02T03:04:05Z", "take domain Comas out", "return endpoint e-3 if revision 4",
-		"set team a weight 3 domains b,c max_timeout 1h", "remove team x", `cancel jobs where team = "x\"" and age > 5s`,
+		"set team a weight 3 domains b,c max_timeout 1h", "remove team x", "remove entry n-1", `cancel jobs where team = "x\"" and age > 5s`,
 		"set team a weight", `take domain "x`, "jobs where a ! b", "jobs limit\n\n9999999999999999999",
 	} {
 		f.Add(s)
--- a/internal/query/select.go
+++ b/internal/query/select.go
@@ -17,13 +17,14 @@
 }
 
 // Select filters, sorts and cuts rows. T is the row type of q.Kind in package
-// api. Without a sort the rows keep their order.
+// api. Rows that the sort leaves equal are in the order of their first field.
 func Select[T any](q Inspect, rows []T) Table {
+	schema := schemas[q.Kind]
+	keys := append(slices.Clone(q.Sort), SortKey{field: schema.fields[0]})
 	kept := Match(q.Where, rows)
 	slices.SortStableFunc(kept, func(a, b T) int {
-		return compareRows(q.Sort, reflect.ValueOf(a), reflect.ValueOf(b))
+		return compareRows(keys, reflect.ValueOf(a), reflect.ValueOf(b))
 	})
-	schema := schemas[q.Kind]
 	table := Table{Columns: schema.columns(), Matched: len(kept)}
 	for _, row := range kept[:min(q.Limit, len(kept))] {
 		table.Rows = append(table.Rows, schema.values(reflect.ValueOf(row)))
--- a/internal/query/select_test.go
+++ b/internal/query/select_test.go
@@ -73,6 +73,12 @@
 	must.Eq(t, []any{uint64(2), uint64(1)}, first(Select(inspect(t, "changes sort at desc"), changes)))
 }
 
+func TestSelectOrdersByTheFirstFieldWithoutASort(t *testing.T) {
+	rows := []api.FailureDomainRow{{Name: "b"}, {Name: "c", Slots: 1}, {Name: "a"}}
+	must.Eq(t, []any{"a", "b", "c"}, first(Select(inspect(t, "domains"), rows)))
+	must.Eq(t, []any{"c", "a", "b"}, first(Select(inspect(t, "domains sort slots desc"), rows)))
+}
+
 func TestSelectColumnsAreJSONNames(t *testing.T) {
 	got := Select(inspect(t, "domains"), []api.FailureDomainRow{{Name: "Comas", State: "out", Endpoints: 3, Slots: 24}})
 	must.Eq(t, []string{"name", "state", "endpoints", "slots", "running"}, got.Columns)
--- a/internal/query/syntax.go
+++ b/internal/query/syntax.go
@@ -30,7 +30,7 @@
 		{"entries", "entries"}, {"teams", "teams"}, {"changes", "changes"},
 		{"show", "show"}, {"take", "take"}, {"return", "return"}, {"set", "set"},
 		{"remove", "remove"}, {"cancel", "cancel"},
-		{"domain", "domain"}, {"endpoint", "endpoint"}, {"team", "team"},
+		{"domain", "domain"}, {"endpoint", "endpoint"}, {"team", "team"}, {"entry", "entry"},
 		{"out", "out"},
 		{"weight", "weight"}, {"max_running", "max_running"},
 		{"max_queued", "max_queued"}, {"max_timeout", "max_timeout"},
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -49,6 +49,8 @@
 	Forbidden       Code = 114
 	NotFound        Code = 115
 	Overloaded      Code = 116
+	// EntryUnreachable is given by clients, never by an entry.
+	EntryUnreachable Code = 117
 
 	TaskFailed          Code = 201
 	OutcomeUnknown      Code = 202
@@ -122,6 +124,7 @@
 	{Forbidden, "Forbidden", "The token does not allow this.", EffectNotRun, false, http.StatusForbidden},
 	{NotFound, "NotFound", "Nothing is known under this name.", EffectNone, true, http.StatusNotFound},
 	{Overloaded, "Overloaded", "The job cannot be done before its deadline under the present load.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{EntryUnreachable, "EntryUnreachable", "No entry could be reached; nothing was sent.", EffectNotRun, true, http.StatusServiceUnavailable},
 
 	{TaskFailed, "TaskFailed", "A task ran and failed.", EffectMayHaveRun, false, http.StatusBadGateway},
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown; nothing is started again.", EffectMayHaveRun, false, http.StatusBadGateway},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,7 +74,8 @@
 	if !errors.As(err, &e) {
 		return result.Wrap(result.SettingsValue, err, f.path)
 	}
-	field, _, _ := strings.Cut(e.Detail, ":")
+	field, _, _ := strings.Cut(e.Detail, " ")
+	field = strings.TrimSuffix(field, ":")
 	place := f.path
 	if v, ok := findField(root, field); ok {
 		place = f.place(v.StartOffset)
