--- a/internal/client/calls.go
+++ b/internal/client/calls.go
@@ -10,8 +10,9 @@
 	"github.com/pomelosill/pomelosill/internal/result"
 )
 
-// Submit sends a job and waits for its whole answer. When a connection breaks
-// it sends the same id to the next entry, which attaches to the job. Its
+// Submit sends a job and waits for its whole answer. When a connection breaks,
+// or an entry is shutting down or finds no owner, it sends the same id to the
+// next entry, which attaches to the job. Its
 // errors carry EntryUnreachable (the job was never sent) and OutcomeUnknown
 // (submit the same id again).
 func (c *Client) Submit(ctx context.Context, job api.Job) (api.Answer, error) {
@@ -19,7 +20,7 @@
 	if err != nil {
 		return api.Answer{}, result.Wrap(result.Malformed, err, "job")
 	}
-	got, err := c.send(ctx, request{method: http.MethodPost, path: "/v1/jobs", body: body, repeatable: true})
+	got, err := c.send(ctx, request{method: http.MethodPost, path: "/v1/jobs", body: body, repeatable: true, elsewhere: startedNothing})
 	if err != nil {
 		return api.Answer{}, err
 	}
@@ -27,6 +28,15 @@
 	return a, got.decode(&a)
 }
 
+// startedNothing tells that this entry passed the job to nobody.
+func startedNothing(r reply) bool {
+	var a api.Answer
+	if r.decode(&a) != nil {
+		return false
+	}
+	return a.Code == result.ShuttingDown || a.Code == result.NoOwner
+}
+
 // Job tells the state of a job and, once it has ended, its answer. Its error
 // carries the code that the entry refused with, such as NotFound.
 func (c *Client) Job(ctx context.Context, id string) (api.JobStatus, error) {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -64,6 +64,8 @@
 	// repeatable requests may reach a second entry after a first one may have
 	// acted on them.
 	repeatable bool
+	// elsewhere tells that another address may have a better answer.
+	elsewhere func(reply) bool
 }
 
 // reply is what an entry answered.
@@ -82,13 +84,19 @@
 	return nil
 }
 
-// send tries the addresses in order until one answers. It returns
+// send tries the addresses in order until one answers. If all that answered
+// sent it elsewhere it returns the last of these answers, and otherwise
 // EntryUnreachable if no request left, and OutcomeUnknown if one may have.
 func (c *Client) send(ctx context.Context, r request) (reply, error) {
 	var failures []string
 	left := false
+	var declined *reply
 	for _, base := range c.addresses {
 		got, err := c.sendTo(ctx, base, r)
+		if err == nil && r.elsewhere != nil && r.elsewhere(got) {
+			declined = &got
+			continue
+		}
 		if err == nil {
 			return got, nil
 		}
@@ -98,6 +106,9 @@
 			break
 		}
 	}
+	if declined != nil {
+		return *declined, nil
+	}
 	code := result.EntryUnreachable
 	if left {
 		code = result.OutcomeUnknown
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -72,6 +72,18 @@
 	must.Eq(t, []string{"Bearer secret"}, good.tokens)
 }
 
+func TestSubmitGoesOnFromAnEntryThatShutsDown(t *testing.T) {
+	leaving := newFakeEntry(t, false, http.StatusServiceUnavailable, api.Answer{Code: result.ShuttingDown})
+	good := newFakeEntry(t, false, http.StatusOK, api.Answer{Code: result.OK})
+	a, err := newClient(t, leaving.URL, good.URL).Submit(context.Background(), api.Job{ID: "x"})
+	must.NoError(t, err)
+	must.Eq(t, result.OK, a.Code)
+
+	a, err = newClient(t, leaving.URL, deadAddress(t)).Submit(context.Background(), api.Job{ID: "x"})
+	must.NoError(t, err)
+	must.Eq(t, result.ShuttingDown, a.Code)
+}
+
 func TestSubmitTellsNotSentFromUnknown(t *testing.T) {
 	dead := deadAddress(t)
 	_, err := newClient(t, dead).Submit(context.Background(), api.Job{})
