Eject endpoints that take twice the usual time

Cause: a straggler with fewer slots still got one task in a few hundred, and a job of many tasks ends with its slowest.

Change: an endpoint whose learned slowness passes 2 is ejected like one that fails, within the same bound on the ejected share, and is let back by probes whose run times look usual (a sequential test). Where the bound forbids it, the slots are cut in proportion as before.

--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -85,8 +85,9 @@
 	RunWeight float64
 	// SpeedWeight is the weight of a new run time in an endpoint's speed.
 	SpeedWeight float64
-	// StragglerSlowness is the slowness from which an endpoint's slots are
-	// cut in proportion; 2 means twice the usual run time.
+	// StragglerSlowness is the slowness from which an endpoint is ejected, or,
+	// where the bound on ejections forbids it, has its slots cut in
+	// proportion; 2 means twice the usual run time.
 	StragglerSlowness float64
 	// EndpointFailureWeight and TeamFailureWeight are the weights of a new
 	// ending in the moving failure rates.
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -59,6 +59,8 @@
 	// logSlowness is the moving logarithm of run time over the usual one.
 	logSlowness float64
 	runs        runMean
+	// slowEvidence sums up what probes tell of the speed; above 0 is slow.
+	slowEvidence float64
 	// served is the Scheduler's count of assignments at the last one here.
 	served uint64
 	// score orders endpoints with room; lower is better.
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -121,7 +121,7 @@
 	}
 	cfg := &s.cfg.Learning
 	if m := s.usual(j.team, j.declared); m != nil {
-		e.logSlowness += cfg.SpeedWeight * (math.Log(run.Seconds()) - m.logMean - e.logSlowness)
+		s.observeSpeed(e, math.Log(run.Seconds())-m.logMean)
 	}
 	e.runs.add(run, cfg.RunWeight)
 	j.team.runs.add(j.declared, run, cfg.RunWeight)
@@ -150,6 +150,26 @@
 	}
 }
 
+// observeSpeed takes in the logarithm of a run time over the usual one.
+func (s *Scheduler) observeSpeed(e *endpoint, slow float64) {
+	cfg := &s.cfg.Learning
+	e.logSlowness += cfg.SpeedWeight * (slow - e.logSlowness)
+	limit := math.Log(cfg.StragglerSlowness)
+	switch e.health {
+	case healthy:
+		if e.logSlowness > limit {
+			s.eject(e)
+		}
+	case probing:
+		// A sequential test between the usual speed and the limit.
+		e.slowEvidence += slow - limit/2
+		if e.slowEvidence > 2*limit {
+			s.eject(e)
+		}
+	case ejected:
+	}
+}
+
 func (s *Scheduler) observeHealthy(e *endpoint) {
 	cfg := &s.cfg.Ejection
 	if e.endings >= cfg.MinEndings && float64(e.excess) > cfg.Threshold {
@@ -169,7 +189,7 @@
 		return
 	}
 	e.probes++
-	if e.probes >= s.cfg.Ejection.Probes {
+	if e.probes >= s.cfg.Ejection.Probes && e.slowEvidence <= 0 {
 		s.letBack(e)
 	}
 }
--- a/internal/sched/schedtest/replay_test.go
+++ b/internal/sched/schedtest/replay_test.go
@@ -135,3 +135,29 @@
 		must.LessEq(t, 1.3*without.p(99), with.p(99))
 	}
 }
+
+// TestStraggler has one endpoint that takes a multiple of the usual time.
+func TestStraggler(t *testing.T) {
+	for _, factor := range []float64{3, 10} {
+		var without, with row
+		starts := 0
+		for seed := uint64(1); seed <= 4; seed++ {
+			jobs := short("a", 0.5, 10, 300*time.Second).Jobs(seed)
+			without.add(checked(t, sched.DefaultConfig(), oneTeam, jobs).Run())
+			replay := checked(t, sched.DefaultConfig(), oneTeam, jobs)
+			replay.Slowdown = func(_ time.Duration, endpoint int) float64 {
+				if endpoint == 3 {
+					return factor
+				}
+				return 1
+			}
+			res := replay.Run()
+			with.add(res)
+			starts += res.Starts[3]
+		}
+		t.Logf("%.0f times the usual time, %d starts on the straggler", factor, starts)
+		without.log(t, "without a straggler")
+		with.log(t, "with a straggler")
+		must.LessEq(t, 1.3*without.p(99), with.p(99))
+	}
+}
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -138,6 +138,7 @@
 	if e.health == ejected && !s.now.Before(e.ejectedUntil) {
 		s.setHealth(e, probing)
 		e.probes = 0
+		e.slowEvidence = 0
 	}
 	allowed, wake := e.allowed(s.now, &s.cfg)
 	s.setWake(e, wake)
@@ -213,6 +214,7 @@
 func (s *Scheduler) letBack(e *endpoint) {
 	s.setHealth(e, healthy)
 	e.excess = 0
+	e.logSlowness = 0
 	e.endings = 0
 	e.rampFrom = s.now
 }
