Let ejected endpoints back sooner, and test ejection

TestFailingEndpoints, failing from 20 s to 60 s: one of 11 endpoints costs 5 to 6 jobs and 5 to 6 failed starts at 10, 50 and 90 % load, three of 11 cost 15 to 19 jobs; with all 11 failing at most one is ejected, since the team's own failure rate is then as high. TestFailingTeam: a team whose tasks always fail ejects nothing.

--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -116,7 +116,7 @@
 			Threshold:  0.5,
 			MaxShare:   0.35,
 			Hold:       5 * time.Second,
-			MaxHold:    time.Minute,
+			MaxHold:    30 * time.Second,
 			Probes:     3,
 		},
 		Ramp: RampConfig{
--- /dev/null
+++ b/internal/sched/schedtest/fault_test.go
@@ -0,0 +1,85 @@
+package schedtest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// lostJobs counts the jobs without an answer.
+func lostJobs(res *Result) int {
+	lost := 0
+	for i := range res.Outcomes {
+		if res.Outcomes[i].Response == 0 {
+			lost++
+		}
+	}
+	return lost
+}
+
+// TestFailingEndpoints has endpoints that fail each task within 5 ms from
+// 20 s to 60 s of 120 s.
+func TestFailingEndpoints(t *testing.T) {
+	cases := []struct {
+		failing           int
+		load              float64
+		mostLost          int
+		leastUsable       int
+		latestReturnAfter time.Duration
+	}{
+		{1, 0.1, 10, 80, 40 * time.Second},
+		{1, 0.5, 10, 80, 40 * time.Second},
+		{1, 0.9, 10, 80, 40 * time.Second},
+		{3, 0.5, 30, 64, 40 * time.Second},
+		{3, 0.9, 30, 64, 40 * time.Second},
+		{11, 0.5, 1000, 64, 40 * time.Second},
+	}
+	const from, to = 20 * time.Second, 60 * time.Second
+	for _, c := range cases {
+		jobs := short("a", c.load, 10, 120*time.Second).Jobs(1)
+		replay := checked(t, sched.DefaultConfig(), oneTeam, jobs)
+		s := replay.Policy.(*Sched)
+		failed := 0
+		replay.Fails = func(now time.Duration, endpoint int) bool {
+			fails := now > from && now < to && endpoint < c.failing
+			if fails {
+				failed++
+			}
+			return fails
+		}
+		leastUsable := slots
+		var back time.Duration
+		replay.Check = func(now time.Duration) {
+			usable := s.Stats().UsableSlots
+			leastUsable = min(leastUsable, usable)
+			if now > to && back == 0 && usable == slots {
+				back = now - to
+			}
+		}
+		lost := lostJobs(replay.Run())
+		t.Logf("%2d failing, load %.1f: %d of %d jobs lost, %d failed starts, least usable slots %d, all back after %v",
+			c.failing, c.load, lost, len(jobs), failed, leastUsable, back.Round(time.Millisecond))
+		must.NoError(t, s.Check())
+		must.LessEq(t, c.mostLost, lost)
+		must.GreaterEq(t, c.leastUsable, leastUsable)
+		must.LessEq(t, c.latestReturnAfter, back)
+		must.Positive(t, back)
+	}
+}
+
+// TestFailingTeam has a team whose tasks fail on every endpoint.
+func TestFailingTeam(t *testing.T) {
+	teams := []sched.Team{{Name: "a", Weight: 1}, {Name: "bad", Weight: 1}}
+	bad := short("bad", 0.3, 10, time.Minute).Jobs(2)
+	for _, j := range bad {
+		j.Fails = true
+	}
+	replay := checked(t, sched.DefaultConfig(), teams, Merge(short("a", 0.3, 10, time.Minute).Jobs(1), bad))
+	s := replay.Policy.(*Sched)
+	res := replay.Run()
+	must.Eq(t, len(bad), lostJobs(res))
+	must.Eq(t, 0, s.Stats().Totals.Ejections)
+}
