--- a/internal/sched/schedtest/trace.go
+++ b/internal/sched/schedtest/trace.go
@@ -3,8 +3,10 @@
 package schedtest
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,6 +17,8 @@
 	Team string
 	// Runs are the run times of its tasks on an endpoint of usual speed.
 	Runs []time.Duration
+	// Declared are the caller's guesses of Runs; nil is none.
+	Declared []time.Duration
 	// Timeout is the time from At to the deadline.
 	Timeout time.Duration
 	// Fails makes every task of the job fail.
@@ -66,14 +70,26 @@
 	return min(maxTasks, int(math.Exp(rnd.Float64()*math.Log(maxTasks))+0.5))
 }
 
-// EvenMean is the mean of Even.
-const EvenMean = 60.5
+// UpTo returns a draw of 1 to n tasks, each number alike.
+func UpTo(n int) func(*rand.Rand) int {
+	return func(rnd *rand.Rand) int { return 1 + rnd.IntN(n) }
+}
 
-// Even draws 1 to 120 tasks, each number alike.
-func Even(rnd *rand.Rand) int { return 1 + rnd.IntN(maxTasks) }
+// Burst returns equal jobs that come at the same time.
+func Burst(team string, at time.Duration, jobs, tasks int, run, timeout time.Duration) []*Job {
+	burst := make([]*Job, jobs)
+	for i := range burst {
+		burst[i] = &Job{At: at, Team: team, Runs: slices.Repeat([]time.Duration{run}, tasks), Timeout: timeout}
+	}
+	return burst
+}
 
-// One draws jobs of one task.
-func One(*rand.Rand) int { return 1 }
+// Merge returns the jobs of several streams in rising order of At.
+func Merge(streams ...[]*Job) []*Job {
+	all := slices.Concat(streams...)
+	slices.SortStableFunc(all, func(a, b *Job) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
 
 // MixedMean is the mean of MixedRun.
 const MixedMean = 584500 * time.Microsecond
@@ -111,3 +127,15 @@
 		jobs = append(jobs, j)
 	}
 }
+
+// Declare gives jobs guesses that are off by up to the factor, either way.
+func Declare(jobs []*Job, factor float64, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	for _, j := range jobs {
+		j.Declared = make([]time.Duration, len(j.Runs))
+		for i, run := range j.Runs {
+			off := math.Pow(factor, 2*rnd.Float64()-1)
+			j.Declared[i] = time.Duration(off * float64(run))
+		}
+	}
+}
