Take over only from owners that don't answer

Cause: after a store outage longer than the leases, another entry saw the owner's lease lapsed and took the cell from an owner that was well.

Change: whether a member is alive is decided by its answers; a lapsed lease makes the peers ask it.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -92,12 +92,14 @@
 	}
 }
 
-// alive combines what the peers' exchanges and the leases in the store tell.
+// alive tells whether a member answers. A lapsed lease alone is no sign of
+// death, since leases also lapse while the store is away; it makes the peers
+// ask the member regularly.
 func (o *ownership) alive(id string) bool {
 	if id == o.board.self {
 		return !o.board.Leaving()
 	}
-	return o.peers.Alive(id) && !o.board.LeaseGone(id)
+	return o.peers.Alive(id)
 }
 
 // takeOver writes this entry as the owner of every cell that it is the
