--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,306 @@
+package agent
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/settings"
+)
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(w, r.Body)
+}
+
+// gatedEndpoint holds each task until release is closed or the request ends.
+func gatedEndpoint(t *testing.T) (e *fakeEndpoint, arrived chan struct{}, release chan struct{}) {
+	arrived = make(chan struct{}, 100)
+	release = make(chan struct{})
+	e = newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		arrived <- struct{}{}
+		select {
+		case <-release:
+			_, _ = io.WriteString(w, "late")
+		case <-r.Context().Done():
+		}
+	})
+	return e, arrived, release
+}
+
+func await(t *testing.T, what string, ch <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-ch:
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+	}
+}
+
+func TestTaskRunsOnceWithItsHeaders(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint := newFakeEndpoint(t, echo)
+	r := runAgent(t, testSettings(endpoint.server.URL, entry))
+	r.owned(t, entry)
+	id := newSubmission(t)
+	s := startOf(1, id, 7)
+	s.Idempotent = true
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{s}})
+	out := entry.outcomeOf(t, 7)
+	mustCode(t, result.OK, out)
+	must.Eq(t, `{"n":1}`, string(out.GetBody()))
+	must.Eq(t, id.String(), endpoint.last.Get(headerSubmission))
+	must.Eq(t, "radio", endpoint.last.Get(headerTeam))
+	must.Eq(t, "true", endpoint.last.Get(headerIdempotent))
+	must.Eq(t, "comas-1", entry.hellos[0].GetEndpoint())
+
+	// The same start again gets the same outcome and runs nothing.
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{s}})
+	entry.wait(t, "the outcome again", func() bool { return len(entry.outcomes) == 2 })
+	must.Eq(t, `{"n":1}`, string(entry.outcomes[1].GetBody()))
+	must.Eq(t, 1, endpoint.started("7"))
+}
+
+func TestRefusalsRunNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		start  func(s *pb.Start)
+		before func(e *fakeEntry, a *Agent)
+		want   result.Code
+	}{
+		{name: "lower generation", start: func(s *pb.Start) { s.Generation = 1 }, want: result.StaleGeneration},
+		{name: "bad id", start: func(s *pb.Start) { s.Task.Submission = []byte("x") }, want: result.Malformed},
+		{name: "deadline", start: func(s *pb.Start) { s.TimeoutNs = 0 }, want: result.DeadlinePassed},
+		{name: "leaving", before: func(_ *fakeEntry, a *Agent) { a.gate.Leave() }, want: result.Leaving},
+		{name: "out of service", before: func(e *fakeEntry, a *Agent) {
+			e.update(func() { e.inService = false })
+			e.waitGate(a, func() bool { return !a.gate.State(a.now()).InService })
+		}, want: result.OutOfService},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			entry := newFakeEntry(t)
+			entry.generation = 2
+			endpoint := newFakeEndpoint(t, echo)
+			r := runAgent(t, testSettings(endpoint.server.URL, entry))
+			r.owned(t, entry)
+			if c.before != nil {
+				c.before(entry, r.agent)
+			}
+			s := startOf(2, newSubmission(t), 3)
+			if c.start != nil {
+				c.start(s)
+			}
+			entry.send(&pb.OwnerFrame{Starts: []*pb.Start{s}})
+			out := entry.outcomeOf(t, 3)
+			mustCode(t, c.want, out)
+			must.True(t, c.want.NotRun())
+			must.Eq(t, 0, endpoint.started("3"))
+		})
+	}
+}
+
+// waitGate waits on the entry's events for a state of the agent's gate.
+func (e *fakeEntry) waitGate(_ *Agent, ok func() bool) {
+	for {
+		e.mu.Lock()
+		changed := e.changed
+		e.mu.Unlock()
+		if ok() {
+			return
+		}
+		<-changed
+	}
+}
+
+func TestNothingStartsWithoutStamps(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	entry.silent = true
+	endpoint := newFakeEndpoint(t, echo)
+	runAgent(t, testSettings(endpoint.server.URL, entry))
+	entry.wait(t, "an acknowledgement", func() bool { return len(entry.acks) > 0 })
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
+	mustCode(t, result.StaleStamp, entry.outcomeOf(t, 1))
+	must.Eq(t, 0, endpoint.started("1"))
+}
+
+func TestTakeoverCollectsRecordsAndLaterOutcomes(t *testing.T) {
+	owner, deputy := newFakeEntry(t), newFakeEntry(t)
+	owner.generation = 1
+	owner.location.Deputy = deputy.address
+	endpoint, arrived, release := gatedEndpoint(t)
+	r := runAgent(t, testSettings(endpoint.server.URL, owner))
+	r.owned(t, owner)
+	deputy.wait(t, "the agent at the deputy", func() bool { return len(deputy.hellos) > 0 })
+	id := newSubmission(t)
+	owner.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, id, 5)}})
+	await(t, "the task at the endpoint", arrived)
+
+	deputy.update(func() { deputy.generation = 2 })
+	deputy.send(&pb.OwnerFrame{Fence: &pb.Fence{Generation: 2}})
+	deputy.wait(t, "an acknowledgement", func() bool { return len(deputy.acks) > 0 })
+	records := deputy.acks[0].GetRecords()
+	must.Len(t, 1, records)
+	must.True(t, records[0].GetRunning())
+	must.Eq(t, id[:], records[0].GetTask().GetSubmission())
+
+	close(release)
+	mustCode(t, result.OK, deputy.outcomeOf(t, 5))
+	must.Len(t, 0, owner.outcomes)
+	owner.send(&pb.OwnerFrame{Fence: &pb.Fence{Generation: 1}})
+	owner.wait(t, "the refusal of the fence", func() bool { return len(owner.acks) > 1 })
+	must.True(t, owner.acks[1].GetSuperseded())
+}
+
+func TestOutcomeWithoutAStreamIsInTheNextRecords(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint, arrived, release := gatedEndpoint(t)
+	r := runAgent(t, testSettings(endpoint.server.URL, entry))
+	r.owned(t, entry)
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 5)}})
+	await(t, "the task at the endpoint", arrived)
+	entry.cut()
+	entry.wait(t, "the stream to end", func() bool { return len(entry.streams) == 0 })
+	close(release)
+	entry.wait(t, "the outcome in the records or after them", func() bool {
+		if len(entry.acks) < 2 {
+			return false
+		}
+		record := entry.acks[len(entry.acks)-1].GetRecords()[0]
+		return !record.GetRunning() || len(entry.outcomes) > 0
+	})
+	must.Eq(t, 1, endpoint.started("5"))
+}
+
+func TestCancelEndsTheRequest(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint, arrived, _ := gatedEndpoint(t)
+	r := runAgent(t, testSettings(endpoint.server.URL, entry))
+	r.owned(t, entry)
+	s := startOf(1, newSubmission(t), 1)
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{s}})
+	await(t, "the task at the endpoint", arrived)
+	entry.send(&pb.OwnerFrame{Cancels: []*pb.TaskRef{s.Task}})
+	mustCode(t, result.CancelledAfterStart, entry.outcomeOf(t, 1))
+}
+
+func TestDrainFinishesAndDelivers(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint, arrived, release := gatedEndpoint(t)
+	s := testSettings(endpoint.server.URL, entry)
+	s.DrainTimeout = settings.Duration(patience)
+	r := runAgent(t, s)
+	r.owned(t, entry)
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
+	await(t, "the task at the endpoint", arrived)
+	r.term()
+	entry.wait(t, "a leaving heartbeat", func() bool {
+		return entry.beats[len(entry.beats)-1].GetLeaving()
+	})
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 2)}})
+	mustCode(t, result.Leaving, entry.outcomeOf(t, 2))
+	select {
+	case <-r.done:
+		t.Fatal("the agent ended with a task running")
+	default:
+	}
+	close(release)
+	must.NoError(t, r.exit(t))
+	mustCode(t, result.OK, entry.outcomeOf(t, 1))
+}
+
+func TestDrainWaitsForTheProofOfDelivery(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint, arrived, release := gatedEndpoint(t)
+	s := testSettings(endpoint.server.URL, entry)
+	s.DrainTimeout = settings.Duration(patience)
+	r := runAgent(t, s)
+	r.owned(t, entry)
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
+	await(t, "the task at the endpoint", arrived)
+	entry.update(func() { entry.silent = true })
+	r.term()
+	close(release)
+	entry.outcomeOf(t, 1)
+	must.False(t, r.agent.drained())
+	entry.update(func() { entry.silent = false })
+	must.NoError(t, r.exit(t))
+}
+
+func TestDrainIsBounded(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint, arrived, _ := gatedEndpoint(t)
+	r := runAgent(t, testSettings(endpoint.server.URL, entry))
+	r.owned(t, entry)
+	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
+	await(t, "the task at the endpoint", arrived)
+	r.term()
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(r.exit(t)))
+}
+
+func TestLocationMovesTheAgent(t *testing.T) {
+	first, second := newFakeEntry(t), newFakeEntry(t)
+	first.generation = 1
+	endpoint := newFakeEndpoint(t, echo)
+	r := runAgent(t, testSettings(endpoint.server.URL, first))
+	r.owned(t, first)
+	second.generation = 2
+	first.send(&pb.OwnerFrame{Location: &pb.Location{Owner: second.address, ControlRevision: 2}})
+	r.owned(t, second)
+	first.wait(t, "the old stream to end", func() bool { return len(first.streams) == 0 })
+	second.send(&pb.OwnerFrame{Location: &pb.Location{Owner: first.address, ControlRevision: 1}})
+	second.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(2, newSubmission(t), 1)}})
+	mustCode(t, result.OK, second.outcomeOf(t, 1))
+	must.Eq(t, second.address, r.agent.State().Location.Owner)
+}
+
+func TestAgentStartsWhileItsFirstEntryIsAway(t *testing.T) {
+	away, entry := newFakeEntry(t), newFakeEntry(t)
+	entry.generation = 1
+	endpoint := newFakeEndpoint(t, echo)
+	s := testSettings(endpoint.server.URL, away, entry)
+	s.Entries[0] = "127.0.0.1:1"
+	r := runAgent(t, s)
+	r.owned(t, entry)
+}
+
+func TestPages(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint := newFakeEndpoint(t, echo)
+	s := testSettings(endpoint.server.URL, entry)
+	listener, err := process.Listen(t.Context(), "127.0.0.1:0")
+	must.NoError(t, err)
+	s.Listen = listener.Addr().String()
+	must.NoError(t, listener.Close())
+	r := runAgent(t, s)
+	r.owned(t, entry)
+	for _, path := range []string{"/healthz", "/metrics", "/debug/state"} {
+		resp, err := http.Get("http://" + s.Listen + path)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		body, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		if path == "/debug/state" {
+			var state State
+			must.NoError(t, json.Unmarshal(body, &state))
+			must.Eq(t, uint64(1), state.Gate.Generation)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -65,7 +66,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: c}, nil
+			return &guardedConn{Conn: c}, nil
 		},
 		MaxConnsPerHost:     s.Connections,
 		MaxIdleConnsPerHost: s.Connections,
@@ -95,16 +96,15 @@
 // once: net/http sends a POST without an idempotency key again only when no
 // byte of it was written.
 func (e *endpoint) run(ctx context.Context, r request) ending {
-	a := &attempt{}
-	body := &guardedBody{rest: r.payload, permitted: r.permitted}
-	req, err := e.newRequest(a.trace(ctx), r, body)
+	a := &attempt{permitted: r.permitted}
+	req, err := e.newRequest(a.trace(ctx), r)
 	if err != nil {
 		return ending{code: result.EndpointUnreachable, detail: err.Error(), unsent: true}
 	}
 	began := time.Now()
 	resp, err := e.client.Do(req)
 	if err != nil {
-		return failure(ctx, err, a, body.refused(), time.Since(began))
+		return failure(ctx, err, a, time.Since(began))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, e.maxBody+1))
@@ -115,15 +115,11 @@
 	return e.answer(resp.StatusCode, data, run)
 }
 
-func (e *endpoint) newRequest(ctx context.Context, r request, body *guardedBody) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url, body)
+func (e *endpoint) newRequest(ctx context.Context, r request) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url, bytes.NewReader(r.payload))
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = int64(len(r.payload))
-	req.GetBody = func() (io.ReadCloser, error) {
-		return body.again(r.payload), nil
-	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(headerSubmission, r.submission.String())
 	req.Header.Set(headerTask, strconv.FormatUint(uint64(r.index), 10))
@@ -146,14 +142,15 @@
 }
 
 // failure tells what an error of the transport says about the task.
-func failure(ctx context.Context, err error, a *attempt, refused result.Code, run time.Duration) ending {
+func failure(ctx context.Context, err error, a *attempt, run time.Duration) ending {
 	out := ending{detail: text(err.Error()), run: run}
 	out.unsent = a.unsent(ctx)
+	refused := a.refused.Load()
 	switch {
 	case !out.unsent:
 		out.code = lost(ctx)
-	case refused != result.OK:
-		out.code = refused
+	case refused != 0:
+		out.code = result.Code(refused)
 	default:
 		out.code = unsent(ctx)
 	}
@@ -191,7 +188,10 @@
 
 // attempt watches whether anything of a request was written.
 type attempt struct {
-	conn *countingConn
+	permitted func() result.Code
+	// refused is the code of a refusal by permitted.
+	refused atomic.Uint32
+	conn    *guardedConn
 	// before is the number of writes on conn before the request.
 	before int64
 }
@@ -199,12 +199,23 @@
 func (a *attempt) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			a.conn, _ = info.Conn.(*countingConn)
+			a.conn, _ = info.Conn.(*guardedConn)
 			a.before = a.conn.writes.Load()
+			a.conn.guard = a.check
 		},
 	})
 }
 
+// check is called just before the first byte of the request is written.
+func (a *attempt) check() error {
+	code := a.permitted()
+	if code == result.OK {
+		return nil
+	}
+	a.refused.Store(uint32(code))
+	return result.Errorf(code, "the start was no longer permitted")
+}
+
 // unsent tells whether surely no byte of the request was written, nor will
 // be. Once there was a connection this can only be told of one that failed:
 // then it is closed. When the context ended, the transport's writer may be
@@ -216,57 +227,23 @@
 	return ctx.Err() == nil && a.conn.writes.Load() == a.before
 }
 
-// countingConn counts the calls of Write before they are made.
-type countingConn struct {
+// guardedConn asks before the first write of each request, and counts the
+// writes before they are made.
+type guardedConn struct {
 	net.Conn
+	// guard is set before a request is handed to the transport's writer.
+	guard  func() error
 	writes atomic.Int64
 }
 
-// Write counts the call and writes.
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(p)
-}
-
-// guardedBody is a request body that asks for permission at the first read.
-// The transport reads it before it writes anything, as the header fits into
-// its buffer.
-type guardedBody struct {
-	rest      []byte
-	asked     bool
-	permitted func() result.Code
-	code      atomic.Uint32
-}
-
-// again returns the body anew for a request of which nothing was written.
-func (b *guardedBody) again(payload []byte) *guardedBody {
-	return &guardedBody{rest: payload, permitted: func() result.Code {
-		code := b.permitted()
-		b.code.Store(uint32(code))
-		return code
-	}}
-}
-
-func (b *guardedBody) refused() result.Code {
-	return result.Code(b.code.Load())
-}
-
-// Read gives the payload, or the code of the refusal as an error.
-func (b *guardedBody) Read(p []byte) (int, error) {
-	if !b.asked {
-		b.asked = true
-		if code := b.permitted(); code != result.OK {
-			b.code.Store(uint32(code))
-			return 0, result.Errorf(code, "the start was no longer permitted")
+// Write writes p unless the guard gives an error.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	if guard := c.guard; guard != nil {
+		c.guard = nil
+		if err := guard(); err != nil {
+			return 0, err
 		}
 	}
-	if len(b.rest) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, b.rest)
-	b.rest = b.rest[n:]
-	return n, nil
+	c.writes.Add(1)
+	return c.Conn.Write(p)
 }
-
-// Close does nothing.
-func (b *guardedBody) Close() error { return nil }
--- /dev/null
+++ b/internal/agent/endpoint_test.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// rawEndpoint accepts connections and hands each to serve.
+func rawEndpoint(t *testing.T, serve func(c net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(c)
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-ended
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// readRequest reads one whole request.
+func readRequest(c net.Conn) bool {
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+// reset closes c so that its peer sees a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// answers serves a whole response.
+func answers(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		readRequest(c)
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+func TestEndpointContract(t *testing.T) {
+	cases := []struct {
+		name   string
+		serve  func(c net.Conn)
+		ctx    func(ctx context.Context) (context.Context, context.CancelFunc)
+		refuse result.Code
+		want   result.Code
+		unsent bool
+		// orUnsent allows EndpointUnreachable too, as the cut races with the
+		// first byte.
+		orUnsent bool
+		detail   string
+	}{
+		{name: "answered", serve: answers("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), want: result.OK},
+		{name: "refused connection", want: result.EndpointUnreachable, unsent: true},
+		{name: "cut at once", serve: reset, want: result.OutcomeUnknown, orUnsent: true},
+		{name: "cut during the request", serve: func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 10))
+			reset(c)
+		}, want: result.OutcomeUnknown},
+		{name: "cut after the request", serve: func(c net.Conn) {
+			readRequest(c)
+			reset(c)
+		}, want: result.OutcomeUnknown},
+		{name: "cut during the answer", serve: answers("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"), want: result.OutcomeUnknown},
+		{name: "not HTTP", serve: answers("hello\r\n\r\n"), want: result.OutcomeUnknown},
+		{name: "slow", serve: func(c net.Conn) {
+			readRequest(c)
+			_, _ = c.Read(make([]byte, 1))
+		}, ctx: withTimeout, want: result.DeadlineAfterStart},
+		{name: "failed", serve: answers("HTTP/1.1 500 No\r\nContent-Length: 4\r\n\r\nwhy\xff"), want: result.TaskFailed, detail: "why�"},
+		{name: "redirected", serve: answers("HTTP/1.1 307 Go\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n"), want: result.TaskFailed},
+		{name: "answer at the limit", serve: answers("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + strings.Repeat("x", 100)), want: result.OK},
+		{name: "huge answer", serve: answers("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101)), want: result.TaskFailed, detail: "the answer is larger than 100 bytes"},
+		{name: "no longer permitted", serve: answers(""), refuse: result.StaleStamp, want: result.StaleStamp, unsent: true},
+		{name: "cancelled before", serve: answers(""), ctx: cancelled, want: result.Cancelled, unsent: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var requests atomic.Int64
+			url := "http://127.0.0.1:1"
+			if c.serve != nil {
+				url = rawEndpoint(t, func(conn net.Conn) {
+					requests.Add(1)
+					c.serve(conn)
+				})
+			}
+			s := testSettings(url)
+			s.MaxBodyBytes = 100
+			e := newEndpoint(s)
+			defer e.close()
+			ctx := t.Context()
+			if c.ctx != nil {
+				var cancel context.CancelFunc
+				ctx, cancel = c.ctx(ctx)
+				defer cancel()
+			}
+			end := e.run(ctx, request{
+				submission: newSubmission(t),
+				payload:    []byte("{}"),
+				permitted:  func() result.Code { return c.refuse },
+			})
+			if c.orUnsent && end.unsent {
+				c.want, c.unsent = result.EndpointUnreachable, true
+			}
+			must.Eq(t, c.want, end.code, must.Sprint(end.detail))
+			must.Eq(t, c.unsent, end.unsent)
+			must.Eq(t, c.unsent, end.code.NotRun())
+			must.LessEq(t, int64(1), requests.Load())
+			if c.detail != "" {
+				must.Eq(t, c.detail, end.detail)
+			}
+		})
+	}
+}
+
+func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, 50*time.Millisecond)
+}
+
+func cancelled(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	cancel()
+	return ctx, cancel
+}
+
+// TestReusedConnectionCutStartsOnce cuts a connection that has served a
+// request before: the transport must not send the second request again.
+func TestReusedConnectionCutStartsOnce(t *testing.T) {
+	var requests atomic.Int64
+	url := rawEndpoint(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if requests.Add(1) > 1 {
+				reset(c)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	for _, payload := range []string{"{}", ""} {
+		requests.Store(0)
+		e := newEndpoint(testSettings(url))
+		ask := request{submission: newSubmission(t), payload: []byte(payload), permitted: func() result.Code { return result.OK }}
+		must.Eq(t, result.OK, e.run(t.Context(), ask).code)
+		must.Eq(t, result.OutcomeUnknown, e.run(t.Context(), ask).code)
+		must.Eq(t, int64(2), requests.Load())
+		e.close()
+	}
+}
--- /dev/null
+++ b/internal/agent/fake_test.go
@@ -0,0 +1,334 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/settings"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// patience bounds every wait for an event; no test passes by its passing.
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeEntry is an entry that does what a test says. Its zero values stamp
+// nothing.
+type fakeEntry struct {
+	pomelosillv1connect.UnimplementedDispatchServiceHandler
+	address string
+
+	mu         sync.Mutex
+	location   *pb.Location
+	generation uint64
+	inService  bool
+	// silent keeps back all stamps.
+	silent  bool
+	streams []*fakeStream
+	hellos  []*pb.Hello
+	beats   []*pb.Heartbeat
+	acks    []*pb.FenceAck
+	// outcomes are those that came outside of acknowledgements.
+	outcomes []*pb.Outcome
+	changed  chan struct{}
+}
+
+type fakeStream struct {
+	wire *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]
+	mu   sync.Mutex
+	end  context.CancelFunc
+	// ended is set before the handler returns; nothing is sent after it.
+	ended bool
+}
+
+func (s *fakeStream) send(f *pb.OwnerFrame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		_ = s.wire.Send(f)
+	}
+}
+
+func (s *fakeStream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
+
+func newFakeEntry(t *testing.T) *fakeEntry {
+	e := &fakeEntry{inService: true, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.Handle(pomelosillv1connect.NewDispatchServiceHandler(e))
+	listener, err := process.Listen(t.Context(), "127.0.0.1:0")
+	must.NoError(t, err)
+	server := process.NewServer(mux)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		e.cut()
+		_ = server.Close()
+		<-served
+	})
+	e.address = listener.Addr().String()
+	e.location = &pb.Location{Owner: e.address, ControlRevision: 1}
+	return e
+}
+
+func (e *fakeEntry) Locate(context.Context, *connect.Request[pb.LocateRequest]) (*connect.Response[pb.Location], error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return connect.NewResponse(e.location), nil
+}
+
+func (e *fakeEntry) Attach(ctx context.Context, w *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st := &fakeStream{wire: w, end: cancel}
+	e.update(func() { e.streams = append(e.streams, st) })
+	if g := e.current(); g > 0 {
+		st.send(&pb.OwnerFrame{Fence: &pb.Fence{Generation: g}})
+	}
+	go func() {
+		defer cancel()
+		for {
+			f, err := w.Receive()
+			if err != nil {
+				return
+			}
+			e.take(st, f)
+		}
+	}()
+	<-ctx.Done()
+	st.close()
+	e.update(func() {
+		e.streams = slices.DeleteFunc(e.streams, func(o *fakeStream) bool { return o == st })
+	})
+	return nil
+}
+
+func (e *fakeEntry) take(st *fakeStream, f *pb.AgentFrame) {
+	var stamp *pb.Stamp
+	e.update(func() {
+		if f.Hello != nil {
+			e.hellos = append(e.hellos, f.Hello)
+		}
+		if f.FenceAck != nil {
+			e.acks = append(e.acks, f.FenceAck)
+		}
+		e.outcomes = append(e.outcomes, f.Outcomes...)
+		if f.Heartbeat != nil {
+			e.beats = append(e.beats, f.Heartbeat)
+			stamp = &pb.Stamp{
+				EchoNs:          f.Heartbeat.SentNs,
+				Generation:      e.generation,
+				ControlRevision: 1,
+				InService:       e.inService,
+			}
+		}
+		if e.silent {
+			stamp = nil
+		}
+	})
+	if stamp != nil {
+		st.send(&pb.OwnerFrame{Stamp: stamp})
+	}
+}
+
+// update changes the entry and wakes those who wait.
+func (e *fakeEntry) update(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *fakeEntry) current() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.generation
+}
+
+// send sends a frame on every stream.
+func (e *fakeEntry) send(f *pb.OwnerFrame) {
+	e.mu.Lock()
+	streams := slices.Clone(e.streams)
+	e.mu.Unlock()
+	for _, st := range streams {
+		st.send(f)
+	}
+}
+
+// cut ends every stream.
+func (e *fakeEntry) cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, st := range e.streams {
+		st.end()
+	}
+}
+
+// wait returns once ok, called under the entry's lock, is true.
+func (e *fakeEntry) wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	timeout := time.After(patience)
+	for {
+		e.mu.Lock()
+		done, changed := ok(), e.changed
+		e.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// outcomeOf waits for the first outcome of a task that has ended.
+func (e *fakeEntry) outcomeOf(t *testing.T, index uint32) *pb.Outcome {
+	t.Helper()
+	var found *pb.Outcome
+	e.wait(t, "an outcome", func() bool {
+		for _, o := range e.outcomes {
+			if o.GetTask().GetIndex() == index && !o.GetRunning() {
+				found = o
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// fakeEndpoint answers as a test says and counts the starts it saw.
+type fakeEndpoint struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	starts map[string]int
+	last   http.Header
+}
+
+func newFakeEndpoint(t *testing.T, h http.HandlerFunc) *fakeEndpoint {
+	e := &fakeEndpoint{starts: map[string]int{}}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.starts[r.Header.Get(headerTask)]++
+		e.last = r.Header
+		e.mu.Unlock()
+		h(w, r)
+	}))
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *fakeEndpoint) started(task string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.starts[task]
+}
+
+func testSettings(endpointURL string, entries ...*fakeEntry) Settings {
+	s := DefaultSettings()
+	s.Endpoint = "comas-1"
+	s.FailureDomain = "comas"
+	s.Slots = 8
+	s.EndpointURL = endpointURL
+	s.Heartbeat = settings.Duration(20 * time.Millisecond)
+	s.Freshness = settings.Duration(time.Minute)
+	s.DrainTimeout = settings.Duration(50 * time.Millisecond)
+	for _, e := range entries {
+		s.Entries = append(s.Entries, e.address)
+	}
+	return s
+}
+
+// running is an agent under test.
+type running struct {
+	agent *Agent
+	// term is what SIGTERM does.
+	term context.CancelFunc
+	done chan error
+}
+
+func runAgent(t *testing.T, s Settings) *running {
+	must.NoError(t, s.Validate())
+	a, err := New(s, "test", zap.NewNop())
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{agent: a, term: cancel, done: make(chan error, 1)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.done <- a.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		a.endStreams()
+		<-ended
+	})
+	return r
+}
+
+// exit waits for the agent to end.
+func (r *running) exit(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-r.done:
+		return err
+	case <-time.After(patience):
+		t.Fatal("the agent did not end")
+		return nil
+	}
+}
+
+// owned waits until the agent obeys the entry and holds a stamp of it.
+func (r *running) owned(t *testing.T, e *fakeEntry) {
+	t.Helper()
+	e.wait(t, "a stamp to be taken", func() bool {
+		state := r.agent.gate.State(r.agent.now())
+		return state.Generation == e.generation && state.StampAgeMS >= 0
+	})
+}
+
+func startOf(generation uint64, id uuid.UUID, index uint32) *pb.Start {
+	return &pb.Start{
+		Generation: generation,
+		Task:       &pb.TaskRef{Submission: id[:], Index: index},
+		Team:       "radio",
+		Payload:    []byte(`{"n":1}`),
+		TimeoutNs:  int64(time.Minute),
+	}
+}
+
+func newSubmission(t *testing.T) uuid.UUID {
+	id, err := uuid.NewV7()
+	must.NoError(t, err)
+	return id
+}
+
+func mustCode(t *testing.T, want result.Code, o *pb.Outcome) {
+	t.Helper()
+	must.Eq(t, want, result.Code(o.GetCode()), must.Sprint(o.GetDetail()))
+}
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -75,11 +75,13 @@
 	go func() {
 		defer close(written)
 		cancel(a.write(ctx, w, st))
+		// The transport notices the end of ctx only once the request's body
+		// has ended.
+		_ = w.CloseRequest()
 	}()
 	err := a.read(ctx, w, st)
 	cancel(err)
 	<-written
-	_ = w.CloseRequest()
 	_ = w.CloseResponse()
 	return context.Cause(ctx)
 }
