--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -35,12 +35,12 @@
 	return e, arrived, release
 }
 
-func await(t *testing.T, what string, ch <-chan struct{}) {
+func await(t *testing.T, ch <-chan struct{}) {
 	t.Helper()
 	select {
 	case <-ch:
 	case <-time.After(patience):
-		t.Fatalf("waited in vain for %s", what)
+		t.Fatal("waited in vain for the task at the endpoint")
 	}
 }
 
@@ -143,7 +143,7 @@
 	deputy.wait(t, "the agent at the deputy", func() bool { return len(deputy.hellos) > 0 })
 	id := newSubmission(t)
 	owner.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, id, 5)}})
-	await(t, "the task at the endpoint", arrived)
+	await(t, arrived)
 
 	deputy.update(func() { deputy.generation = 2 })
 	deputy.send(&pb.OwnerFrame{Fence: &pb.Fence{Generation: 2}})
@@ -168,7 +168,7 @@
 	r := runAgent(t, testSettings(endpoint.server.URL, entry))
 	r.owned(t, entry)
 	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 5)}})
-	await(t, "the task at the endpoint", arrived)
+	await(t, arrived)
 	entry.cut()
 	entry.wait(t, "the stream to end", func() bool { return len(entry.streams) == 0 })
 	close(release)
@@ -190,7 +190,7 @@
 	r.owned(t, entry)
 	s := startOf(1, newSubmission(t), 1)
 	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{s}})
-	await(t, "the task at the endpoint", arrived)
+	await(t, arrived)
 	entry.send(&pb.OwnerFrame{Cancels: []*pb.TaskRef{s.Task}})
 	mustCode(t, result.CancelledAfterStart, entry.outcomeOf(t, 1))
 }
@@ -204,7 +204,7 @@
 	r := runAgent(t, s)
 	r.owned(t, entry)
 	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
-	await(t, "the task at the endpoint", arrived)
+	await(t, arrived)
 	r.term()
 	entry.wait(t, "a leaving heartbeat", func() bool {
 		return entry.beats[len(entry.beats)-1].GetLeaving()
@@ -230,7 +230,7 @@
 	r := runAgent(t, s)
 	r.owned(t, entry)
 	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
-	await(t, "the task at the endpoint", arrived)
+	await(t, arrived)
 	entry.update(func() { entry.silent = true })
 	r.term()
 	close(release)
@@ -247,7 +247,7 @@
 	r := runAgent(t, testSettings(endpoint.server.URL, entry))
 	r.owned(t, entry)
 	entry.send(&pb.OwnerFrame{Starts: []*pb.Start{startOf(1, newSubmission(t), 1)}})
-	await(t, "the task at the endpoint", arrived)
+	await(t, arrived)
 	r.term()
 	must.Eq(t, result.OutcomeUnknown, result.CodeOf(r.exit(t)))
 }
--- a/internal/agent/endpoint_test.go
+++ b/internal/agent/endpoint_test.go
@@ -40,13 +40,12 @@
 }
 
 // readRequest reads one whole request.
-func readRequest(c net.Conn) bool {
+func readRequest(c net.Conn) {
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
-		return false
+		return
 	}
-	_, err = io.Copy(io.Discard, req.Body)
-	return err == nil
+	_, _ = io.Copy(io.Discard, req.Body)
 }
 
 // reset closes c so that its peer sees a reset.
