Cut the streams of silent agents; let commands pass while an owner is silent

Cause: tasks on a stopped agent ran into their job's deadline (203 instead of 202), since its stream stayed open and nobody watched its heartbeats. A domain could not be taken out while its owner was stopped, since nobody else could tell that the domain exists.

Change: an entry cuts a stream without a frame for half the freshness limit; an unknown name is refused only when every entry answered.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -34,8 +35,15 @@
 type link struct {
 	hello *pb.Hello
 	out   *outbox.Outbox[*pb.OwnerFrame]
+	began time.Time
+	// heard is when the last frame came, in nanoseconds since began.
+	heard atomic.Int64
 }
 
+func (l *link) hear() { l.heard.Store(int64(time.Since(l.began))) }
+
+func (l *link) silentFor() time.Duration { return time.Since(l.began) - time.Duration(l.heard.Load()) }
+
 func (l *link) Start(s *pb.Start) { l.out.Put(&pb.OwnerFrame{Starts: []*pb.Start{s}}) }
 
 func (l *link) Cancel(r *pb.TaskRef) { l.out.Put(&pb.OwnerFrame{Cancels: []*pb.TaskRef{r}}) }
@@ -70,7 +78,7 @@
 	if d == nil {
 		return connect.NewError(connect.CodeUnavailable, errNoDocument)
 	}
-	l := &link{hello: first.GetHello(), out: outbox.New[*pb.OwnerFrame]()}
+	l := &link{hello: first.GetHello(), out: outbox.New[*pb.OwnerFrame](), began: time.Now()}
 	l.hello.Cell = uint32(control.CellOfEndpoint(l.hello.GetEndpoint(), len(d.Cells)))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -85,7 +93,12 @@
 	return a.read(ctx, l, s)
 }
 
-// read takes frames until the stream or the writer ends.
+// silenceShare of the freshness limit is how long an agent may send nothing
+// until its stream is cut: one that is stopped must not get more work.
+const silenceShare = 2
+
+// read takes frames until the stream or the writer ends, or the agent falls
+// silent.
 func (a *agents) read(ctx context.Context, l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
 	failed := make(chan error, 1)
 	go func() {
@@ -95,14 +108,24 @@
 				failed <- err
 				return
 			}
+			l.hear()
 			a.receive(l, f)
 		}
 	}()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
+	silence := a.freshness / silenceShare
+	tick := time.NewTicker(silence / 4)
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			if l.silentFor() > silence {
+				return connect.NewError(connect.CodeUnavailable, errSilentAgent)
+			}
+		}
 	}
 }
 
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -154,27 +154,28 @@
 
 // checkNames refuses names that no endpoint announced and no settings know,
 // so that a typing error is not accepted as a command. Returning something to
-// service is always allowed.
+// service is always allowed, and so is everything while an entry that may know
+// the name does not answer.
 func (e *Entry) checkNames(ctx context.Context, edit control.Edit) error {
-	switch {
-	case edit.Domain != nil && edit.Domain.Out:
-		rows, err := e.FailureDomains(ctx)
-		if err != nil {
-			return err
-		}
-		known := func(r api.FailureDomainRow) bool { return r.Name == edit.Domain.Name }
-		if !slices.ContainsFunc(rows, known) {
-			return result.Errorf(result.CommandRefused, "no failure domain %q is known", edit.Domain.Name)
-		}
-	case edit.Endpoint != nil && edit.Endpoint.Out:
-		rows, err := e.Endpoints(ctx)
-		if err != nil {
-			return err
-		}
+	domainOut := edit.Domain != nil && edit.Domain.Out
+	endpointOut := edit.Endpoint != nil && edit.Endpoint.Out
+	if !domainOut && !endpointOut {
+		return nil
+	}
+	rows, silent, err := gather[api.EndpointRow](ctx, e, kindEndpoints, nil)
+	if err != nil || len(silent) > 0 {
+		return err
+	}
+	if endpointOut {
 		known := func(r api.EndpointRow) bool { return r.Name == edit.Endpoint.Name }
 		if !slices.ContainsFunc(rows, known) {
 			return result.Errorf(result.CommandRefused, "no endpoint %q is known", edit.Endpoint.Name)
 		}
+		return nil
+	}
+	known := func(r api.EndpointRow) bool { return r.FailureDomain == edit.Domain.Name }
+	if !slices.ContainsFunc(rows, known) && !slices.Contains(e.settings.FailureDomains, edit.Domain.Name) {
+		return result.Errorf(result.CommandRefused, "no failure domain %q is known", edit.Domain.Name)
 	}
 	return nil
 }
