--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/store"
 	"github.com/pomelosill/pomelosill/test/oracle"
@@ -93,7 +96,7 @@
 	t.Helper()
 	running <- struct{}{}
 	t.Cleanup(func() { <-running })
-	f := &Fleet{dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	f := &Fleet{dir: logDir(t), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 	t.Cleanup(f.client.CloseIdleConnections)
 	f.addPlatform(t)
 	for i := range c.Entries {
@@ -124,6 +127,22 @@
 	return f
 }
 
+// LogsVariable names the environment variable with a directory that keeps
+// settings and logs after the test.
+const LogsVariable = "POMELOSILL_FLEET_LOGS"
+
+func logDir(t *testing.T) string {
+	t.Helper()
+	keep := os.Getenv(LogsVariable)
+	if keep == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(keep, t.Name())
+	must.NoError(t, os.RemoveAll(dir))
+	must.NoError(t, os.MkdirAll(dir, 0o755))
+	return dir
+}
+
 func (f *Fleet) addPlatform(t *testing.T) {
 	addr := freeAddress(t)
 	f.Platform = &Platform{
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -86,10 +86,16 @@
 	}
 }
 
-// MustExit waits for the end of the process and checks its exit status.
+// MustExit waits for the end of the process and checks its exit status. The
+// goroutines of a process that does not end go to its log.
 func (p *Process) MustExit(t *testing.T, status int, within time.Duration) {
 	t.Helper()
-	must.True(t, p.awaitExit(within), must.Sprintf("%s still runs after %v", p.Name, within))
+	ended := p.awaitExit(within)
+	if !ended {
+		p.signal(syscall.SIGQUIT)
+		p.awaitExit(within)
+	}
+	must.True(t, ended, must.Sprintf("%s still runs after %v", p.Name, within))
 	must.Eq(t, status, p.cmd.ProcessState.ExitCode(), must.Sprint(p.Name))
 }
 
