End the stream of an agent that is silent

Cause: a stopped agent kept its stream, so its owner went on sending it starts and its tasks had no outcome until the job's deadline. Ruled out: the agent's gate, which refuses the starts once it wakes. Change: an entry ends the stream of an agent that sent nothing for the freshness limit; by then no stamp lets the agent start anything, and its tasks become unknown after lost_after as for any agent that is away. Before: TestStoppedAgentAnswersLate failed twice of two with DeadlineAfterStart at the deadline of 30 s. After: it passes, the whole test in 9.5 s.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -85,8 +85,13 @@
 	return a.read(ctx, l, s)
 }
 
-// read takes frames until the stream or the writer ends.
+// read takes frames until the stream or the writer ends, or until the agent
+// was silent for so long that no stamp of it lets it start anything.
 func (a *agents) read(ctx context.Context, l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(a.freshness, func() { cancel(errSilentAgent) })
+	defer silence.Stop()
 	failed := make(chan error, 1)
 	go func() {
 		for {
@@ -95,6 +100,7 @@
 				failed <- err
 				return
 			}
+			silence.Reset(a.freshness)
 			a.receive(l, f)
 		}
 	}()
@@ -102,7 +108,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,8 +30,9 @@
 const cellTick = 20 * time.Millisecond
 
 var (
-	errNoHello    = errors.New("the first frame must be a hello")
-	errNoDocument = errors.New("this entry has no control document yet")
+	errNoHello     = errors.New("the first frame must be a hello")
+	errNoDocument  = errors.New("this entry has no control document yet")
+	errSilentAgent = errors.New("the agent is silent")
 )
 
 // Entry is one entry process.
