Let a command through while an entry that may know its name is silent

Cause: with the owner stopped, taking a failure domain out was refused with "no failure domain is known": only the owner's endpoints were looked at, and its silence was taken for their absence. Ruled out: looking at the owners after the endpoints; the takeover can happen between the two looks. Change: no name is refused while an entry on the roster does not answer.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -154,31 +154,40 @@
 
 // checkNames refuses names that no endpoint announced and no settings know,
 // so that a typing error is not accepted as a command. Returning something to
-// service is always allowed.
+// service is always allowed, and so is any name while an entry that might know
+// it does not answer.
 func (e *Entry) checkNames(ctx context.Context, edit control.Edit) error {
-	switch {
-	case edit.Domain != nil && edit.Domain.Out:
-		rows, err := e.FailureDomains(ctx)
-		if err != nil {
-			return err
-		}
-		known := func(r api.FailureDomainRow) bool { return r.Name == edit.Domain.Name }
-		if !slices.ContainsFunc(rows, known) {
-			return result.Errorf(result.CommandRefused, "no failure domain %q is known", edit.Domain.Name)
-		}
-	case edit.Endpoint != nil && edit.Endpoint.Out:
-		rows, err := e.Endpoints(ctx)
-		if err != nil {
-			return err
-		}
-		known := func(r api.EndpointRow) bool { return r.Name == edit.Endpoint.Name }
-		if !slices.ContainsFunc(rows, known) {
-			return result.Errorf(result.CommandRefused, "no endpoint %q is known", edit.Endpoint.Name)
-		}
+	domainOut := edit.Domain != nil && edit.Domain.Out
+	endpointOut := edit.Endpoint != nil && edit.Endpoint.Out
+	if !domainOut && !endpointOut {
+		return nil
+	}
+	rows, silent, err := gather[api.EndpointRow](ctx, e, kindEndpoints, nil)
+	if err != nil {
+		return err
+	}
+	if len(silent) > 0 {
+		return nil
+	}
+	if domainOut && !e.knowsDomain(rows, edit.Domain.Name) {
+		return result.Errorf(result.CommandRefused, "no failure domain %q is known", edit.Domain.Name)
+	}
+	isNamed := func(r api.EndpointRow) bool { return r.Name == edit.Endpoint.Name }
+	if endpointOut && !slices.ContainsFunc(rows, isNamed) {
+		return result.Errorf(result.CommandRefused, "no endpoint %q is known", edit.Endpoint.Name)
 	}
 	return nil
 }
 
+// knowsDomain tells whether the settings, an endpoint or the configuration
+// names a failure domain.
+func (e *Entry) knowsDomain(rows []api.EndpointRow, name string) bool {
+	announced := func(r api.EndpointRow) bool { return r.FailureDomain == name }
+	return slices.Contains(e.settings.FailureDomains, name) ||
+		slices.ContainsFunc(rows, announced) ||
+		slices.Contains(e.board.Doc().Config.DomainsOut, name)
+}
+
 // awaitInForce waits until the revision is accepted, and until every entry
 // and agent has confirmed it, or wait is over.
 func (e *Entry) awaitInForce(ctx context.Context, a *admin.Applied, wait time.Duration) {
