--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,15 +34,8 @@
 type link struct {
 	hello *pb.Hello
 	out   *outbox.Outbox[*pb.OwnerFrame]
-	began time.Time
-	// heard is when the last frame came, in nanoseconds since began.
-	heard atomic.Int64
 }
 
-func (l *link) hear() { l.heard.Store(int64(time.Since(l.began))) }
-
-func (l *link) silentFor() time.Duration { return time.Since(l.began) - time.Duration(l.heard.Load()) }
-
 func (l *link) Start(s *pb.Start) { l.out.Put(&pb.OwnerFrame{Starts: []*pb.Start{s}}) }
 
 func (l *link) Cancel(r *pb.TaskRef) { l.out.Put(&pb.OwnerFrame{Cancels: []*pb.TaskRef{r}}) }
@@ -78,7 +70,7 @@
 	if d == nil {
 		return connect.NewError(connect.CodeUnavailable, errNoDocument)
 	}
-	l := &link{hello: first.GetHello(), out: outbox.New[*pb.OwnerFrame](), began: time.Now()}
+	l := &link{hello: first.GetHello(), out: outbox.New[*pb.OwnerFrame]()}
 	l.hello.Cell = uint32(control.CellOfEndpoint(l.hello.GetEndpoint(), len(d.Cells)))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -100,6 +92,11 @@
 // read takes frames until the stream or the writer ends, or the agent falls
 // silent.
 func (a *agents) read(ctx context.Context, l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := a.freshness / silenceShare
+	silence := time.AfterFunc(limit, func() { cancel(errSilentAgent) })
+	defer silence.Stop()
 	failed := make(chan error, 1)
 	go func() {
 		for {
@@ -108,24 +105,15 @@
 				failed <- err
 				return
 			}
-			l.hear()
+			silence.Reset(limit)
 			a.receive(l, f)
 		}
 	}()
-	silence := a.freshness / silenceShare
-	tick := time.NewTicker(silence / 4)
-	defer tick.Stop()
-	for {
-		select {
-		case err := <-failed:
-			return err
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			if l.silentFor() > silence {
-				return connect.NewError(connect.CodeUnavailable, errSilentAgent)
-			}
-		}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
 	}
 }
 
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -154,8 +154,8 @@
 
 // checkNames refuses names that no endpoint announced and no settings know,
 // so that a typing error is not accepted as a command. Returning something to
-// service is always allowed, and so is everything while an entry that may know
-// the name does not answer.
+// service is always allowed, and so is any name while an entry that might know
+// it does not answer.
 func (e *Entry) checkNames(ctx context.Context, edit control.Edit) error {
 	domainOut := edit.Domain != nil && edit.Domain.Out
 	endpointOut := edit.Endpoint != nil && edit.Endpoint.Out
@@ -163,23 +163,31 @@
 		return nil
 	}
 	rows, silent, err := gather[api.EndpointRow](ctx, e, kindEndpoints, nil)
-	if err != nil || len(silent) > 0 {
+	if err != nil {
 		return err
 	}
-	if endpointOut {
-		known := func(r api.EndpointRow) bool { return r.Name == edit.Endpoint.Name }
-		if !slices.ContainsFunc(rows, known) {
-			return result.Errorf(result.CommandRefused, "no endpoint %q is known", edit.Endpoint.Name)
-		}
+	if len(silent) > 0 {
 		return nil
 	}
-	known := func(r api.EndpointRow) bool { return r.FailureDomain == edit.Domain.Name }
-	if !slices.ContainsFunc(rows, known) && !slices.Contains(e.settings.FailureDomains, edit.Domain.Name) {
+	if domainOut && !e.knowsDomain(rows, edit.Domain.Name) {
 		return result.Errorf(result.CommandRefused, "no failure domain %q is known", edit.Domain.Name)
 	}
+	isNamed := func(r api.EndpointRow) bool { return r.Name == edit.Endpoint.Name }
+	if endpointOut && !slices.ContainsFunc(rows, isNamed) {
+		return result.Errorf(result.CommandRefused, "no endpoint %q is known", edit.Endpoint.Name)
+	}
 	return nil
 }
 
+// knowsDomain tells whether the settings, an endpoint or the configuration
+// names a failure domain.
+func (e *Entry) knowsDomain(rows []api.EndpointRow, name string) bool {
+	announced := func(r api.EndpointRow) bool { return r.FailureDomain == name }
+	return slices.Contains(e.settings.FailureDomains, name) ||
+		slices.ContainsFunc(rows, announced) ||
+		slices.Contains(e.board.Doc().Config.DomainsOut, name)
+}
+
 // awaitInForce waits until the revision is accepted, and until every entry
 // and agent has confirmed it, or wait is over.
 func (e *Entry) awaitInForce(ctx context.Context, a *admin.Applied, wait time.Duration) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,8 +31,8 @@
 
 var (
 	errNoHello     = errors.New("the first frame must be a hello")
-	errSilentAgent = errors.New("the agent is silent")
 	errNoDocument  = errors.New("this entry has no control document yet")
+	errSilentAgent = errors.New("the agent is silent")
 )
 
 // Entry is one entry process.
