--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 
 bench: build ## every load scenario at both sizes: JSON lines on stdout, a table on stderr
 	@scripts/bench.sh
+
+demo: build ## a fleet on loopback, shown through the command line
+	@scripts/demo.sh
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,138 @@
+#!/usr/bin/env bash
+# Shows a whole fleet at Luz de Umbral's size on loopback: 4 failure domains,
+# 3 entries, 11 endpoints of 8 slots, the stand-in store. Everything is asked
+# and commanded through the command line, and every step is checked. The exit
+# status tells whether all went as it should. DEMO_NUMBER (1 to 250) chooses
+# the loopback address 127.0.NUMBER.1.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/fleet.sh
+
+number=${DEMO_NUMBER:-201}
+ip="127.0.$number.1"
+dir=$(mktemp -d)
+export POMELOSILL_ADMIN="$ip:24001,$ip:24002,$ip:24003"
+export POMELOSILL_ENTRY="$ip:23001,$ip:23002,$ip:23003"
+
+finish() {
+  local status=$?
+  step "Stop every process"
+  fleet_stop "$dir" || true
+  if ((status == 0)); then
+    echo "demo: done"
+    rm -rf "$dir"
+  else
+    echo "demo: FAILED, logs are in $dir" >&2
+  fi
+  exit "$status"
+}
+
+step() {
+  printf '\n== %s\n' "$*"
+}
+
+fail() {
+  echo "demo: $*" >&2
+  exit 1
+}
+
+# quoted prints its arguments as they can be typed.
+quoted() {
+  local argument
+  for argument in "$@"; do
+    if [[ $argument =~ ^[A-Za-z0-9_.,:/-]+$ ]]; then
+      printf ' %s' "$argument"
+    else
+      printf " '%s'" "$argument"
+    fi
+  done
+}
+
+# run prints a command and runs it.
+run() {
+  printf '$ pomelosill%s\n' "$(quoted "$@")"
+  "$FLEET_BIN/pomelosill" "$@"
+}
+
+# expect STATUS ARGUMENTS... runs a command that must end with STATUS.
+expect() {
+  local want=$1 got=0
+  shift
+  run "$@" || got=$?
+  ((got == want)) || fail "exit status $got, expected $want"
+}
+
+# rostered prints how many entries are on the roster.
+rostered() {
+  "$FLEET_BIN/pomelosill" query --json entries | jq '.rows | length'
+}
+
+# ended DOMAIN prints how many tasks have ended on the domain's endpoints.
+ended() {
+  "$FLEET_BIN/pomelosill" query --json "endpoints where domain = \"$1\"" |
+    jq '(.columns | index("done")) as $i | [.rows[][$i]] | add'
+}
+
+trap finish EXIT
+
+step "Start the stand-ins, 3 entries and 11 agents ($ip)"
+fleet_start "$dir" umbral "$number"
+fleet_wait "$dir"
+for ((tries = 0; $(rostered) < FLEET_ENTRIES; tries++)); do
+  ((tries < 50)) || fail "an entry is not on the roster after 10 s"
+  sleep 0.2
+done
+run query entries
+run query endpoints
+
+step "Give two teams their quotas"
+run query set team alerts weight 3 max_queued 5000
+run query set team radio weight 1 max_running 40
+run query teams
+
+step "Submit jobs, and look at them while they run"
+run submit --team alerts --tasks 100 --run-ms 700 >"$dir/job-1.out" 2>&1 &
+first=$!
+run submit --team radio --tasks 60 --run-ms 500 >"$dir/job-2.out" 2>&1 &
+second=$!
+sleep 0.4
+run query jobs sort tasks desc
+run query domains
+wait $first && wait $second || fail "a job failed: $(cat "$dir"/job-*.out)"
+cat "$dir/job-1.out" "$dir/job-2.out"
+
+step "A refusal tells the truth: exit status 1 says that nothing ran"
+expect 1 submit --team nobody --tasks 2
+
+step "Take Comas out; no task starts there any more"
+run query --dry-run take domain Comas out
+run query --wait 4s take domain Comas out
+before=$(ended Comas)
+run submit --team alerts --tasks 120 --run-ms 100
+run query domains
+after=$(ended Comas)
+((before == after)) || fail "$((after - before)) tasks ran in Comas while it was out"
+
+step "Return Comas; it gets work again"
+run query --wait 4s return domain Comas
+run submit --team alerts --tasks 120 --run-ms 100
+run query "endpoints where domain = Comas"
+(($(ended Comas) > after)) || fail "no task ran in Comas after its return"
+
+step "Resubmit an id through other entries: one job, one answer"
+id=$("$FLEET_BIN/pomelosill" submit --entry "$ip:23001" --team alerts --tasks 10 --run-ms 400 --json | tee "$dir/answer-1" | jq -r .id)
+run submit --entry "$ip:23002" --team alerts --tasks 10 --run-ms 400 --id "$id" --json >"$dir/resubmitted"
+tail -n +2 "$dir/resubmitted" >"$dir/answer-2"
+head -1 "$dir/resubmitted"
+cmp "$dir/answer-1" "$dir/answer-2" || fail "the two answers differ"
+echo "the same answer, byte for byte"
+run job --entry "$ip:23003" "$id"
+echo "the same id with other tasks is refused:"
+expect 3 submit --team alerts --tasks 11 --run-ms 400 --id "$id"
+
+step "Two operators race: the later one is told"
+run query entries
+expect 1 query take domain Comas out if revision 1
+
+step "What was changed, and by whom"
+run query changes
