Give the entry metrics; name each process in its metrics

An entry had no instrument at all, so an operator could watch nothing but its dump. Gauges are read when somebody asks, so that they cost nothing between. Every process now also shows its processor time and memory, and its own name and version. The agent's histogram had buckets made for milliseconds while it counts seconds. The entry's WaitGroup of open requests was never waited for and goes.

--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -65,6 +65,10 @@
 	a.counters.add(sentOutcome, len(c.outcomes))
 }
 
+// runSecondsBounds are the buckets of a task's time on the endpoint in
+// seconds.
+var runSecondsBounds = []float64{0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
+
 // metrics are the agent's instruments.
 type metrics struct {
 	starts  metric.Int64Counter
@@ -87,7 +91,8 @@
 		return nil, err
 	}
 	m.seconds, err = meter.Float64Histogram("pomelosill_agent_endpoint_seconds",
-		metric.WithDescription("Time of a task on the endpoint in seconds."))
+		metric.WithDescription("Time of a task on the endpoint in seconds."),
+		metric.WithExplicitBucketBoundaries(runSecondsBounds...))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -43,29 +43,35 @@
 
 func (e *Entry) postJob(w http.ResponseWriter, r *http.Request) {
 	e.counters.jobsReceived.Add(1)
+	began := time.Now()
+	a, ok := e.answerJob(w, r)
+	if !ok {
+		return
+	}
+	e.metrics.countAnswer(r.Context(), a.Code, time.Since(began))
+	writeAnswer(w, a)
+}
+
+// answerJob reads a job and waits for its answer. It gives none when the
+// caller has gone; the job goes on, and the same id gets its answer.
+func (e *Entry) answerJob(w http.ResponseWriter, r *http.Request) (api.Answer, bool) {
 	job, err := e.readJob(w, r)
 	if err != nil {
-		writeAnswer(w, refusal(job.ID, err))
-		return
+		return refusal(job.ID, err), true
 	}
 	s, err := e.submission(&job)
 	if err != nil {
-		writeAnswer(w, refusal(job.ID, err))
-		return
+		return refusal(job.ID, err), true
 	}
 	if err := e.admits(); err != nil {
-		writeAnswer(w, refusal(job.ID, err))
-		return
+		return refusal(job.ID, err), true
 	}
-	e.open.Add(1)
-	defer e.open.Done()
 	select {
 	case a := <-e.relay.Submit(e.base, s):
 		e.counters.answersSent.Add(1)
-		writeAnswer(w, toAPI(job.ID, a))
+		return toAPI(job.ID, a), true
 	case <-r.Context().Done():
-		// The caller has gone; the job goes on, and the same id gets its
-		// answer.
+		return api.Answer{}, false
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,13 +50,12 @@
 	confirms *confirms
 	relay    *relay
 	counters *counters
+	metrics  *metrics
 	store    *store.HTTP
 	guard    *access.Guard
 	admin    *admin.Handler
 	// base outlives callers' requests and ends with the entry.
-	base context.Context
-	// open counts callers' requests in progress.
-	open      sync.WaitGroup
+	base      context.Context
 	ownership *ownership
 	started   time.Time
 }
@@ -119,6 +118,10 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	e.base = base
+	var err error
+	if e.metrics, err = newMetrics(e.debug.Meter, e); err != nil {
+		return err
+	}
 	listeners, err := e.listen(ctx)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// jobSecondsBounds are the buckets of the answering time in seconds.
+var jobSecondsBounds = []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60}
+
+// metrics are the entry's instruments. docs/OPERATING.md says what to do
+// about each.
+type metrics struct {
+	jobSeconds metric.Float64Histogram
+}
+
+// gauges are the instruments that are read from the entry's state when
+// somebody asks.
+type gauges struct {
+	confirmationAge metric.Float64ObservableGauge
+	revision        metric.Int64ObservableGauge
+	roster          metric.Int64ObservableGauge
+	agents          metric.Int64ObservableGauge
+	inProgress      metric.Int64ObservableGauge
+	cells           metric.Int64ObservableGauge
+	tasks           metric.Int64ObservableGauge
+	messages        metric.Int64ObservableCounter
+	storeCalls      metric.Int64ObservableCounter
+}
+
+// newMetrics makes the entry's instruments.
+func newMetrics(meter metric.Meter, e *Entry) (*metrics, error) {
+	m := &metrics{}
+	var err error
+	m.jobSeconds, err = meter.Float64Histogram("pomelosill_entry_job_seconds",
+		metric.WithDescription("Time from a caller's request to its answer, by result code, in seconds."),
+		metric.WithExplicitBucketBoundaries(jobSecondsBounds...))
+	if err != nil {
+		return nil, err
+	}
+	return m, observe(meter, e)
+}
+
+// observe makes the gauges and the callback that reads them.
+func observe(meter metric.Meter, e *Entry) error {
+	var g gauges
+	var all []metric.Observable
+	for _, d := range g.integers() {
+		gauge, err := meter.Int64ObservableGauge(d.name, metric.WithDescription(d.text))
+		if err != nil {
+			return err
+		}
+		*d.to = gauge
+		all = append(all, gauge)
+	}
+	for _, d := range g.counters() {
+		counter, err := meter.Int64ObservableCounter(d.name, metric.WithDescription(d.text))
+		if err != nil {
+			return err
+		}
+		*d.to = counter
+		all = append(all, counter)
+	}
+	age, err := meter.Float64ObservableGauge("pomelosill_entry_confirmation_age_seconds",
+		metric.WithDescription("Age of the last confirmation that nothing newer exists, in seconds."))
+	if err != nil {
+		return err
+	}
+	g.confirmationAge = age
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		g.read(e, o)
+		return nil
+	}, append(all, age)...)
+	return err
+}
+
+// description names one instrument and where it is kept.
+type description[T any] struct {
+	name, text string
+	to         *T
+}
+
+func (g *gauges) integers() []description[metric.Int64ObservableGauge] {
+	return []description[metric.Int64ObservableGauge]{
+		{"pomelosill_entry_control_revision", "Revision of the control document that the entry has applied.", &g.revision},
+		{"pomelosill_entry_roster", "Entries on the roster.", &g.roster},
+		{"pomelosill_entry_agents", "Agents attached to this entry.", &g.agents},
+		{"pomelosill_entry_submissions", "Submissions in progress that this entry received.", &g.inProgress},
+		{"pomelosill_entry_cells", "Cells owned, by phase.", &g.cells},
+		{"pomelosill_entry_tasks", "Tasks of the cells owned, by team and state.", &g.tasks},
+	}
+}
+
+func (g *gauges) counters() []description[metric.Int64ObservableCounter] {
+	return []description[metric.Int64ObservableCounter]{
+		{"pomelosill_entry_messages", "Messages and events, by kind.", &g.messages},
+		{"pomelosill_entry_store_calls", "Calls to the platform's store, by kind.", &g.storeCalls},
+	}
+}
+
+// read observes every gauge and counter.
+func (g *gauges) read(e *Entry, o metric.Observer) {
+	now := time.Now()
+	o.ObserveFloat64(g.confirmationAge, now.Sub(e.board.Basis(now)).Seconds())
+	if d := e.board.Doc(); d != nil {
+		o.ObserveInt64(g.revision, int64(d.Revision))
+		o.ObserveInt64(g.roster, int64(len(d.Roster)))
+	}
+	o.ObserveInt64(g.agents, int64(len(e.agents.Names())))
+	o.ObserveInt64(g.inProgress, int64(e.relay.InProgress()))
+	state := e.State()
+	g.readCells(e, state, o)
+	for kind, n := range state.Counters {
+		o.ObserveInt64(g.messages, n, label("kind", kind))
+	}
+	calls := state.StoreCalls
+	for kind, n := range map[string]uint64{
+		"get": calls.Get, "compare_and_swap": calls.CompareAndSwap, "delete": calls.Delete,
+		"grant": calls.Grant, "keep_alive": calls.KeepAlive, "revoke": calls.Revoke, "watch": calls.Watch,
+	} {
+		o.ObserveInt64(g.storeCalls, int64(n), label("kind", kind))
+	}
+}
+
+// readCells sums the owned cells by phase, and their tasks by team.
+func (g *gauges) readCells(e *Entry, state State, o metric.Observer) {
+	phases := map[string]int64{}
+	for _, c := range state.Cells {
+		phases[c.Phase]++
+	}
+	for phase, n := range phases {
+		o.ObserveInt64(g.cells, n, label("phase", phase))
+	}
+	running, waiting := map[string]int64{}, map[string]int64{}
+	if state.Document != nil {
+		for _, team := range state.Document.Config.Teams {
+			running[team.Name] = 0
+		}
+	}
+	for _, c := range e.ownership.Cells() {
+		for _, load := range c.Teams() {
+			running[load.Team] += int64(load.Running)
+			waiting[load.Team] += int64(load.Waiting)
+		}
+	}
+	for team, n := range running {
+		o.ObserveInt64(g.tasks, n, label("team", team), label("state", "running"))
+		o.ObserveInt64(g.tasks, waiting[team], label("team", team), label("state", "waiting"))
+	}
+}
+
+// countAnswer counts an answer to a caller.
+func (m *metrics) countAnswer(ctx context.Context, code result.Code, took time.Duration) {
+	m.jobSeconds.Record(ctx, took.Seconds(), label("code", result.Describe(code).Name))
+}
+
+func label(key, value string) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String(key, value))
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -10,10 +10,13 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	promexporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -80,11 +83,19 @@
 // NewDebug sets up metrics for a program.
 func NewDebug(program string) (*Debug, error) {
 	reg := prometheus.NewRegistry()
-	exp, err := promexporter.New(promexporter.WithRegisterer(reg))
+	reg.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	exp, err := promexporter.New(promexporter.WithRegisterer(reg), promexporter.WithoutScopeInfo())
 	if err != nil {
 		return nil, err
 	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp))
+	name := resource.NewSchemaless(
+		attribute.String("service.name", program),
+		attribute.String("service.version", Version()),
+	)
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp), sdkmetric.WithResource(name))
 	return &Debug{Meter: provider.Meter(program), registry: reg}, nil
 }
 
