Refuse earlier under overload, and test admission

Cause: with half of the time to the deadline allowed for waiting, 3.2 % of the jobs at twice the fleet's capacity expired after having used slots.

Change: the share is 0.25.

--- /dev/null
+++ b/internal/sched/admit_test.go
@@ -0,0 +1,175 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+var start = time.Unix(1000, 0)
+
+// newFleet returns a Scheduler with two endpoints of four slots in domains
+// d1 and d2.
+func newFleet(cfg Config, teams ...Team) *Scheduler {
+	s := New(cfg, rand.New(rand.NewPCG(1, 2)))
+	s.SetTeams(start, teams)
+	s.SetEndpoint(start, Endpoint{Name: "e1", FailureDomain: "d1", Slots: 4})
+	s.SetEndpoint(start, Endpoint{Name: "e2", FailureDomain: "d2", Slots: 4})
+	return s
+}
+
+func jobOf(n byte, team string, tasks int, timeout time.Duration) Job {
+	j := Job{Key: Key{n}, Team: team, Deadline: start.Add(timeout)}
+	for i := range tasks {
+		j.Waiting = append(j.Waiting, i)
+	}
+	return j
+}
+
+func TestAdmitCodes(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxWaiting = 50
+	cases := []struct {
+		name string
+		team Team
+		job  Job
+		want result.Code
+	}{
+		{"let in", Team{Name: "a"}, jobOf(9, "a", 1, time.Minute), result.OK},
+		{"unknown team", Team{Name: "a"}, jobOf(9, "b", 1, time.Minute), result.UnknownTeam},
+		{"deadline passed", Team{Name: "a"}, jobOf(9, "a", 1, 0), result.DeadlinePassed},
+		{"known key", Team{Name: "a"}, jobOf(1, "a", 1, time.Minute), result.IDConflict},
+		{"at the quota", Team{Name: "a", MaxQueued: 40}, jobOf(9, "a", 20, time.Minute), result.OK},
+		{"over the quota", Team{Name: "a", MaxQueued: 40}, jobOf(9, "a", 21, time.Minute), result.OverQuota},
+		{"more than the quota ever", Team{Name: "a", MaxQueued: 40}, jobOf(9, "a", 41, time.Minute), result.CannotRun},
+		{"queue full", Team{Name: "a"}, jobOf(9, "a", 31, time.Minute), result.QueueFull},
+		{"more than the queue ever", Team{Name: "a"}, jobOf(9, "a", 51, time.Minute), result.CannotRun},
+		{"no such domain", Team{Name: "a", Domains: []string{"d3"}}, jobOf(9, "a", 1, time.Minute), result.CannotRun},
+		{"one domain", Team{Name: "a", Domains: []string{"d1"}}, jobOf(9, "a", 1, time.Minute), result.OK},
+		{"overloaded", Team{Name: "a"}, jobOf(9, "a", 20, 5*time.Second), result.Overloaded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.team.Weight = 1
+			s := newFleet(cfg, c.team)
+			s.Restore(start, jobOf(1, "a", 20, time.Minute))
+			must.Eq(t, c.want, s.Admit(start, c.job))
+			must.NoError(t, s.Check())
+			if c.want != result.OK {
+				must.Eq(t, 20, s.Stats().Waiting)
+			}
+		})
+	}
+}
+
+func TestAdmitWithoutEndpoints(t *testing.T) {
+	s := New(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	s.SetTeams(start, []Team{{Name: "a", Weight: 1, Domains: []string{"d1"}}})
+	must.Eq(t, result.OK, s.Admit(start, jobOf(1, "a", 1, time.Minute)))
+	s.SetEndpoint(start, Endpoint{Name: "e2", FailureDomain: "d2", Slots: 1, State: Out})
+	must.Eq(t, result.CannotRun, s.Admit(start, jobOf(2, "a", 1, time.Minute)))
+}
+
+// startAll starts all that may start, and returns the number by endpoint.
+func startAll(s *Scheduler, now time.Time) map[string]int {
+	started := map[string]int{}
+	for {
+		a, ok := s.Next(now)
+		if !ok {
+			return started
+		}
+		started[a.Endpoint]++
+	}
+}
+
+func TestWeightsAndBounds(t *testing.T) {
+	cases := []struct {
+		name  string
+		teams []Team
+		want  map[string]int
+	}{
+		{"alike", []Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}, map[string]int{"a": 4, "b": 4}},
+		{"weights", []Team{{Name: "a", Weight: 3}, {Name: "b", Weight: 1}}, map[string]int{"a": 6, "b": 2}},
+		{"bound", []Team{{Name: "a", Weight: 1, MaxRunning: 1}, {Name: "b", Weight: 1}}, map[string]int{"a": 1, "b": 7}},
+		{"domain", []Team{{Name: "a", Weight: 9, Domains: []string{"d1"}}, {Name: "b", Weight: 1}}, map[string]int{"a": 4, "b": 4}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFleet(DefaultConfig(), c.teams...)
+			s.Restore(start, jobOf(1, "a", 20, time.Minute))
+			s.Restore(start, jobOf(2, "b", 20, time.Minute))
+			startAll(s, start)
+			for _, row := range s.Teams() {
+				must.Eq(t, c.want[row.Name], row.Running)
+			}
+		})
+	}
+}
+
+func TestRampAfterReturn(t *testing.T) {
+	s := newFleet(DefaultConfig(), Team{Name: "a", Weight: 1, Domains: []string{"d1"}})
+	s.Restore(start, jobOf(1, "a", 50, time.Hour))
+	e := Endpoint{Name: "e1", FailureDomain: "d1", Slots: 4, State: Out}
+	s.SetEndpoint(start, e)
+	must.MapEmpty(t, startAll(s, start))
+	now := start.Add(time.Minute)
+	e.State = InService
+	s.SetEndpoint(now, e)
+	for want := 1; want <= 4; want++ {
+		startAll(s, now)
+		must.Eq(t, want, s.EndpointStats("e1").Running)
+		wake, ok := s.NextWake(now)
+		must.True(t, ok)
+		if want < 4 {
+			must.Eq(t, 500*time.Millisecond, wake.Sub(now))
+		}
+		now = wake
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Retry = RetryConfig{Share: 0.5, Burst: 2}
+	s := newFleet(cfg, Team{Name: "a", Weight: 1})
+	s.Restore(start, jobOf(1, "a", 8, time.Hour))
+	var running []Assignment
+	for range 8 {
+		a, ok := s.Next(start)
+		must.True(t, ok)
+		running = append(running, a)
+	}
+	notStarted := func(a Assignment) bool {
+		return s.NotStarted(start, a.Key, a.Index, a.Endpoint, result.NoFreeSlot)
+	}
+	must.True(t, notStarted(running[0]))
+	must.True(t, notStarted(running[1]))
+	must.False(t, notStarted(running[2]))
+	for _, a := range running[3:5] {
+		s.Ended(start, a.Key, a.Index, a.Endpoint, Ending{Code: result.OK, Run: time.Second})
+	}
+	must.True(t, notStarted(running[5]))
+	must.False(t, notStarted(running[6]))
+	must.NoError(t, s.Check())
+}
+
+func TestWrongCallsAreNoted(t *testing.T) {
+	s := newFleet(DefaultConfig(), Team{Name: "a", Weight: 1})
+	s.Restore(start, jobOf(1, "a", 1, time.Minute))
+	a, ok := s.Next(start)
+	must.True(t, ok)
+	s.Ended(start, a.Key, a.Index, a.Endpoint, Ending{Code: result.OK})
+	must.NoError(t, s.Check())
+	s.Ended(start, a.Key, a.Index, a.Endpoint, Ending{Code: result.OK})
+	must.Eq(t, result.Internal, result.CodeOf(s.Check()))
+}
+
+func TestConfigValidate(t *testing.T) {
+	must.NoError(t, DefaultConfig().Validate())
+	cfg := DefaultConfig()
+	cfg.Overload.DeadlineShare = 2
+	must.Eq(t, result.SettingsValue, result.CodeOf(cfg.Validate()))
+}
--- a/internal/sched/config.go
+++ b/internal/sched/config.go
@@ -124,7 +124,7 @@
 			After:   time.Second,
 			Refused: 50 * time.Millisecond,
 		},
-		Overload: OverloadConfig{DeadlineShare: 0.5},
+		Overload: OverloadConfig{DeadlineShare: 0.25},
 		Learning: LearningConfig{
 			InitialRun:            500 * time.Millisecond,
 			MinSamples:            16,
