Skip the choice of a team while no endpoint has room

Cause: a profile of BenchmarkTask (220 endpoints of 8 slots, 65 teams, 4,000 jobs of 25 tasks waiting) put half of the time into nextTeam, half of that into the call that finds every slot taken.

Change: endpoints with room are counted, and a team's running tasks per weight are kept up instead of divided in each comparison.

Next looks at each team with waiting tasks, and at no job or endpoint list.

--- /dev/null
+++ b/internal/sched/bench_test.go
@@ -0,0 +1,114 @@
+package sched
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// bench is a fleet under load, with its slots full and jobs waiting.
+type bench struct {
+	s       *Scheduler
+	now     time.Time
+	rnd     *rand.Rand
+	running []Assignment
+	keys    uint64
+	teams   []Team
+	tasks   int
+}
+
+func newBench(b *testing.B, endpoints, teams, waitingJobs, tasks int) *bench {
+	x := &bench{now: start, rnd: rand.New(rand.NewPCG(1, 2)), tasks: tasks}
+	x.s = New(DefaultConfig(), rand.New(rand.NewPCG(3, 4)))
+	for i := range teams {
+		x.teams = append(x.teams, Team{Name: fmt.Sprintf("team%d", i), Weight: 1})
+	}
+	x.s.SetTeams(start, x.teams)
+	for i := range endpoints {
+		x.s.SetEndpoint(start, Endpoint{Name: fmt.Sprintf("e%d", i), FailureDomain: fmt.Sprintf("d%d", i%4), Slots: 8})
+	}
+	for range waitingJobs {
+		must.Eq(b, result.OK, x.admit())
+	}
+	x.fill()
+	return x
+}
+
+func (x *bench) admit() result.Code {
+	x.keys++
+	j := Job{Team: x.teams[x.keys%uint64(len(x.teams))].Name, Deadline: x.now.Add(time.Hour)}
+	binary.BigEndian.PutUint64(j.Key[:], x.keys)
+	j.Waiting = make([]int, x.tasks)
+	for i := range j.Waiting {
+		j.Waiting[i] = i
+	}
+	return x.s.Admit(x.now, j)
+}
+
+func (x *bench) fill() {
+	for {
+		a, ok := x.s.Next(x.now)
+		if !ok {
+			return
+		}
+		x.running = append(x.running, a)
+	}
+}
+
+// endOne ends a random running task.
+func (x *bench) endOne() {
+	i := x.rnd.IntN(len(x.running))
+	a := x.running[i]
+	x.running[i] = x.running[len(x.running)-1]
+	x.running = x.running[:len(x.running)-1]
+	x.now = x.now.Add(10 * time.Microsecond)
+	run := 50*time.Millisecond + time.Duration(x.rnd.Int64N(int64(time.Second)))
+	x.s.Ended(x.now, a.Key, a.Index, a.Endpoint, Ending{Code: result.OK, Run: run})
+}
+
+// BenchmarkTask is one task's way through the queue: an ending that frees a
+// slot, the next start, and the admission of a job when one has been used up.
+func BenchmarkTask(b *testing.B) {
+	sizes := []struct{ endpoints, teams, jobs, tasks int }{
+		{11, 2, 100, 25}, {220, 65, 4000, 25}, {220, 65, 4000, 1},
+	}
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("endpoints=%d/teams=%d/jobs=%d/tasks=%d", size.endpoints, size.teams, size.jobs, size.tasks), func(b *testing.B) {
+			x := newBench(b, size.endpoints, size.teams, size.jobs, size.tasks)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				x.endOne()
+				x.fill()
+				if i%size.tasks == 0 {
+					x.admit()
+				}
+			}
+			b.StopTimer()
+			must.NoError(b, x.s.Check())
+		})
+	}
+}
+
+// BenchmarkRemove cancels 10,000 waiting jobs of 10 tasks; the time is for
+// one job.
+func BenchmarkRemove(b *testing.B) {
+	const wave = 10_000
+	var x *bench
+	for i := range b.N {
+		if i%wave == 0 {
+			b.StopTimer()
+			x = newBench(b, 220, 65, wave, 10)
+			b.StartTimer()
+		}
+		var key Key
+		binary.BigEndian.PutUint64(key[:], uint64(i%wave+1))
+		x.s.Remove(x.now, key)
+	}
+}
--- a/internal/sched/check.go
+++ b/internal/sched/check.go
@@ -148,7 +148,9 @@
 // checkPlaces checks that endpoints are in the heaps if and only if they have
 // room or a wake, as of the latest call.
 func (s *Scheduler) checkPlaces() {
+	roomy := 0
 	for _, d := range s.domains {
+		roomy += len(d.room)
 		for i, e := range d.room {
 			if e.roomAt != i || e.domain != d || e.removed || e.State != InService {
 				s.failf("endpoint %s has room out of place", e.Name)
@@ -158,6 +160,7 @@
 			}
 		}
 	}
+	s.equal("endpoints with room", s.roomy, roomy)
 	for i, e := range s.wakes {
 		if e.wakeAt != i || e.wake.IsZero() {
 			s.failf("endpoint %s wakes out of place", e.Name)
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -26,6 +26,7 @@
 func (s *Scheduler) countRunning(t *team, n int) {
 	s.running += n
 	t.running += n
+	t.setLevel()
 	if t.long {
 		s.long += n
 		s.longDemand += n
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -28,7 +28,9 @@
 	// hand out.
 	expired []*job
 	wakes   wakeHeap
-	runs    runTimes
+	// roomy is how many endpoints have room.
+	roomy int
+	runs  runTimes
 
 	waiting int
 	running int
@@ -74,6 +76,7 @@
 		t := s.team(in.Name)
 		t.Team = in
 		t.known = true
+		t.setLevel()
 	}
 	for _, t := range s.teams {
 		s.dropIdleTeam(t)
@@ -294,6 +297,9 @@
 // nextTeam returns the team furthest below its share that may start a task
 // now, or nil.
 func (s *Scheduler) nextTeam() *team {
+	if s.roomy == 0 {
+		return nil
+	}
 	var best *team
 	for _, t := range s.active {
 		if t.atBound() || best != nil && !t.before(best) {
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -91,10 +91,16 @@
 
 // leaveDomain takes an endpoint off its domain.
 func (s *Scheduler) leaveDomain(e *endpoint) {
+	s.noRoom(e)
+	e.domain.endpoints--
+}
+
+// noRoom takes an endpoint out of its domain's heap.
+func (s *Scheduler) noRoom(e *endpoint) {
 	if e.roomAt >= 0 {
 		heap.Remove(&e.domain.room, e.roomAt)
+		s.roomy--
 	}
-	e.domain.endpoints--
 }
 
 // count adds an endpoint's slots to the sums.
@@ -143,9 +149,7 @@
 	allowed, wake := e.allowed(s.now, &s.cfg)
 	s.setWake(e, wake)
 	if e.running >= allowed {
-		if e.roomAt >= 0 {
-			heap.Remove(&e.domain.room, e.roomAt)
-		}
+		s.noRoom(e)
 		return
 	}
 	e.score = s.score(e)
@@ -154,6 +158,7 @@
 		return
 	}
 	heap.Push(&e.domain.room, e)
+	s.roomy++
 }
 
 // score orders endpoints with room: the emptier, the faster and the less
--- a/internal/sched/team.go
+++ b/internal/sched/team.go
@@ -19,6 +19,8 @@
 	activeAt int
 	running  int
 	waiting  int
+	// level is the running tasks per weight.
+	level float64
 	// jobs counts the jobs that the Scheduler holds for the team.
 	jobs int
 	// work is the expected run time of the waiting tasks.
@@ -31,8 +33,8 @@
 	long bool
 }
 
-// share returns the running tasks per weight.
-func (t *team) share() float64 { return float64(t.running) / float64(max(t.Weight, 1)) }
+// setLevel follows a change of running or of the weight.
+func (t *team) setLevel() { t.level = float64(t.running) / float64(max(t.Weight, 1)) }
 
 // allows tells whether the team may use a failure domain.
 func (t *team) allows(domain string) bool {
@@ -44,9 +46,8 @@
 
 // before tells whether t gets the next slot rather than u.
 func (t *team) before(u *team) bool {
-	a, b := t.share(), u.share()
-	if a != b {
-		return a < b
+	if t.level != u.level {
+		return t.level < u.level
 	}
 	return t.served < u.served
 }
