--- a/internal/sched/schedtest/fault_test.go
+++ b/internal/sched/schedtest/fault_test.go
@@ -83,3 +83,56 @@
 	must.Eq(t, len(bad), lostJobs(res))
 	must.Eq(t, 0, s.Stats().Totals.Ejections)
 }
+
+// TestDomainLeavesAndReturns takes three of 11 endpoints out from 30 s to
+// 60 s under 70 % load, and compares with the same run without any delay and
+// without a ramp.
+func TestDomainLeavesAndReturns(t *testing.T) {
+	const out, back, after = 30 * time.Second, 60 * time.Second, 90 * time.Second
+	var kept, possible, keptAfter, possibleAfter time.Duration
+	flood := 0
+	for seed := uint64(1); seed <= 4; seed++ {
+		jobs := mixed(0.7, 120*time.Second).Jobs(seed)
+		res := leaveAndReturn(jobs, sched.DefaultConfig(), oneWay, out, back)
+		kept += res.Work(out, back)
+		keptAfter += res.Work(back, after)
+		must.Eq(t, 0, lostJobs(res))
+		early := 0
+		for _, sp := range res.Spans {
+			inDomain := today.Domain(sp.Endpoint) == today.Domain(0)
+			must.False(t, inDomain && sp.From > out+oneWay && sp.From < back)
+			if inDomain && sp.From >= back && sp.From < back+50*time.Millisecond {
+				early++
+			}
+		}
+		flood = max(flood, early)
+
+		cfg := sched.DefaultConfig()
+		cfg.Ramp.Length = 0
+		ideal := leaveAndReturn(jobs, cfg, 0, out, back)
+		possible += ideal.Work(out, back)
+		possibleAfter += ideal.Work(back, after)
+	}
+	ratio := kept.Seconds() / possible.Seconds()
+	ratioAfter := keptAfter.Seconds() / possibleAfter.Seconds()
+	t.Logf("work kept %.4f while out, %.4f in the 30 s after; at most %d starts on 24 slots within 50 ms of the return",
+		ratio, ratioAfter, flood)
+	must.GreaterEq(t, 0.97, ratio)
+	must.GreaterEq(t, 0.97, ratioAfter)
+	must.LessEq(t, 3, flood)
+}
+
+func leaveAndReturn(jobs []*Job, cfg sched.Config, oneWay, out, back time.Duration) *Result {
+	s := NewSched(cfg, today, oneTeam)
+	set := func(state sched.EndpointState) func(time.Duration) {
+		return func(now time.Duration) {
+			for i := range today.Count {
+				if today.Domain(i) == today.Domain(0) {
+					s.SetState(now, i, state)
+				}
+			}
+		}
+	}
+	events := []Event{{out, set(sched.Out)}, {back, set(sched.InService)}}
+	return Replay{Jobs: jobs, Policy: s, OneWay: oneWay, Events: events}.Run()
+}
--- a/internal/sched/schedtest/overload_test.go
+++ b/internal/sched/schedtest/overload_test.go
@@ -20,7 +20,7 @@
 	const length, seeds = 120 * time.Second, 4
 	var o offered
 	for seed := uint64(1); seed <= seeds; seed++ {
-		stream := mixed("a", load, length)
+		stream := mixed(load, length)
 		stream.Timeout = timeout
 		res := checked(t, cfg, oneTeam, stream.Jobs(seed)).Run()
 		for i := range res.Outcomes {
--- a/internal/sched/schedtest/replay.go
+++ b/internal/sched/schedtest/replay.go
@@ -57,13 +57,28 @@
 // Result is what a Replay gave.
 type Result struct {
 	Outcomes []Outcome
-	// Busy is the time that slots ran tasks, by endpoint.
-	Busy []time.Duration
 	// Starts is the number of starts, by endpoint.
 	Starts []int
+	// Spans are the runs of all tasks.
+	Spans  []Span
 	oneWay time.Duration
 }
 
+// Span is one run of a task on a slot.
+type Span struct {
+	Endpoint int
+	From, To time.Duration
+}
+
+// Work returns the work done within a span of time.
+func (r *Result) Work(from, to time.Duration) time.Duration {
+	var sum time.Duration
+	for _, sp := range r.Spans {
+		sum += max(0, min(sp.To, to)-max(sp.From, from))
+	}
+	return sum
+}
+
 // Ratios returns the rising response ratios of the answered jobs of a team,
 // or of all for "".
 func (r *Result) Ratios(team string) []float64 {
@@ -156,7 +171,6 @@
 func (r Replay) Run() *Result {
 	x := &replayer{Replay: &r, left: make([]int, len(r.Jobs)), result: &Result{
 		Outcomes: make([]Outcome, len(r.Jobs)),
-		Busy:     make([]time.Duration, maxEndpoints),
 		Starts:   make([]int, maxEndpoints),
 		oneWay:   r.OneWay,
 	}}
@@ -224,7 +238,8 @@
 	case j.Fails:
 		code = result.TaskFailed
 	}
-	x.result.Busy[st.Endpoint] += run
+	from := now + x.OneWay
+	x.result.Spans = append(x.result.Spans, Span{Endpoint: st.Endpoint, From: from, To: from + run})
 	x.result.Starts[st.Endpoint]++
 	x.after(now+2*x.OneWay+run, func(now time.Duration) {
 		x.Policy.Ended(now, st, code, run)
--- a/internal/sched/schedtest/replay_test.go
+++ b/internal/sched/schedtest/replay_test.go
@@ -20,9 +20,9 @@
 // slots is the number of slots of today's fleet.
 const slots = 88
 
-func mixed(team string, load float64, length time.Duration) Stream {
+func mixed(load float64, length time.Duration) Stream {
 	return Stream{
-		Team: team, Load: load * slots, To: length, Tasks: MostlySmall, MeanTasks: MostlySmallMean,
+		Team: "a", Load: load * slots, To: length, Tasks: MostlySmall, MeanTasks: MostlySmallMean,
 		Run: MixedRun, MeanRun: MixedMean, Timeout: time.Hour,
 	}
 }
@@ -62,7 +62,7 @@
 	for _, load := range []float64{0.5, 0.8, 0.95} {
 		var ours, fair, fcfs, two row
 		for seed := uint64(1); seed <= 4; seed++ {
-			jobs := mixed("a", load, 600*time.Second).Jobs(seed)
+			jobs := mixed(load, 600*time.Second).Jobs(seed)
 			replay := checked(t, sched.DefaultConfig(), oneTeam, jobs)
 			ours.add(replay.Run())
 			fair.add(Replay{Jobs: jobs, Policy: NewReference(today, true)}.Run())
@@ -87,7 +87,7 @@
 	for _, load := range []float64{0.5, 0.8, 0.95} {
 		var without, with row
 		for seed := uint64(1); seed <= 4; seed++ {
-			jobs := mixed("a", load, 600*time.Second).Jobs(seed)
+			jobs := mixed(load, 600*time.Second).Jobs(seed)
 			replay := checked(t, sched.DefaultConfig(), oneTeam, jobs)
 			without.add(replay.Run())
 			Declare(jobs, 4, seed)
