Give each team its share, and go by rank otherwise

Cause: the team with the fewest running tasks for its weight went first, which with many teams is again fewest running tasks first: at 65 teams the order of jobs within a team had nothing left to decide.

Change: teams that run less than their share of the slots, among the teams with waiting tasks, go before the others; among either the rank of the first job decides.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -96,13 +96,11 @@
 // expectedSlots returns how many of the slots a team can count on: its share
 // by weight, or what the other teams leave if that is more.
 func (s *Scheduler) expectedSlots(t *team, slots int) float64 {
-	weights := max(t.Weight, 1)
-	for _, other := range s.active {
-		if other != t {
-			weights += max(other.Weight, 1)
-		}
+	weights := s.activeWeight
+	if len(t.ready) == 0 {
+		weights += t.weight()
 	}
-	share := float64(slots) * float64(max(t.Weight, 1)) / float64(weights)
+	share := float64(slots) * float64(t.weight()) / float64(weights)
 	others := s.running + s.waiting - t.running - t.waiting
 	expected := max(share, float64(slots-others))
 	if t.MaxRunning > 0 {
--- a/internal/sched/check.go
+++ b/internal/sched/check.go
@@ -93,7 +93,7 @@
 }
 
 func (s *Scheduler) checkTeams() {
-	active, long, demand := 0, 0, 0
+	active, weight, long, demand := 0, 0, 0, 0
 	for _, t := range s.teams {
 		if t.long {
 			long += t.running
@@ -101,6 +101,7 @@
 		}
 		if len(t.ready) > 0 {
 			active++
+			weight += t.weight()
 			if s.active[t.activeAt] != t {
 				s.failf("team %s is not in its place", t.Name)
 			}
@@ -112,6 +113,7 @@
 		}
 	}
 	s.equal("active teams", len(s.active), active)
+	s.equal("weight of active teams", s.activeWeight, weight)
 	s.equal("running tasks of teams with long tasks", s.long, long)
 	s.equal("tasks of teams with long tasks", s.longDemand, demand)
 }
--- a/internal/sched/schedtest/replay_test.go
+++ b/internal/sched/schedtest/replay_test.go
@@ -1,6 +1,7 @@
 package schedtest
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -161,3 +162,30 @@
 		must.LessEq(t, 1.3*without.p(99), with.p(99))
 	}
 }
+
+// TestManyTeams compares with a queue that is fair between teams by their
+// running tasks.
+func TestManyTeams(t *testing.T) {
+	const n = 65
+	var teams []sched.Team
+	for i := range n {
+		teams = append(teams, sched.Team{Name: fmt.Sprintf("team%d", i), Weight: 1})
+	}
+	for _, load := range []float64{0.8, 0.95} {
+		var ours, fair row
+		for seed := uint64(1); seed <= 2; seed++ {
+			jobs := mixed(load, 600*time.Second).Jobs(seed)
+			for i, j := range jobs {
+				j.Team = teams[i%n].Name
+			}
+			ours.add(checked(t, sched.DefaultConfig(), teams, jobs).Run())
+			fair.add(Replay{Jobs: jobs, Policy: NewReference(today, true)}.Run())
+		}
+		t.Logf("load %.2f, %d teams", load, n)
+		ours.log(t, "scheduler")
+		fair.log(t, "fair queue, no delay")
+		for _, p := range []float64{50, 90, 99} {
+			must.LessEq(t, 1.01*fair.p(p), ours.p(p))
+		}
+	}
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -21,9 +21,11 @@
 	domains []*domain
 	teams   map[string]*team
 	jobs    map[Key]*job
-	// active holds the teams with jobs that are ready.
-	active    []*team
-	deadlines deadlineHeap
+	// active holds the teams with jobs that are ready, activeWeight is the sum
+	// of their weights.
+	active       []*team
+	activeWeight int
+	deadlines    deadlineHeap
 	// expired holds the jobs past their deadline that Expired has yet to
 	// hand out.
 	expired []*job
@@ -74,6 +76,9 @@
 	}
 	for _, in := range teams {
 		t := s.team(in.Name)
+		if len(t.ready) > 0 {
+			s.activeWeight += max(in.Weight, 1) - t.weight()
+		}
 		t.Team = in
 		t.known = true
 		t.setLevel()
@@ -181,6 +186,7 @@
 		if len(t.ready) == 1 {
 			t.activeAt = len(s.active)
 			s.active = append(s.active, t)
+			s.activeWeight += t.weight()
 		}
 	}
 	if j.deadlineAt < 0 {
@@ -220,6 +226,7 @@
 	moved.activeAt = t.activeAt
 	s.active[last] = nil
 	s.active = s.active[:last]
+	s.activeWeight -= t.weight()
 }
 
 // Occupy makes a task that was found running at a takeover hold its slot
@@ -283,7 +290,6 @@
 		s.unready(j)
 	}
 	s.served++
-	t.served = s.served
 	e.served = s.served
 	s.hold(j, index, e)
 	s.counts.Started++
@@ -294,19 +300,27 @@
 	return Assignment{Key: j.key, Index: index, Endpoint: e.Name}, true
 }
 
-// nextTeam returns the team furthest below its share that may start a task
-// now, or nil.
+// nextTeam returns the team whose first job goes next, or nil when none may
+// start a task now. Teams that run less than their share go before the
+// others; among either the rank of the first job decides.
 func (s *Scheduler) nextTeam() *team {
 	if s.roomy == 0 {
 		return nil
 	}
 	var best *team
+	perWeight := float64(s.inService) / float64(max(s.activeWeight, 1))
+	bestBelow := false
 	for _, t := range s.active {
-		if t.atBound() || best != nil && !t.before(best) {
+		if t.atBound() {
+			continue
+		}
+		below := t.level < perWeight
+		if best != nil && !t.before(below, best, bestBelow) {
 			continue
 		}
 		if s.hasRoom(t) && (!t.long || s.longMayStart()) {
 			best = t
+			bestBelow = below
 		}
 	}
 	return best
--- a/internal/sched/team.go
+++ b/internal/sched/team.go
@@ -24,17 +24,18 @@
 	// jobs counts the jobs that the Scheduler holds for the team.
 	jobs int
 	// work is the expected run time of the waiting tasks.
-	work time.Duration
-	// served is the Scheduler's count of assignments at the team's last one.
-	served   uint64
+	work     time.Duration
 	runs     runTimes
 	failures rate
 	// long is set while the team's tasks are not known to be short.
 	long bool
 }
 
+// weight returns the team's weight, at least 1.
+func (t *team) weight() int { return max(t.Weight, 1) }
+
 // setLevel follows a change of running or of the weight.
-func (t *team) setLevel() { t.level = float64(t.running) / float64(max(t.Weight, 1)) }
+func (t *team) setLevel() { t.level = float64(t.running) / float64(t.weight()) }
 
 // allows tells whether the team may use a failure domain.
 func (t *team) allows(domain string) bool {
@@ -44,12 +45,12 @@
 // atBound tells whether the team may run no more tasks now.
 func (t *team) atBound() bool { return t.MaxRunning > 0 && t.running >= t.MaxRunning }
 
-// before tells whether t gets the next slot rather than u.
-func (t *team) before(u *team) bool {
-	if t.level != u.level {
-		return t.level < u.level
+// before tells whether t goes before u. Either is below its share or not.
+func (t *team) before(below bool, u *team, uBelow bool) bool {
+	if below != uBelow {
+		return below
 	}
-	return t.served < u.served
+	return t.ready[0].before(u.ready[0])
 }
 
 // job is a job with waiting or running tasks.
@@ -119,17 +120,20 @@
 	return time.Duration(len(j.waiting)+len(j.running)) * j.expected
 }
 
+// before tells whether j goes before k, by rank and then by age.
+func (j *job) before(k *job) bool {
+	if j.rank != k.rank {
+		return j.rank < k.rank
+	}
+	return j.seq < k.seq
+}
+
 // jobHeap orders jobs by rank, then by age.
 type jobHeap []*job
 
 func (h jobHeap) Len() int { return len(h) }
 
-func (h jobHeap) Less(a, b int) bool {
-	if h[a].rank != h[b].rank {
-		return h[a].rank < h[b].rank
-	}
-	return h[a].seq < h[b].seq
-}
+func (h jobHeap) Less(a, b int) bool { return h[a].before(h[b]) }
 
 func (h jobHeap) Swap(a, b int) {
 	h[a], h[b] = h[b], h[a]
