Don't eject endpoints for uneven run times

Cause: the moving mean of the logarithms was compared with a fixed limit.

Change: cut, and limit by deviations; probes end by a likelihood ratio test that knows the variance. TestUnevenRunsEjectNothing keeps the three cases.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -58,8 +58,11 @@
 	excess rate
 	// logSlowness is the moving logarithm of run time over the usual one.
 	logSlowness float64
+	// logVariance is the moving variance of the tasks' logarithms.
+	logVariance float64
 	runs        runMean
-	// slowEvidence sums up what probes tell of the speed; above 0 is slow.
+	// slowEvidence is the log likelihood ratio of slow over usual from the
+	// probes.
 	slowEvidence float64
 	// served is the Scheduler's count of assignments at the last one here.
 	served uint64
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -16,13 +16,27 @@
 // until its next ejection counts as a first one.
 const forgiveAfter = 64
 
+// Limits of the tests of an endpoint's speed.
+const (
+	// slowDeviations is how many standard deviations above the usual speed
+	// an endpoint must be before it is ejected.
+	slowDeviations = 5
+	// minLogVariance stands in for the variance of very even run times.
+	minLogVariance = 0.05
+	// slowAccepted and usualAccepted are the log likelihood ratios at which
+	// the probes of an endpoint end.
+	slowAccepted  = 2
+	usualAccepted = -1
+)
+
 // runMean is a moving mean of run times.
 type runMean struct {
 	samples int
 	// mean is in seconds.
 	mean float64
-	// logMean is the mean of the natural logarithms of the seconds.
-	logMean float64
+	// logMean and logVariance are of the natural logarithms of the seconds.
+	logMean     float64
+	logVariance float64
 }
 
 // add takes in one run time with at least the given weight; the first
@@ -32,7 +46,9 @@
 	w := max(weight, 1/float64(m.samples))
 	seconds := run.Seconds()
 	m.mean += w * (seconds - m.mean)
-	m.logMean += w * (math.Log(seconds) - m.logMean)
+	off := math.Log(seconds) - m.logMean
+	m.logMean += w * off
+	m.logVariance += w * ((1-w)*off*off - m.logVariance)
 }
 
 // rate is a moving mean of yes and no.
@@ -121,7 +137,7 @@
 	}
 	cfg := &s.cfg.Learning
 	if m := s.usual(j.team, j.declared); m != nil {
-		s.observeSpeed(e, math.Log(run.Seconds())-m.logMean)
+		s.observeSpeed(e, math.Log(run.Seconds())-m.logMean, m.logVariance)
 	}
 	e.runs.add(run, cfg.RunWeight)
 	j.team.runs.add(j.declared, run, cfg.RunWeight)
@@ -150,26 +166,37 @@
 	}
 }
 
-// observeSpeed takes in the logarithm of a run time over the usual one.
-func (s *Scheduler) observeSpeed(e *endpoint, slow float64) {
+// observeSpeed takes in the logarithm of a run time over the usual one, and
+// how much such logarithms vary.
+func (s *Scheduler) observeSpeed(e *endpoint, slow, variance float64) {
 	cfg := &s.cfg.Learning
-	e.logSlowness += cfg.SpeedWeight * (slow - e.logSlowness)
 	limit := math.Log(cfg.StragglerSlowness)
+	// A few very long tasks among short ones are usual.
+	slow = min(max(slow, -2*limit), 2*limit)
+	e.logSlowness += cfg.SpeedWeight * (slow - e.logSlowness)
+	e.logVariance += cfg.SpeedWeight * (variance - e.logVariance)
 	switch e.health {
 	case healthy:
-		if e.logSlowness > limit {
+		if e.logSlowness > max(limit, slowDeviations*e.speedDeviation(cfg.SpeedWeight)) {
 			s.eject(e)
 		}
 	case probing:
-		// A sequential test between the usual speed and the limit.
-		e.slowEvidence += slow - limit/2
-		if e.slowEvidence > 2*limit {
+		// A sequential likelihood ratio test of the limit against the usual
+		// speed.
+		e.slowEvidence += limit / max(variance, minLogVariance) * (slow - limit/2)
+		if e.slowEvidence > slowAccepted {
 			s.eject(e)
 		}
 	case ejected:
 	}
 }
 
+// speedDeviation returns the standard deviation of the moving logSlowness of
+// an endpoint of usual speed.
+func (e *endpoint) speedDeviation(weight float64) float64 {
+	return math.Sqrt(e.logVariance * weight / (2 - weight))
+}
+
 func (s *Scheduler) observeHealthy(e *endpoint) {
 	cfg := &s.cfg.Ejection
 	if e.endings >= cfg.MinEndings && float64(e.excess) > cfg.Threshold {
@@ -189,7 +216,7 @@
 		return
 	}
 	e.probes++
-	if e.probes >= s.cfg.Ejection.Probes && e.slowEvidence <= 0 {
+	if e.probes >= s.cfg.Ejection.Probes && e.slowEvidence <= usualAccepted {
 		s.letBack(e)
 	}
 }
--- a/internal/sched/schedtest/fault_test.go
+++ b/internal/sched/schedtest/fault_test.go
@@ -1,6 +1,7 @@
 package schedtest
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -136,3 +137,32 @@
 	events := []Event{{out, set(sched.Out)}, {back, set(sched.InService)}}
 	return Replay{Jobs: jobs, Policy: s, OneWay: oneWay, Events: events}.Run()
 }
+
+// TestUnevenRunsEjectNothing has run times that vary much on endpoints that
+// are all alike.
+func TestUnevenRunsEjectNothing(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 5 * time.Second
+	cases := []struct {
+		name        string
+		short, long time.Duration
+		longShare   float64
+	}{
+		{"one in ten is long", short, long, 0.1},
+		{"one in fifty is long", short, long, 0.02},
+		{"half are long", short, time.Second, 0.5},
+	}
+	for _, c := range cases {
+		stream := mixed(0.5, 300*time.Second)
+		stream.Run = func(rnd *rand.Rand) time.Duration {
+			if rnd.Float64() < c.longShare {
+				return c.long
+			}
+			return c.short
+		}
+		stream.MeanRun = time.Duration(c.longShare*float64(c.long) + (1-c.longShare)*float64(c.short))
+		replay := checked(t, sched.DefaultConfig(), oneTeam, stream.Jobs(1))
+		res := replay.Run()
+		t.Logf("%s: %d starts", c.name, len(res.Spans))
+		must.Eq(t, 0, replay.Policy.(*Sched).Stats().Totals.Ejections)
+	}
+}
