--- a/test/failure/domain_test.go
+++ b/test/failure/domain_test.go
@@ -40,17 +40,17 @@
 // after it was taken out, up to an instant that lies far enough after.
 func mustStayOut(t *testing.T, f *fleet.Fleet, out time.Time) {
 	t.Helper()
-	must.Greater(t, someSeconds, time.Since(out))
+	must.Greater(t, leaveBound, time.Since(out))
 	for _, s := range f.Starts(t) {
 		after := s.At.Sub(out)
-		must.False(t, s.Domain == "comas" && after > someSeconds, must.Sprintf("%s task %d started %v after", s.Submission, s.Task, after))
+		must.False(t, s.Domain == "comas" && after > leaveBound, must.Sprintf("%s task %d started %v after", s.Submission, s.Task, after))
 	}
 }
 
 // pass waits until the bound on late starts is well over.
 func pass(t *testing.T, load *fleet.Load, out time.Time) {
 	t.Helper()
-	for time.Since(out) < someSeconds+2*time.Second {
+	for time.Since(out) < leaveBound+2*time.Second {
 		load.AwaitMore(t, 1)
 	}
 }
--- a/test/failure/leave_test.go
+++ b/test/failure/leave_test.go
@@ -31,7 +31,7 @@
 	mustAllBeDone(t, load.Stop())
 	for _, s := range f.Starts(t) {
 		after := s.At.Sub(asked)
-		must.False(t, s.Endpoint == leaving.Name && after > someSeconds, must.Sprintf("started %v after", after))
+		must.False(t, s.Endpoint == leaving.Name && after > leaveBound, must.Sprintf("started %v after", after))
 	}
 }
 
--- a/test/failure/main_test.go
+++ b/test/failure/main_test.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// someSeconds is the promise's bound on starts after a domain or an
+	// leaveBound is the promise's bound on starts after a domain or an
 	// endpoint left.
-	someSeconds = 4 * time.Second
+	leaveBound = 4 * time.Second
 	// shortRun and longRun are run times of tasks.
 	shortRun = 50 * time.Millisecond
 	longRun  = time.Second
--- a/test/failure/notrun_test.go
+++ b/test/failure/notrun_test.go
@@ -24,7 +24,7 @@
 // command issues an operator's statement and waits until it is in force.
 func command(t *testing.T, f *fleet.Fleet, e *fleet.Entry, text string) api.Reply {
 	t.Helper()
-	reply, err := f.Command(t.Context(), e, api.Statement{Text: text, WaitMS: someSeconds.Milliseconds()})
+	reply, err := f.Command(t.Context(), e, api.Statement{Text: text, WaitMS: leaveBound.Milliseconds()})
 	must.NoError(t, err)
 	must.Eq(t, result.OK, reply.Code, must.Sprintf("%s: %s %s", text, reply.Text, reply.Detail))
 	return reply
