Give the jobs of the cancellation test a long deadline

Cause: once in a whole run the 3 s tasks of the first job had ended before all 60 others were submitted; the scheduler had learned 3 s a task and refused one as Overloaded, which is true to its rule.

Change: the waiting jobs' deadlines are 5 minutes; what is checked stays.

--- a/test/failure/notrun_test.go
+++ b/test/failure/notrun_test.go
@@ -109,7 +109,11 @@
 	f.AwaitStarts(t, busyJob, 16)
 	var waiting []*fleet.Call
 	for i := range 60 {
-		waiting = append(waiting, f.Go(t.Context(), f.Entries[i%3], fleet.NewJob(4, shortRun)))
+		// A long deadline keeps the jobs from being refused as too many for
+		// the run time that the first job teaches the scheduler.
+		j := fleet.NewJob(4, shortRun)
+		j.TimeoutMS = (5 * time.Minute).Milliseconds()
+		waiting = append(waiting, f.Go(t.Context(), f.Entries[i%3], j))
 	}
 	fleet.Eventually(t, "the jobs wait", func(ctx context.Context) error { return jobsKnown(ctx, f, 61) })
 	for i, c := range waiting {
