--- a/internal/load/scenario/plan.go
+++ b/internal/load/scenario/plan.go
@@ -67,7 +67,8 @@
 	return []Info{
 		{"steady", "one load, no faults", 0.8, steady},
 		{"domain", "a failure domain is taken out at a quarter and returned at half of the run", 0.7, domain},
-		{"owner-killed", "the script kills the owner during the run; reports the longest gap between starts", 0.7, ownerKilled},
+		{"owner-killed", "the script kills the owner during the run; reports the longest gap between starts", 0.7, ownerAway},
+		{"owner-paused", "the script pauses the owner past its lease and continues it; reports the longest gap between starts", 0.7, ownerAway},
 		{"head-of-line", "bursts of long tasks of another team, against a run without them", 0.5, headOfLine},
 		{"straggler", "one endpoint runs five times slower, against a run without it", 0.5, straggler},
 		{"overload", "twice the work that the slots can do, with deadlines", 2, overload},
@@ -158,7 +159,7 @@
 	}}
 }
 
-func ownerKilled(b *builder) plan {
+func ownerAway(b *builder) plan {
 	p := b.base(b.steadyTrace(jobTimeout, Teams()...))
 	p.gap = true
 	return p
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -225,9 +225,8 @@
 fleet_signal_all() {
   local name
   for name in $(fleet_names "$1"); do
-    kill -s "$2" "$(fleet_pid "$1" "$name")" 2>/dev/null
+    kill -s "$2" "$(fleet_pid "$1" "$name")" 2>/dev/null || true
   done
-  return 0
 }
 
 fleet_stop() {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Measures what each process costs against the size of the fleet: processor
+# Measures starts per second and processor time per task on one entry with one
+# agent and with 11 (run time zero, 64 slots each), and then what each process costs against the size of the fleet: processor
 # time, memory, and bytes on its TCP connections; idle and under load. Prints
 # one JSON line per fleet size, state and role (mean over the role's
 # processes), and the slopes per agent on standard error.
@@ -18,6 +19,7 @@
 FIRST_FLEET=${SLOPE_FIRST_FLEET:-60}
 OUT=${1:-$(mktemp -d)}
 TICKS=$(getconf CLK_TCK)
+mkdir -p "$OUT"
 
 # cpu_ms PID prints the processor time used so far in milliseconds.
 cpu_ms() {
@@ -70,12 +72,27 @@
 measure_loaded() {
   local began=$SECONDS
   sample "$2" "$2/loaded-before"
-  "$FLEET_BIN/pomelosill-load" run --fleet "$2/fleet.json" --size "$1" --load "$SLOPE_LOAD" \
+  "$FLEET_BIN/pomelosill-load" run --fleet "$2/fleet.json" --size umbral --load "$SLOPE_LOAD" \
     --length "${SLOPE_SECONDS}s" >"$2/line.json" 2>"$2/load.log"
   sample "$2" "$2/loaded-after"
   costs "$1" loaded $((SECONDS - began)) "$2/loaded-before" "$2/loaded-after"
 }
 
+# measure_throughput AGENTS DIR prints a line with the processor time per
+# started task of each role, added up over its processes.
+measure_throughput() {
+  sample "$2" "$2/before"
+  "$FLEET_BIN/pomelosill-load" run --fleet "$2/fleet.json" --size umbral --scenario throughput \
+    --length "${SLOPE_SECONDS}s" >"$2/line.json" 2>"$2/load.log"
+  sample "$2" "$2/after"
+  costs "$1" throughput 1 "$2/before" "$2/after" | jq -c --slurpfile line "$2/line.json" '
+    $line[0] as $l | ($l.starts_per_s * $l.seconds) as $started
+    | {agents, state, role, processes, starts_per_s: $l.starts_per_s, rss_mb,
+       cpu_us_per_task: (.cpu_ms_per_s * .processes * 1000 / $started),
+       bytes_per_task: (.bytes_per_s * .processes / $started),
+       ok: $l.ok, jobs: $l.jobs, double_starts: $l.double_starts}'
+}
+
 # slope prints the least-squares slope per agent of every role and field.
 slope() {
   jq -rs 'group_by([.state, .role])[] | {state: .[0].state, role: .[0].role, rows: .}
@@ -88,17 +105,37 @@
     | "\($g.state) \($g.role) \($f): \($my - $sxy / $sxx * $mx) + \($sxy / $sxx) per agent"'
 }
 
-number=$FIRST_FLEET
-for agents in $SLOPE_AGENTS; do
-  number=$((number + 1))
-  dir=$OUT/$agents
-  FLEET_AGENTS=$agents
-  fleet_start "$dir" umbral "$number"
+NUMBER=$FIRST_FLEET
+
+# with_fleet DIR AGENTS FUNCTION... runs functions on a fleet of its own.
+with_fleet() {
+  local dir=$1 agents=$2 function
+  shift 2
+  NUMBER=$((NUMBER + 1))
+  FLEET_AGENTS=$agents fleet_start "$dir" umbral "$NUMBER"
   if fleet_wait "$dir"; then
     fleet_teams "$dir" alerts masterings
-    measure_idle "$agents" "$dir"
-    measure_loaded "$agents" "$dir"
+    for function in "$@"; do
+      "$function" "$agents" "$dir"
+    done
   fi
   fleet_stop "$dir"
-done | tee "$OUT/slopes.jsonl"
+}
+
+throughput() {
+  local agents
+  for agents in 1 11; do
+    FLEET_ENTRIES=1 FLEET_SLOTS=64 with_fleet "$OUT/throughput-$agents" "$agents" measure_throughput
+  done
+}
+
+sizes() {
+  local agents
+  for agents in $SLOPE_AGENTS; do
+    with_fleet "$OUT/$agents" "$agents" measure_idle measure_loaded
+  done
+}
+
+throughput
+sizes | tee "$OUT/slopes.jsonl"
 slope <"$OUT/slopes.jsonl" >&2
