--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -73,7 +74,7 @@
 	return c.Core.Write(e, f)
 }
 
-// Debug serves /metrics, /healthz and /debug/state.
+// Debug serves /metrics, /healthz, /debug/state and /debug/pprof.
 type Debug struct {
 	// Meter makes the process's instruments.
 	Meter    metric.Meter
@@ -108,6 +109,9 @@
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, http.StatusOK, state())
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 }
 
 // WriteJSON answers with v as JSON.
