Let only the handler of a stream send on it

Cause: the handlers of agents' and entries' streams returned while their writer goroutine was still sending; a send after the handler's end panics, and the panic ended the whole entry ("Write called after Handler finished", seen once in the whole suite, TestResubmitWhileOwnerIsStopped). Ruled out: waiting for the writer at the end; it may hang on a stopped peer. Change: the handler itself writes, and the reader runs beside it. A silent or ended agent is detached at once, also while a send hangs.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -34,6 +34,8 @@
 type link struct {
 	hello *pb.Hello
 	out   *outbox.Outbox[*pb.OwnerFrame]
+	// detached belongs to the lock of agents.
+	detached bool
 }
 
 func (l *link) Start(s *pb.Start) { l.out.Put(&pb.OwnerFrame{Starts: []*pb.Start{s}}) }
@@ -72,48 +74,40 @@
 	}
 	l := &link{hello: first.GetHello(), out: outbox.New[*pb.OwnerFrame]()}
 	l.hello.Cell = uint32(control.CellOfEndpoint(l.hello.GetEndpoint(), len(d.Cells)))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	go a.pushLocations(ctx, l)
-	go func() {
-		defer cancel()
-		writeFrames(ctx, l.out, s)
-	}()
 	a.attach(l)
 	defer a.detach(l)
 	a.receive(l, first)
-	return a.read(ctx, l, s)
+	limit := a.freshness / silenceShare
+	silence := time.AfterFunc(limit, func() {
+		cancel(errSilentAgent)
+		a.detach(l)
+	})
+	defer silence.Stop()
+	go func() {
+		cancel(a.read(l, s, func() { silence.Reset(limit) }))
+		a.detach(l)
+	}()
+	// Only the handler sends: a send after its end would panic.
+	writeFrames(ctx, l.out, s)
+	return context.Cause(ctx)
 }
 
 // silenceShare of the freshness limit is how long an agent may send nothing
 // until its stream is cut: one that is stopped must not get more work.
 const silenceShare = 2
 
-// read takes frames until the stream or the writer ends, or the agent falls
-// silent.
-func (a *agents) read(ctx context.Context, l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	limit := a.freshness / silenceShare
-	silence := time.AfterFunc(limit, func() { cancel(errSilentAgent) })
-	defer silence.Stop()
-	failed := make(chan error, 1)
-	go func() {
-		for {
-			f, err := s.Receive()
-			if err != nil {
-				failed <- err
-				return
-			}
-			silence.Reset(limit)
-			a.receive(l, f)
+// read takes frames until the stream ends; heard is called for each.
+func (a *agents) read(l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame], heard func()) error {
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			return err
 		}
-	}()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-		return context.Cause(ctx)
+		heard()
+		a.receive(l, f)
 	}
 }
 
@@ -135,6 +129,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	name := l.hello.GetEndpoint()
+	if l.detached {
+		return
+	}
+	l.detached = true
 	if a.links[name] == l {
 		delete(a.links, name)
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -364,12 +364,16 @@
 func (e *Entry) Relay(ctx context.Context, s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) error {
 	out := outbox.New[*pb.Answer]()
 	defer out.Close()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		defer cancel()
-		writeAnswers(ctx, out, s)
-	}()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() { cancel(e.readRelay(s, out)) }()
+	// Only the handler sends: a send after its end would panic.
+	writeAnswers(ctx, out, s)
+	return context.Cause(ctx)
+}
+
+// readRelay takes requests until the stream ends.
+func (e *Entry) readRelay(s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse], out *outbox.Outbox[*pb.Answer]) error {
 	for {
 		req, err := s.Receive()
 		if err != nil {
