Send a submission again after any NotOwner of the entry that has it

Cause: an entry that is named as the owner and has not opened the cell yet answers NotOwner without a generation. The receiving entry took that for a late answer and never sent the submission again: its caller waited for the deadline, and a graceful shutdown for its timeout. Change: NotOwner from the entry that holds the submission puts it back.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -182,7 +182,9 @@
 		return
 	}
 	if result.Code(a.GetCode()) == result.NotOwner {
-		if j.sentTo == from {
+		// An entry that has not opened the cell yet answers without a
+		// generation.
+		if j.sentTo.id == from.id && j.sentTo.link == from.link {
 			j.sentTo = ownerRef{}
 		}
 		return
