--- /dev/null
+++ b/internal/entry/confirms_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/control"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// An answer that says "not run" may only leave when a question asked after
+// the decision confirmed that the entry still owned the cell.
+func TestNotRunWaitsForAConfirmation(t *testing.T) {
+	three := []control.Member{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}}
+	owned := &control.Document{Revision: 2, Roster: three, Cells: []control.Cell{{Owner: "e1", Generation: 4}}}
+	taken := &control.Document{Revision: 3, Roster: three, Cells: []control.Cell{{Owner: "e2", Generation: 5}}}
+	notRun := &pb.Answer{Code: uint32(result.OverQuota), Generation: 4}
+	partly := &pb.Answer{
+		Code: uint32(result.TaskFailed), Generation: 4,
+		Outcomes: []*pb.Outcome{{Code: uint32(result.TaskFailed)}, {Code: uint32(result.Cancelled)}},
+	}
+	ran := &pb.Answer{Code: uint32(result.TaskFailed), Generation: 4}
+	later := func(b *board) { b.FromStore(owned, 20, time.Now().Add(time.Minute)) }
+	for name, c := range map[string]struct {
+		answer *pb.Answer
+		then   func(b *board)
+		after  time.Duration
+		want   []result.Code
+	}{
+		"held without a confirmation": {notRun, func(*board) {}, 0, nil},
+		"held on an older one":        {notRun, func(b *board) { b.FromStore(owned, 20, time.Now().Add(-time.Second)) }, 0, nil},
+		"released by a younger one":   {notRun, later, 0, []result.Code{result.OverQuota}},
+		"a peer's word will do":       {notRun, func(b *board) { b.PeerAnswered("e2", 2, true, time.Now().Add(time.Second)) }, 0, []result.Code{result.OverQuota}},
+		"held as well for one task":   {partly, func(*board) {}, 0, nil},
+		"the owner changed":           {notRun, func(b *board) { b.FromStore(taken, 30, time.Now().Add(time.Minute)) }, 0, []result.Code{result.NotOwner}},
+		"never confirmed":             {notRun, func(*board) {}, time.Hour, []result.Code{result.OutcomeUnknown}},
+		"what ran needs none":         {ran, func(*board) {}, 0, []result.Code{result.TaskFailed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBoard("e1")
+			b.FromPeer(owned)
+			cf := newConfirms(b, func() {}, time.Minute)
+			var got []result.Code
+			cf.Release(c.answer, func(a *pb.Answer) { got = append(got, result.Code(a.GetCode())) })
+			c.then(b)
+			cf.releaseConfirmed(time.Now().Add(2 * time.Second).Add(c.after))
+			must.Eq(t, c.want, got)
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/write_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/standin/platform"
+	"github.com/pomelosill/pomelosill/internal/store"
+	"github.com/pomelosill/pomelosill/internal/store/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testStore is a stand-in platform with a first control document in it.
+type testStore struct {
+	t        *testing.T
+	platform *platform.Server
+	url      string
+	client   *http.Client
+}
+
+func newTestStore(t *testing.T) *testStore {
+	s := &testStore{t: t, platform: platform.NewServer(time.Now), client: &http.Client{}}
+	srv := httptest.NewServer(s.platform.Handler())
+	s.url = srv.URL
+	t.Cleanup(func() {
+		s.platform.SetFaults()
+		s.client.CloseIdleConnections()
+		srv.Close()
+		s.platform.Close()
+	})
+	d := control.New(control.Member{ID: "e1", Address: "127.0.0.1:1", FailureDomain: "Comas"}, 1, "first")
+	text, err := json.Marshal(d)
+	must.NoError(t, err)
+	_, err = store.NewHTTP(s.url, s.client).CompareAndSwap(t.Context(), control.DocumentKey, 0, text, 0)
+	must.NoError(t, err)
+	return s
+}
+
+// writer is one entry's writer with its own board.
+func (s *testStore) writer() *writer {
+	st := store.NewHTTP(s.url, s.client)
+	b := newBoard("e1")
+	sync := &storeSync{store: st, board: b, confirm: time.Second, timeout: time.Second, log: zap.NewNop(), now: make(chan struct{}, 1)}
+	return &writer{store: st, board: b, sync: sync, timeout: 300 * time.Millisecond}
+}
+
+func (s *testStore) document() *control.Document {
+	e, err := store.NewHTTP(s.url, s.client).Get(s.t.Context(), control.DocumentKey)
+	must.NoError(s.t, err)
+	return decodeDocument(e.Value)
+}
+
+func domainOut(name string) changeFunc {
+	edit := control.Edit{Who: "ana", What: "take domain " + name + " out", Base: 1, Domain: &control.ServiceEdit{Name: name, Out: true}}
+	return func(d *control.Document, op string) (*control.Document, error) {
+		return control.Edited(d, edit, op, time.Now())
+	}
+}
+
+func TestWriteUnderFaultsOfTheStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults []platform.Fault
+		code   result.Code
+		// revision that the store must hold afterwards
+		revision uint64
+	}{
+		"no fault":         {nil, result.OK, 2},
+		"answer lost":      {[]platform.Fault{{Kind: platform.LoseAnswers, Count: 1}}, result.OK, 2},
+		"two answers lost": {[]platform.Fault{{Kind: platform.LoseAnswers, Count: 2}}, result.OK, 2},
+		// Connections that are closed without an answer leave it open whether
+		// the write took effect.
+		"store away":           {[]platform.Fault{{Kind: platform.Unavailable}}, result.StoreAnswerLost, 1},
+		"write executed late":  {[]platform.Fault{{Kind: platform.Delay, DelayMS: 500, Count: 1, Calls: []wire.Kind{wire.CompareAndSwap}}}, result.OK, 2},
+		"write and reads late": {[]platform.Fault{{Kind: platform.Delay, DelayMS: 400, Count: 2}}, result.OK, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestStore(t)
+			w := s.writer()
+			must.NoError(t, w.sync.read(t.Context()))
+			s.platform.SetFaults(c.faults...)
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			_, err := w.Write(ctx, domainOut("Comas"))
+			must.Eq(t, c.code, result.CodeOf(err))
+			s.platform.SetFaults()
+			d := s.document()
+			must.Eq(t, c.revision, d.Revision)
+			must.Len(t, int(c.revision-1), d.History)
+		})
+	}
+}
+
+func TestWritersRace(t *testing.T) {
+	s := newTestStore(t)
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	var wg sync.WaitGroup
+	for _, name := range names {
+		w := s.writer()
+		wg.Go(func() {
+			must.NoError(t, w.sync.read(t.Context()))
+			_, err := w.Write(t.Context(), domainOut(name))
+			must.NoError(t, err)
+		})
+	}
+	wg.Wait()
+	d := s.document()
+	must.Eq(t, uint64(1+len(names)), d.Revision)
+	must.Eq(t, names, d.Config.DomainsOut)
+}
+
+func TestBoardNeverGoesBack(t *testing.T) {
+	b := newBoard("e1")
+	doc := func(revision uint64) *control.Document { return &control.Document{Revision: revision} }
+	now := time.Now()
+	b.FromStore(doc(5), 50, now)
+	b.FromPeer(doc(4))
+	b.FromStore(doc(4), 40, now.Add(time.Second))
+	must.Eq(t, 5, b.Doc().Revision)
+	must.Eq(t, now, b.StoreConfirmed())
+	b.FromPeer(doc(6))
+	must.Eq(t, 6, b.Doc().Revision)
+	_, storeRevision := b.StoreRevision()
+	must.Eq(t, 0, storeRevision)
+	b.FromStore(doc(5), 50, now.Add(time.Second))
+	must.Eq(t, 6, b.Doc().Revision)
+	must.Eq(t, now, b.StoreConfirmed())
+}
