Refuse starts on an agent's older streams; send nothing after a handler returned

The owner takes what was sent on an older stream and has no record for not started. A start that an agent would still take from that stream after the fence on the newer one would break this; the agent now refuses it.

An entry's writer could send after the stream's handler had returned, which net/http answers with a panic that ends the process (seen in TestDomainOutWhileAnEntryIsStopped: Write called after Handler finished). The handler now waits for its writer, and pings end a connection whose peer reads nothing, so that the wait is bounded.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -304,3 +304,17 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 }
+
+func TestStartOnAnOlderStreamOfTheOwnerIsRefused(t *testing.T) {
+	entry := newFakeEntry(t)
+	entry.generation = 1
+	endpoint := newFakeEndpoint(t, echo)
+	r := runAgent(t, testSettings(endpoint.server.URL, entry))
+	r.owned(t, entry)
+	old := newStream(entry.address, r.agent.now())
+	r.agent.takeStart(old, startOf(1, newSubmission(t), 4))
+	c, _ := old.out.take()
+	must.Len(t, 1, c.outcomes)
+	mustCode(t, result.StaleGeneration, c.outcomes[0])
+	must.Eq(t, 0, endpoint.started("4"))
+}
--- a/internal/agent/delivery.go
+++ b/internal/agent/delivery.go
@@ -27,10 +27,16 @@
 	unconfirmed bool
 }
 
-// admit asks the gate and answers a refusal on the asking stream.
+// admit asks the gate and answers a refusal on the asking stream. A start that
+// comes on another stream than the owner's is refused even under the present
+// generation: the owner has made up its mind by the records that it got on its
+// newer stream.
 func (d *delivery) admit(now time.Duration, st *stream, s gate.Start) result.Code {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if st != d.owner {
+		s.Generation = 0
+	}
 	decision := d.gate.Admit(now, s)
 	if decision.Code == result.OK {
 		return result.OK
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -75,10 +75,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go a.pushLocations(ctx, l)
+	written := make(chan struct{})
 	go func() {
+		defer close(written)
 		defer cancel()
 		writeFrames(ctx, l.out, s)
 	}()
+	// Nothing may be sent once the handler has returned.
+	defer func() { <-written }()
 	a.attach(l)
 	defer a.detach(l)
 	a.receive(l, first)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -363,13 +363,19 @@
 // Relay serves another entry's submissions to the cells owned here.
 func (e *Entry) Relay(ctx context.Context, s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) error {
 	out := outbox.New[*pb.Answer]()
-	defer out.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	written := make(chan struct{})
 	go func() {
+		defer close(written)
 		defer cancel()
 		writeAnswers(ctx, out, s)
 	}()
+	// Nothing may be sent once the handler has returned.
+	defer func() {
+		out.Close()
+		<-written
+	}()
 	for {
 		req, err := s.Receive()
 		if err != nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -28,6 +28,11 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// pingAfter is the silence on an HTTP/2 connection before a ping.
+	pingAfter = 2 * time.Second
+	// pingTimeout ends a connection whose ping is not answered, and with it
+	// every send that its peer doesn't read.
+	pingTimeout = 2 * time.Second
 )
 
 // NewLogger returns a JSON log on standard error; level is debug, info, warn
@@ -135,6 +140,7 @@
 	return &http.Server{
 		Handler:           h,
 		Protocols:         &p,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
