--- a/internal/load/scenario/plan.go
+++ b/internal/load/scenario/plan.go
@@ -115,11 +115,23 @@
 	fleet *Fleet
 }
 
-func (b *builder) steadyTrace(timeout time.Duration, teams ...string) trace.Trace {
-	return trace.New(trace.Options{
+func (b *builder) options(timeout time.Duration, teams []string) trace.Options {
+	return trace.Options{
 		Seed: b.o.Seed, Slots: b.fleet.allSlots(), Load: b.load,
 		Length: b.o.Length, Teams: teams, Timeout: timeout,
-	})
+	}
+}
+
+func (b *builder) steadyTrace(timeout time.Duration) trace.Trace {
+	return trace.New(b.options(timeout, Teams()))
+}
+
+// shortTrace has short tasks of one team, for another team or an endpoint to
+// disturb.
+func (b *builder) shortTrace() trace.Trace {
+	o := b.options(jobTimeout, []string{teamAlerts})
+	o.ShortOnly = true
+	return trace.New(o)
 }
 
 func (b *builder) base(t trace.Trace) plan {
@@ -132,14 +144,14 @@
 }
 
 func steady(b *builder) plan {
-	return b.base(b.steadyTrace(jobTimeout, Teams()...))
+	return b.base(b.steadyTrace(jobTimeout))
 }
 
 func domain(b *builder) plan {
 	out, back := b.o.Length/4, b.o.Length/2
 	name := b.fleet.lastDomain()
 	all := b.fleet.allSlots()
-	p := b.base(b.steadyTrace(jobTimeout, Teams()...))
+	p := b.base(b.steadyTrace(jobTimeout))
 	p.capacities = []ideal.Capacity{
 		{From: 0, Slots: all},
 		{From: out, Slots: all - b.fleet.slotsOf(name)},
@@ -160,13 +172,13 @@
 }
 
 func ownerAway(b *builder) plan {
-	p := b.base(b.steadyTrace(jobTimeout, Teams()...))
+	p := b.base(b.steadyTrace(jobTimeout))
 	p.gap = true
 	return p
 }
 
 func headOfLine(b *builder) plan {
-	p := b.base(b.steadyTrace(jobTimeout, teamAlerts))
+	p := b.base(b.shortTrace())
 	p.without = p.trace
 	for i := range burstCount {
 		at := b.o.Length * time.Duration(i+1) / (burstCount + 1)
@@ -177,7 +189,7 @@
 }
 
 func straggler(b *builder) plan {
-	p := b.base(b.steadyTrace(jobTimeout, Teams()...))
+	p := b.base(b.shortTrace())
 	p.without = p.trace
 	p.slowed = true
 	last := len(b.fleet.Endpoints) - 1
@@ -195,11 +207,11 @@
 }
 
 func overload(b *builder) plan {
-	return b.base(b.steadyTrace(overloadTimeout, Teams()...))
+	return b.base(b.steadyTrace(overloadTimeout))
 }
 
 func cancelWave(b *builder) plan {
-	p := b.base(b.steadyTrace(jobTimeout, teamAlerts))
+	p := b.base(b.shortTrace())
 	p.without = p.trace
 	at := b.o.Length / 2
 	wave := trace.Batch(teamMasterings, waveJobs, waveTasks, waveRun, at, waveSpread, jobTimeout)
@@ -213,7 +225,7 @@
 func failingEndpoint(b *builder) plan {
 	from, to := b.o.Length/4, b.o.Length*3/4
 	all, last := b.fleet.allSlots(), len(b.fleet.Endpoints)-1
-	p := b.base(b.steadyTrace(jobTimeout, Teams()...))
+	p := b.base(b.steadyTrace(jobTimeout))
 	p.capacities = []ideal.Capacity{
 		{From: 0, Slots: all},
 		{From: from, Slots: all - b.fleet.Slots},
--- a/internal/load/trace/trace.go
+++ b/internal/load/trace/trace.go
@@ -97,6 +97,8 @@
 	Length  time.Duration
 	Teams   []string
 	Timeout time.Duration
+	// ShortOnly leaves out the tasks between LongMin and LongMax.
+	ShortOnly bool
 }
 
 // New makes a trace. Gaps between arrivals are exponential and stretched so
@@ -134,7 +136,7 @@
 func newJob(rng *rand.Rand, o Options) Job {
 	runs := make([]time.Duration, jobSize(rng))
 	for i := range runs {
-		runs[i] = runTime(rng)
+		runs[i] = runTime(rng, o.ShortOnly)
 	}
 	return Job{
 		Team:    o.Teams[rng.IntN(len(o.Teams))],
@@ -149,9 +151,9 @@
 }
 
 // runTime is a whole number of milliseconds, as the endpoints take it.
-func runTime(rng *rand.Rand) time.Duration {
+func runTime(rng *rand.Rand, shortOnly bool) time.Duration {
 	low, high := ShortMin, ShortMax
-	if rng.Float64() < LongShare {
+	if rng.Float64() < LongShare && !shortOnly {
 		low, high = LongMin, LongMax
 	}
 	d := low + time.Duration(rng.Int64N(int64(high-low)))
--- a/internal/load/trace/trace_test.go
+++ b/internal/load/trace/trace_test.go
@@ -53,6 +53,14 @@
 	must.Between(t, 0.018, float64(long)/float64(trace.Tasks()), 0.022)
 }
 
+func TestShortOnlyHasNoLongTask(t *testing.T) {
+	o := options(1)
+	o.ShortOnly = true
+	for _, j := range New(o).Jobs {
+		must.Less(t, LongMin, slices.Max(j.Runs))
+	}
+}
+
 func TestAddSortsByInstant(t *testing.T) {
 	batch := Batch("bulk", 4, 3, 2*time.Second, time.Second, 2*time.Second, time.Minute)
 	got := New(options(1)).Add(batch...)
