--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,13 +7,18 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	promexporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -70,7 +75,7 @@
 	return c.Core.Write(e, f)
 }
 
-// Debug serves /metrics, /healthz and /debug/state.
+// Debug serves /metrics, /healthz, /debug/state and /debug/pprof.
 type Debug struct {
 	// Meter makes the process's instruments.
 	Meter    metric.Meter
@@ -80,11 +85,19 @@
 // NewDebug sets up metrics for a program.
 func NewDebug(program string) (*Debug, error) {
 	reg := prometheus.NewRegistry()
-	exp, err := promexporter.New(promexporter.WithRegisterer(reg))
+	reg.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	exp, err := promexporter.New(promexporter.WithRegisterer(reg), promexporter.WithoutScopeInfo())
 	if err != nil {
 		return nil, err
 	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp))
+	name := resource.NewSchemaless(
+		attribute.String("service.name", program),
+		attribute.String("service.version", Version()),
+	)
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp), sdkmetric.WithResource(name))
 	return &Debug{Meter: provider.Meter(program), registry: reg}, nil
 }
 
@@ -97,6 +110,9 @@
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, http.StatusOK, state())
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 }
 
 // WriteJSON answers with v as JSON.
@@ -130,6 +146,13 @@
 	}
 }
 
+// Uncompressed are the options of a connect handler that answers without
+// compression: between hosts of one platform it costs more processor time than
+// the bytes are worth.
+func Uncompressed() connect.HandlerOption {
+	return connect.WithCompression("gzip", nil, nil)
+}
+
 // NewStreamClient returns a client for connect streams over unencrypted
 // HTTP/2.
 func NewStreamClient() *http.Client {
--- a/internal/sched/check.go
+++ b/internal/sched/check.go
@@ -93,7 +93,7 @@
 }
 
 func (s *Scheduler) checkTeams() {
-	active, long, demand := 0, 0, 0
+	active, weight, long, demand := 0, 0, 0, 0
 	for _, t := range s.teams {
 		if t.long {
 			long += t.running
@@ -101,6 +101,7 @@
 		}
 		if len(t.ready) > 0 {
 			active++
+			weight += t.weight()
 			if s.active[t.activeAt] != t {
 				s.failf("team %s is not in its place", t.Name)
 			}
@@ -112,12 +113,13 @@
 		}
 	}
 	s.equal("active teams", len(s.active), active)
+	s.equal("weight of active teams", s.activeWeight, weight)
 	s.equal("running tasks of teams with long tasks", s.long, long)
 	s.equal("tasks of teams with long tasks", s.longDemand, demand)
 }
 
 func (s *Scheduler) checkEndpoints() {
-	inService, usable, out := 0, 0, 0
+	inService, usable, busy, out := 0, 0, 0, 0
 	domains := map[*domain]int{}
 	for _, e := range s.endpoints {
 		domains[e.domain]++
@@ -130,12 +132,16 @@
 		inService += e.Slots
 		if e.health == healthy {
 			usable += e.Slots
+			if e.Slots > 0 {
+				busy += e.running
+			}
 		} else {
 			out += e.Slots
 		}
 	}
 	s.equal("slots in service", s.inService, inService)
 	s.equal("usable slots", s.usable, usable)
+	s.equal("tasks on usable slots", s.usableBusy, busy)
 	s.equal("ejected slots", s.out, out)
 	sum := 0
 	for _, d := range s.domains {
@@ -148,7 +154,9 @@
 // checkPlaces checks that endpoints are in the heaps if and only if they have
 // room or a wake, as of the latest call.
 func (s *Scheduler) checkPlaces() {
+	roomy := 0
 	for _, d := range s.domains {
+		roomy += len(d.room)
 		for i, e := range d.room {
 			if e.roomAt != i || e.domain != d || e.removed || e.State != InService {
 				s.failf("endpoint %s has room out of place", e.Name)
@@ -158,6 +166,7 @@
 			}
 		}
 	}
+	s.equal("endpoints with room", s.roomy, roomy)
 	for i, e := range s.wakes {
 		if e.wakeAt != i || e.wake.IsZero() {
 			s.failf("endpoint %s wakes out of place", e.Name)
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -91,10 +91,16 @@
 
 // leaveDomain takes an endpoint off its domain.
 func (s *Scheduler) leaveDomain(e *endpoint) {
+	s.noRoom(e)
+	e.domain.endpoints--
+}
+
+// noRoom takes an endpoint out of its domain's heap.
+func (s *Scheduler) noRoom(e *endpoint) {
 	if e.roomAt >= 0 {
 		heap.Remove(&e.domain.room, e.roomAt)
+		s.roomy--
 	}
-	e.domain.endpoints--
 }
 
 // count adds an endpoint's slots to the sums.
@@ -111,6 +117,17 @@
 	e.usable = e.counted
 	e.domain.usable += e.usable
 	s.usable += e.usable
+	if e.usable > 0 {
+		s.usableBusy += e.running
+	}
+}
+
+// countBusy adds n to an endpoint's running tasks.
+func (s *Scheduler) countBusy(e *endpoint, n int) {
+	e.running += n
+	if e.usable > 0 {
+		s.usableBusy += n
+	}
 }
 
 // uncount is the reverse of count.
@@ -119,6 +136,9 @@
 	if e.usable == 0 {
 		s.out -= e.counted
 	}
+	if e.usable > 0 {
+		s.usableBusy -= e.running
+	}
 	e.domain.usable -= e.usable
 	s.usable -= e.usable
 	e.counted = 0
@@ -143,9 +163,7 @@
 	allowed, wake := e.allowed(s.now, &s.cfg)
 	s.setWake(e, wake)
 	if e.running >= allowed {
-		if e.roomAt >= 0 {
-			heap.Remove(&e.domain.room, e.roomAt)
-		}
+		s.noRoom(e)
 		return
 	}
 	e.score = s.score(e)
@@ -154,6 +172,7 @@
 		return
 	}
 	heap.Push(&e.domain.room, e)
+	s.roomy++
 }
 
 // score orders endpoints with room: the emptier, the faster and the less
