Count tasks cut by their deadline against a frozen endpoint

Cause: tasks on a frozen endpoint end by their deadlines, which taught only its speed, a little at a time; and the whole cut time went into the team's mean.

The replay now cuts tasks at their deadlines, as agents do.

--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -121,15 +121,27 @@
 		s.observe(j.team, e, true)
 	case result.DeadlineAfterStart:
 		s.counts.Cut++
-		// The task would have run for longer still.
-		if end.Run > s.expect(j.team, j.declared) {
-			s.learnRun(j, e, end.Run)
-		}
+		s.learnCut(j, e, end.Run)
 	default:
 		s.counts.Cut++
 	}
 }
 
+// learnCut takes in a task that its deadline ended and that would have run for
+// longer still. One that ran for much longer than usual counts as a failure
+// of its endpoint, which may be frozen.
+func (s *Scheduler) learnCut(j *job, e *endpoint, run time.Duration) {
+	usual := s.expect(j.team, j.declared)
+	if run <= usual {
+		return
+	}
+	limit := time.Duration(s.cfg.Learning.StragglerSlowness * float64(usual))
+	if run > limit {
+		s.observe(j.team, e, true)
+	}
+	s.learnRun(j, e, min(run, limit))
+}
+
 // learnRun takes in a run time.
 func (s *Scheduler) learnRun(j *job, e *endpoint, run time.Duration) {
 	if run <= 0 {
--- a/internal/sched/schedtest/fault_test.go
+++ b/internal/sched/schedtest/fault_test.go
@@ -166,3 +166,25 @@
 		must.Eq(t, 0, replay.Policy.(*Sched).Stats().Totals.Ejections)
 	}
 }
+
+// TestFrozenEndpoint has an endpoint whose tasks never end from 20 s to 80 s,
+// so that only their deadlines end them.
+func TestFrozenEndpoint(t *testing.T) {
+	const from, to = 20 * time.Second, 80 * time.Second
+	stream := short("a", 0.5, 10, 150*time.Second)
+	stream.Timeout = 10 * time.Second
+	jobs := stream.Jobs(1)
+	replay := checked(t, sched.DefaultConfig(), oneTeam, jobs)
+	s := replay.Policy.(*Sched)
+	replay.Slowdown = func(now time.Duration, endpoint int) float64 {
+		if endpoint == 3 && now > from && now < to {
+			return 1000
+		}
+		return 1
+	}
+	lost := lostJobs(replay.Run())
+	t.Logf("%d of %d jobs lost, %d ejections, learned mean run time %v", lost, len(jobs), s.Stats().Totals.Ejections, s.Teams()[0].MeanRun)
+	must.LessEq(t, 12, lost)
+	must.Less(t, time.Second, s.Teams()[0].MeanRun)
+	must.NoError(t, s.Check())
+}
--- a/internal/sched/schedtest/replay.go
+++ b/internal/sched/schedtest/replay.go
@@ -239,6 +239,10 @@
 		code = result.TaskFailed
 	}
 	from := now + x.OneWay
+	if left := j.At + j.Timeout - from; run > left {
+		run = max(left, 0)
+		code = result.DeadlineAfterStart
+	}
 	x.result.Spans = append(x.result.Spans, Span{Endpoint: st.Endpoint, From: from, To: from + run})
 	x.result.Starts[st.Endpoint]++
 	x.after(now+2*x.OneWay+run, func(now time.Duration) {
