--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -85,8 +85,18 @@
 	return a.read(ctx, l, s)
 }
 
-// read takes frames until the stream or the writer ends.
+// silenceShare of the freshness limit is how long an agent may send nothing
+// until its stream is cut: one that is stopped must not get more work.
+const silenceShare = 2
+
+// read takes frames until the stream or the writer ends, or the agent falls
+// silent.
 func (a *agents) read(ctx context.Context, l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := a.freshness / silenceShare
+	silence := time.AfterFunc(limit, func() { cancel(errSilentAgent) })
+	defer silence.Stop()
 	failed := make(chan error, 1)
 	go func() {
 		for {
@@ -95,6 +105,7 @@
 				failed <- err
 				return
 			}
+			silence.Reset(limit)
 			a.receive(l, f)
 		}
 	}()
@@ -102,7 +113,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,8 +30,9 @@
 const cellTick = 20 * time.Millisecond
 
 var (
-	errNoHello    = errors.New("the first frame must be a hello")
-	errNoDocument = errors.New("this entry has no control document yet")
+	errNoHello     = errors.New("the first frame must be a hello")
+	errNoDocument  = errors.New("this entry has no control document yet")
+	errSilentAgent = errors.New("the agent is silent")
 )
 
 // Entry is one entry process.
@@ -50,13 +51,12 @@
 	confirms *confirms
 	relay    *relay
 	counters *counters
+	metrics  *metrics
 	store    *store.HTTP
 	guard    *access.Guard
 	admin    *admin.Handler
 	// base outlives callers' requests and ends with the entry.
-	base context.Context
-	// open counts callers' requests in progress.
-	open      sync.WaitGroup
+	base      context.Context
 	ownership *ownership
 	started   time.Time
 }
@@ -119,6 +119,10 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	e.base = base
+	var err error
+	if e.metrics, err = newMetrics(e.debug.Meter, e); err != nil {
+		return err
+	}
 	listeners, err := e.listen(ctx)
 	if err != nil {
 		return err
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,13 +7,17 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
 	promexporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -70,7 +74,7 @@
 	return c.Core.Write(e, f)
 }
 
-// Debug serves /metrics, /healthz and /debug/state.
+// Debug serves /metrics, /healthz, /debug/state and /debug/pprof.
 type Debug struct {
 	// Meter makes the process's instruments.
 	Meter    metric.Meter
@@ -80,11 +84,19 @@
 // NewDebug sets up metrics for a program.
 func NewDebug(program string) (*Debug, error) {
 	reg := prometheus.NewRegistry()
-	exp, err := promexporter.New(promexporter.WithRegisterer(reg))
+	reg.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	exp, err := promexporter.New(promexporter.WithRegisterer(reg), promexporter.WithoutScopeInfo())
 	if err != nil {
 		return nil, err
 	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp))
+	name := resource.NewSchemaless(
+		attribute.String("service.name", program),
+		attribute.String("service.version", Version()),
+	)
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exp), sdkmetric.WithResource(name))
 	return &Debug{Meter: provider.Meter(program), registry: reg}, nil
 }
 
@@ -97,6 +109,9 @@
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, http.StatusOK, state())
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 }
 
 // WriteJSON answers with v as JSON.
