Make Check cheap, and forget expired jobs that were removed

And a caller that removes jobs at their deadlines without asking Expired left each of them on its list for ever.

Remove takes a job off the list of the expired, which TestRemovedJobsAreForgotten and Check look at.

--- a/internal/sched/admit_test.go
+++ b/internal/sched/admit_test.go
@@ -193,3 +193,20 @@
 	}
 	must.Eq(t, map[string]int{"e2": 4}, startAll(s, start))
 }
+
+// TestRemovedJobsAreForgotten removes expired jobs without asking for them.
+func TestRemovedJobsAreForgotten(t *testing.T) {
+	s := newFleet(DefaultConfig(), Team{Name: "a", Weight: 1, MaxRunning: 1})
+	for n := range byte(10) {
+		s.Restore(start, jobOf(n, "a", 5, time.Second))
+	}
+	later := start.Add(time.Minute)
+	must.MapEmpty(t, startAll(s, later))
+	for n := range byte(9) {
+		must.Len(t, 5, s.Remove(later, Key{n}))
+	}
+	must.NoError(t, s.Check())
+	must.Eq(t, []Key{{9}}, s.Expired(later))
+	must.Len(t, 5, s.Remove(later, Key{9}))
+	must.Eq(t, 0, s.Stats().Jobs)
+}
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -112,3 +112,12 @@
 		x.s.Remove(x.now, key)
 	}
 }
+
+// BenchmarkCheck is the check of a cell with 4,000 waiting jobs of 25 tasks.
+func BenchmarkCheck(b *testing.B) {
+	x := newBench(b, 220, 65, 4000, 25)
+	b.ResetTimer()
+	for range b.N {
+		must.NoError(b, x.s.Check())
+	}
+}
--- a/internal/sched/check.go
+++ b/internal/sched/check.go
@@ -27,63 +27,97 @@
 	return s.fault
 }
 
+// AuditEvery is the shortest time between two checks by Audit.
+const AuditEvery = time.Second
+
+// Audit is Check at most once in AuditEvery; in between it returns what the
+// last one did, or a wrong call since.
+func (s *Scheduler) Audit(now time.Time) error {
+	if now.Sub(s.audited) < AuditEvery {
+		return s.fault
+	}
+	s.audited = now
+	return s.Check()
+}
+
 // tally counts anew what the Scheduler counts as it goes.
 type tally struct {
 	running, waiting, jobs int
 	work                   time.Duration
 }
 
+// marks tells which indexes of one job were seen, without clearing between
+// jobs.
+type marks struct {
+	job   uint32
+	byJob []uint32
+}
+
+// see marks an index and tells whether it was marked before.
+func (m *marks) see(index int) bool {
+	for index >= len(m.byJob) {
+		m.byJob = append(m.byJob, 0)
+	}
+	seen := m.byJob[index] == m.job
+	m.byJob[index] = m.job
+	return seen
+}
+
 func (s *Scheduler) checkJobs() {
+	for _, t := range s.teams {
+		t.tally = tally{}
+	}
+	for _, e := range s.endpoints {
+		e.tally = 0
+	}
 	sum := tally{}
-	teams := map[*team]tally{}
-	endpoints := map[*endpoint]int{}
+	seen := marks{}
 	for _, j := range s.jobs {
-		s.checkJob(j)
-		t := teams[j.team]
+		seen.job++
+		s.checkJob(j, &seen)
+		t := &j.team.tally
 		t.jobs++
 		t.running += len(j.running)
 		t.waiting += len(j.waiting)
 		t.work += time.Duration(len(j.waiting)) * j.expected
-		teams[j.team] = t
 		sum.running += len(j.running)
 		sum.waiting += len(j.waiting)
 		for _, r := range j.running {
-			endpoints[r.endpoint]++
+			r.endpoint.tally++
 		}
 	}
 	s.equal("running tasks", s.running, sum.running)
 	s.equal("waiting tasks", s.waiting, sum.waiting)
 	for _, t := range s.teams {
 		have := tally{running: t.running, waiting: t.waiting, jobs: t.jobs, work: t.work}
-		if have != teams[t] {
-			s.failf("team %s counts %+v, has %+v", t.Name, have, teams[t])
+		if have != t.tally {
+			s.failf("team %s counts %+v, has %+v", t.Name, have, t.tally)
 		}
 	}
-	for e, n := range endpoints {
-		s.equal("tasks on "+e.Name, e.running, n)
-	}
 	for _, e := range s.endpoints {
-		s.equal("tasks on "+e.Name, e.running, endpoints[e])
+		if e.running != e.tally {
+			s.failf("endpoint %s counts %d tasks, has %d", e.Name, e.running, e.tally)
+		}
 	}
 }
 
 // checkJob checks that each of a job's tasks is in one place, and that the
 // job is in the heaps if and only if it may start a task.
-func (s *Scheduler) checkJob(j *job) {
-	seen := map[int]bool{}
+func (s *Scheduler) checkJob(j *job, seen *marks) {
 	for _, index := range j.waiting {
-		if seen[index] {
+		if seen.see(index) {
 			s.failf("task %d of %x waits twice", index, j.key)
 		}
-		seen[index] = true
 	}
 	for _, r := range j.running {
-		if seen[r.index] {
+		if seen.see(r.index) {
 			s.failf("task %d of %x is in two places", r.index, j.key)
 		}
-		seen[r.index] = true
+		if s.endpoints[r.endpoint.Name] != r.endpoint {
+			s.failf("task %d of %x runs on a forgotten endpoint", r.index, j.key)
+		}
 	}
-	if len(seen) == 0 {
+	if len(j.waiting)+len(j.running) == 0 {
 		s.failf("job %x is kept without tasks", j.key)
 	}
 	ready := len(j.waiting) > 0 && !j.expired && !j.removed
@@ -120,9 +154,11 @@
 
 func (s *Scheduler) checkEndpoints() {
 	inService, usable, busy, out := 0, 0, 0, 0
-	domains := map[*domain]int{}
+	for _, d := range s.domains {
+		d.tally = 0
+	}
 	for _, e := range s.endpoints {
-		domains[e.domain]++
+		e.domain.tally++
 		if e.domain.name != e.FailureDomain {
 			s.failf("endpoint %s is in domain %s", e.Name, e.domain.name)
 		}
@@ -146,7 +182,7 @@
 	sum := 0
 	for _, d := range s.domains {
 		sum += d.usable
-		s.equal("endpoints of "+d.name, d.endpoints, domains[d])
+		s.equal("endpoints of a domain", d.endpoints, d.tally)
 	}
 	s.equal("usable slots of domains", sum, usable)
 }
@@ -167,6 +203,11 @@
 		}
 	}
 	s.equal("endpoints with room", s.roomy, roomy)
+	for i, j := range s.expired {
+		if j.expiredAt != i || j.removed || !j.expired {
+			s.failf("job %x is listed as expired out of place", j.key)
+		}
+	}
 	for i, e := range s.wakes {
 		if e.wakeAt != i || e.wake.IsZero() {
 			s.failf("endpoint %s wakes out of place", e.Name)
--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -25,6 +25,8 @@
 	// usable is the slots of endpoints in service that are not ejected.
 	usable int
 	room   roomHeap
+	// tally is for Check only.
+	tally int
 }
 
 // endpoint is an endpoint with its slots.
@@ -75,6 +77,8 @@
 	wake time.Time
 	// removed is set by RemoveEndpoint while tasks still run.
 	removed bool
+	// tally is for Check only.
+	tally int
 }
 
 // slowness returns the learned run time over the usual one; 1 is usual.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -55,7 +55,9 @@
 	// budget is how many tasks may be queued again.
 	budget float64
 	counts Totals
-	fault  error
+	// fault is the first broken invariant, audited when Audit last looked.
+	fault   error
+	audited time.Time
 }
 
 // New returns an empty Scheduler. The configuration must be valid.
@@ -143,7 +145,7 @@
 	if j == nil {
 		t := s.team(teamName)
 		s.seq++
-		j = &job{key: key, team: t, seq: s.seq, readyAt: -1, deadlineAt: -1}
+		j = &job{key: key, team: t, seq: s.seq, readyAt: -1, deadlineAt: -1, expiredAt: -1}
 		s.jobs[key] = j
 		t.jobs++
 	}
@@ -403,6 +405,7 @@
 	s.countWaiting(j, -len(dropped))
 	j.waiting = nil
 	j.removed = true
+	s.unlist(j)
 	s.counts.Dropped += int64(len(dropped))
 	s.dropIdleJob(j)
 	return dropped
@@ -418,20 +421,33 @@
 	}
 	keys := make([]Key, 0, len(s.expired))
 	for _, j := range s.expired {
-		if !j.removed {
-			keys = append(keys, j.key)
-		}
+		keys = append(keys, j.key)
+		j.expiredAt = -1
 	}
 	s.expired = s.expired[:0]
 	return keys
 }
 
+// unlist takes a job off the list of those that Expired has yet to hand out.
+func (s *Scheduler) unlist(j *job) {
+	if j.expiredAt < 0 {
+		return
+	}
+	last := len(s.expired) - 1
+	moved := s.expired[last]
+	s.expired[j.expiredAt] = moved
+	moved.expiredAt = j.expiredAt
+	s.expired = s.expired[:last]
+	j.expiredAt = -1
+}
+
 // expire takes jobs whose deadline has passed off the heaps.
 func (s *Scheduler) expire(now time.Time) {
 	for len(s.deadlines) > 0 && !now.Before(s.deadlines[0].deadline) {
 		j := s.deadlines[0]
 		s.unready(j)
 		j.expired = true
+		j.expiredAt = len(s.expired)
 		s.expired = append(s.expired, j)
 	}
 }
--- a/internal/sched/team.go
+++ b/internal/sched/team.go
@@ -29,6 +29,8 @@
 	failures rate
 	// long is set while the team's tasks are not known to be short.
 	long bool
+	// tally is for Check only.
+	tally tally
 }
 
 // weight returns the team's weight, at least 1.
@@ -69,9 +71,10 @@
 	waiting []int
 	running []runningTask
 	// readyAt and deadlineAt are the places in the team's and the
-	// Scheduler's heap, or -1.
+	// Scheduler's heap, expiredAt that in the list of expired jobs, or -1.
 	readyAt    int
 	deadlineAt int
+	expiredAt  int
 	// expired is set once the job was handed out by Expired, or is due to.
 	expired bool
 	// removed is set by Remove; the job stays until its running tasks end.
