--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -229,7 +229,7 @@
 		return
 	}
 	c.checkedAt = now
-	if err := c.sched.Check(); err != nil {
+	if err := c.sched.Audit(now); err != nil {
 		c.counters.InvariantFailures++
 		c.lastInvariant = err.Error()
 	}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
@@ -73,8 +74,11 @@
 }
 
 // forScheduler describes the job's waiting tasks.
-func (j *job) forScheduler(declared time.Duration) sched.Job {
-	s := sched.Job{Key: j.key, Team: j.team, Deadline: j.deadline, Declared: declared}
+func (j *job) forScheduler(declared []time.Duration) sched.Job {
+	s := sched.Job{Key: j.key, Team: j.team, Deadline: j.deadline, DeclaredRuns: declared}
+	if len(declared) > 0 {
+		s.Declared = slices.Max(declared)
+	}
 	for i := range j.tasks {
 		if j.tasks[i].state == waiting {
 			s.Waiting = append(s.Waiting, i)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -89,7 +89,7 @@
 
 func (c *Cell) admit(key sched.Key, s *pb.Submission, reply Replier, now time.Time) {
 	j := newJob(key, s, now)
-	declared := longestDeclared(s)
+	declared := declaredRuns(s)
 	if c.adoptRecords(j) {
 		c.sched.Restore(now, j.forScheduler(declared))
 	} else if code := c.sched.Admit(now, j.forScheduler(declared)); code != result.OK {
@@ -105,12 +105,20 @@
 	c.settle(j, now)
 }
 
-func longestDeclared(s *pb.Submission) time.Duration {
-	longest := int64(0)
-	for _, t := range s.GetTasks() {
-		longest = max(longest, t.GetDeclaredRunNs())
+// declaredRuns returns the declared run times by task, or nil when there are
+// none.
+func declaredRuns(s *pb.Submission) []time.Duration {
+	var runs []time.Duration
+	for i, t := range s.GetTasks() {
+		if t.GetDeclaredRunNs() <= 0 {
+			continue
+		}
+		if runs == nil {
+			runs = make([]time.Duration, len(s.GetTasks()))
+		}
+		runs[i] = time.Duration(t.GetDeclaredRunNs())
 	}
-	return time.Duration(longest)
+	return runs
 }
 
 // Cancel stops a job: what waits never starts, what runs is cancelled at its
