Hold no endpoint for a refusal for the job's sake

Cause: an agent that refuses a start because the job's deadline has passed, or because the job was cancelled, had its endpoint held for 50 ms, in overload and in waves of cancellation again and again.

Change: such codes hold nothing. TestRefusalHoldsTheEndpoint has both kinds; without the change it fails at the row for DeadlinePassed, where it stops.

--- a/internal/sched/admit_test.go
+++ b/internal/sched/admit_test.go
@@ -210,3 +210,31 @@
 	must.Len(t, 5, s.Remove(later, Key{9}))
 	must.Eq(t, 0, s.Stats().Jobs)
 }
+
+func TestRefusalHoldsTheEndpoint(t *testing.T) {
+	cases := []struct {
+		code result.Code
+		hold time.Duration
+	}{
+		{result.NoFreeSlot, 50 * time.Millisecond},
+		{result.StaleStamp, 50 * time.Millisecond},
+		{result.EndpointUnreachable, 50 * time.Millisecond},
+		{result.DeadlinePassed, 0},
+		{result.Cancelled, 0},
+	}
+	for _, c := range cases {
+		s := newFleet(DefaultConfig(), Team{Name: "a", Weight: 1, Domains: []string{"d1"}})
+		s.Restore(start, jobOf(1, "a", 1, time.Hour))
+		a, ok := s.Next(start)
+		must.True(t, ok)
+		must.True(t, s.NotStarted(start, a.Key, a.Index, a.Endpoint, c.code))
+		_, ok = s.Next(start)
+		must.Eq(t, c.hold == 0, ok, must.Sprint(c.code))
+		if c.hold > 0 {
+			wake, _ := s.NextWake(start)
+			must.Eq(t, c.hold, wake.Sub(start))
+			_, ok = s.Next(wake)
+			must.True(t, ok)
+		}
+	}
+}
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -200,8 +200,12 @@
 }
 
 // refused learns from a start that an endpoint's agent, or the connection to
-// the endpoint, refused.
+// the endpoint, refused. A refusal for the job's sake tells nothing of the
+// endpoint.
 func (s *Scheduler) refused(j *job, e *endpoint, code result.Code) {
+	if code == result.DeadlinePassed || code == result.Cancelled {
+		return
+	}
 	e.refusedUntil = s.now.Add(s.cfg.Ramp.Refused)
 	if code == result.EndpointUnreachable {
 		s.observe(j.team, e, true)
