Bound the memory of held answers

At the size to design for a cell of 220 endpoints ends some 180 jobs of 60 tasks a second, so a minute of answers alone would be near the 256 MB of a node.

Change: max_answer_bytes (64 MiB) drops the oldest answers first; their ids stay known and are answered AnswerExpired.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -38,6 +38,9 @@
 	IDRetention time.Duration
 	// AnswerRetention is how long a whole answer is held for resubmission.
 	AnswerRetention time.Duration
+	// MaxAnswerBytes bounds the encoded size of all answers held; the oldest
+	// go first.
+	MaxAnswerBytes int64
 	// ClockSkew bounds the difference between the clocks of two entries.
 	ClockSkew time.Duration
 	// LostAfter is how long an agent may be without a stream until its tasks'
@@ -90,8 +93,10 @@
 	active  map[sched.Key]*job
 	// ended lists the ended jobs by time; held are those of them whose
 	// answers are still held.
-	ended     []*job
-	held      []*job
+	ended []*job
+	held  []*job
+	// heldBytes is the encoded size of the answers in held.
+	heldBytes int64
 	records   map[sched.Key]map[uint32]*record
 	endpoints map[string]*endpoint
 	members   Members
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -38,12 +38,16 @@
 
 // bench is one cell with a clock that only the test moves.
 type bench struct {
-	t    *testing.T
+	t    testing.TB
 	cell *Cell
 	now  time.Time
 }
 
 func newBench(t *testing.T, generation uint64, old Members) *bench {
+	return newBenchOn(t, generation, old)
+}
+
+func newBenchOn(t testing.TB, generation uint64, old Members) *bench {
 	b := &bench{t: t, now: time.Now()}
 	d := control.New(control.Member{ID: "e1", Address: "127.0.0.1:1"}, 1, "op")
 	d.Config.Teams = []control.Team{{Name: testTeam, Weight: 1}}
@@ -52,6 +56,7 @@
 		Owner:           "e1",
 		IDRetention:     10 * time.Minute,
 		AnswerRetention: time.Minute,
+		MaxAnswerBytes:  1 << 30,
 		ClockSkew:       skew,
 		LostAfter:       5 * time.Second,
 		Freshness:       fresh,
@@ -271,6 +276,24 @@
 	must.Eq(t, 0, b.cell.State().Counters.InvariantFailures)
 }
 
+func TestTooManyAnswersDropTheOldest(t *testing.T) {
+	b := newBench(t, 1, Members{})
+	b.cell.cfg.MaxAnswerBytes = 300
+	b.cell.Accepted(b.now)
+	l := b.attach("e-1", "i1")
+	var ids [][]byte
+	for range 10 {
+		ids = append(ids, b.id(0))
+		b.submit(ids[len(ids)-1], 1, 7)
+		b.finish(l, l.takeStarts(), result.OK)
+	}
+	b.tick(time.Millisecond)
+	must.LessEq(t, 300, b.cell.State().AnswerBytes)
+	must.Eq(t, []result.Code{result.AnswerExpired}, codes(b.submit(ids[0], 1, 7)))
+	must.Eq(t, []result.Code{result.OK}, codes(b.submit(ids[9], 1, 7)))
+	must.Len(t, 0, l.takeStarts())
+}
+
 func TestClosedCellSendsEveryoneToTheNewOwner(t *testing.T) {
 	b := newBench(t, 1, Members{})
 	b.cell.Accepted(b.now)
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/sched"
@@ -50,10 +52,12 @@
 	repliers []Replier
 	// answer is the whole answer once the job has ended, nil again after the
 	// answer retention.
-	answer  *pb.Answer
-	isEnded bool
-	endedAt time.Time
-	code    result.Code
+	answer *pb.Answer
+	// answerBytes is the answer's encoded size.
+	answerBytes int64
+	isEnded     bool
+	endedAt     time.Time
+	code        result.Code
 }
 
 func newJob(key sched.Key, s *pb.Submission, now time.Time) *job {
@@ -149,6 +153,8 @@
 	delete(c.active, j.key)
 	c.ended = append(c.ended, j)
 	c.held = append(c.held, j)
+	j.answerBytes = int64(proto.Size(a))
+	c.heldBytes += j.answerBytes
 	c.countEnd(j.code)
 	c.reply(j, a)
 }
@@ -220,14 +226,8 @@
 
 // forget drops answers and then ids whose retention is over.
 func (c *Cell) forget(now time.Time) {
+	c.dropAnswers(now)
 	n := 0
-	for n < len(c.held) && now.Sub(c.held[n].endedAt) >= c.cfg.AnswerRetention {
-		c.held[n].answer = nil
-		c.held[n].tasks = nil
-		n++
-	}
-	c.held = c.held[n:]
-	n = 0
 	for n < len(c.ended) && now.Sub(c.ended[n].endedAt) >= c.idHorizon() {
 		delete(c.jobs, c.ended[n].key)
 		n++
@@ -237,6 +237,23 @@
 	c.forgetRecords(now)
 }
 
+// dropAnswers drops the oldest answers when their time is over, or when all
+// that are held take too much memory.
+func (c *Cell) dropAnswers(now time.Time) {
+	n := 0
+	for n < len(c.held) {
+		j := c.held[n]
+		if now.Sub(j.endedAt) < c.cfg.AnswerRetention && c.heldBytes <= c.cfg.MaxAnswerBytes {
+			break
+		}
+		c.heldBytes -= j.answerBytes
+		j.answer = nil
+		j.tasks = nil
+		n++
+	}
+	c.held = c.held[n:]
+}
+
 // forgetRecords drops the records of ids that are too old to be submitted.
 func (c *Cell) forgetRecords(now time.Time) {
 	if now.Sub(c.recordsSweptAt) < recordSweepInterval {
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -108,6 +108,7 @@
 	Active       int       `json:"active_jobs"`
 	Known        int       `json:"known_ids"`
 	AnswersHeld  int       `json:"answers_held"`
+	AnswerBytes  int64     `json:"answer_bytes"`
 	Pending      int       `json:"pending_submissions"`
 	Records      int       `json:"records"`
 	Members      Members   `json:"members"`
@@ -128,6 +129,7 @@
 		Active:       len(c.active),
 		Known:        len(c.jobs),
 		AnswersHeld:  len(c.held),
+		AnswerBytes:  c.heldBytes,
 		Pending:      len(c.pending),
 		Records:      len(c.records),
 		Members:      c.members.clone(),
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -292,6 +292,7 @@
 		Owner:           o.board.self,
 		IDRetention:     s.IDRetention.Std(),
 		AnswerRetention: s.AnswerRetention.Std(),
+		MaxAnswerBytes:  s.MaxAnswerBytes,
 		ClockSkew:       s.ClockSkew.Std(),
 		LostAfter:       s.LostAfter.Std(),
 		Freshness:       s.Freshness.Std(),
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -40,6 +40,8 @@
 	IDRetention settings.Duration `json:"id_retention"`
 	// AnswerRetention is how long whole answers are held.
 	AnswerRetention settings.Duration `json:"answer_retention"`
+	// MaxAnswerBytes bounds the whole answers that one cell holds.
+	MaxAnswerBytes int64 `json:"max_answer_bytes"`
 	// ClockSkew bounds the difference between two hosts' clocks.
 	ClockSkew settings.Duration `json:"clock_skew"`
 	// LostAfter is how long an agent may be away until outcomes are unknown.
@@ -80,6 +82,7 @@
 		StoreTimeout:    settings.Duration(time.Second),
 		IDRetention:     settings.Duration(10 * time.Minute),
 		AnswerRetention: settings.Duration(time.Minute),
+		MaxAnswerBytes:  64 << 20,
 		ClockSkew:       settings.Duration(time.Second),
 		LostAfter:       settings.Duration(5 * time.Second),
 		MaxTimeout:      settings.Duration(5 * time.Minute),
@@ -107,6 +110,9 @@
 	if s.MaxBodyBytes < 1<<10 {
 		return bad("max_body_bytes", "must be at least 1024")
 	}
+	if s.MaxAnswerBytes < 1 {
+		return bad("max_answer_bytes", "must be at least 1")
+	}
 	if s.MaxWaiting < 1 {
 		return bad("max_waiting", "must be at least 1")
 	}
