Judge what can run by the member list after a takeover

Cause: a new owner knows only the agents that have come to it, so a job of a team whose domain was not back yet could be refused as one that can never run.

Change: the member list holds each agent's failure domain and slots, and a new owner begins with all of them as detached.

Measured: the test gets CannotRun without the change, and waits with it.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -188,6 +188,20 @@
 	must.Len(t, 1, append(l.takeStarts(), l2.takeStarts()...))
 }
 
+func TestTakeoverDoesNotCallAwayWhatCannotRunNow(t *testing.T) {
+	old := Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}, {Endpoint: "e-9", Incarnation: "i9", FailureDomain: "Los Olivos", Slots: 8}}}
+	b := newBench(t, 2, old)
+	d := b.cell.control.Clone()
+	d.Revision++
+	d.Config.Teams[0].Domains = []string{"Los Olivos"}
+	b.cell.ApplyControl(d, b.now)
+	b.cell.Accepted(b.now)
+	b.attach("e-1", "i1")
+	b.tick(fresh + time.Millisecond)
+	b.tick(3 * skew)
+	must.Len(t, 0, *b.submit(b.id(0), 1, 7))
+}
+
 func TestDepartedMemberLeavesAGap(t *testing.T) {
 	now := time.Now()
 	old := Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i0", DepartedAt: now.Add(-time.Minute)}}}
--- a/internal/cell/endpoint.go
+++ b/internal/cell/endpoint.go
@@ -160,7 +160,7 @@
 	c.takeRecords(e, a.GetRecords(), now)
 	delete(c.gaps, e.incarnation)
 	e.fenced = true
-	c.enlist(e.name, e.incarnation)
+	c.enlist(e)
 	c.updateEndpoint(e, now)
 	c.maybeServe(now)
 	c.dispatch(now)
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/pomelosill/pomelosill/internal/sched"
 )
 
 // Members is the list, kept in the store, of the agents that may hold records
@@ -20,6 +22,10 @@
 type Member struct {
 	Endpoint    string `json:"endpoint"`
 	Incarnation string `json:"incarnation"`
+	// FailureDomain and Slots let a new owner judge what can run before the
+	// agent has come to it.
+	FailureDomain string `json:"domain"`
+	Slots         int    `json:"slots"`
 	// DepartedAt is when the agent was last without a stream for long; zero
 	// while it is attached. It stays listed for as long as ids are
 	// remembered, since its records may be needed.
@@ -45,6 +51,12 @@
 	m.Agents = slices.DeleteFunc(m.Agents, func(a Member) bool { return c.forgettable(a, now) })
 	for _, a := range m.Agents {
 		c.gaps[a.Incarnation] = c.gapOf(a, now)
+		c.sched.SetEndpoint(now, sched.Endpoint{
+			Name:          a.Endpoint,
+			FailureDomain: a.FailureDomain,
+			Slots:         a.Slots,
+			State:         sched.Detached,
+		})
 	}
 	c.members = m
 }
@@ -158,8 +170,8 @@
 }
 
 // enlist puts an attached agent on the list.
-func (c *Cell) enlist(endpoint, incarnation string) {
-	i := c.members.index(incarnation)
+func (c *Cell) enlist(e *endpoint) {
+	i := c.members.index(e.incarnation)
 	if i >= 0 && c.members.Agents[i].DepartedAt.IsZero() {
 		return
 	}
@@ -168,7 +180,12 @@
 		c.members.Agents[i].DepartedAt = time.Time{}
 		return
 	}
-	c.members.Agents = append(c.members.Agents, Member{Endpoint: endpoint, Incarnation: incarnation})
+	c.members.Agents = append(c.members.Agents, Member{
+		Endpoint:      e.name,
+		Incarnation:   e.incarnation,
+		FailureDomain: e.domain,
+		Slots:         e.slots,
+	})
 }
 
 // depart marks an agent as gone.
