--- a/cmd/pomelosill/output.go
+++ b/cmd/pomelosill/output.go
@@ -62,7 +62,7 @@
 
 // writeReply shows an entry's reply to a statement.
 func writeReply(w io.Writer, r api.Reply) error {
-	if len(r.Columns) > 0 {
+	if len(r.Rows) > 0 || (r.Code == result.OK && len(r.Columns) > 0) {
 		if err := writeTable(w, r.Columns, r.Rows); err != nil {
 			return err
 		}
