Count an agent as confirmed only when it can't start under an older revision

Seen on a fleet: with an agent stopped by SIGSTOP for 1 s, 'take domain' was answered 'in force everywhere' at once. Cause: only agents with a stream were asked, and a silent one loses its stream within a second, while its last stamp holds for the freshness limit (3 s). Ruled out: the agent's gate, which obeys its stamp's age. Now an agent that lost its stream less than that limit ago counts as unconfirmed unless it has applied the revision or was leaving.

--- a/internal/admin/command.go
+++ b/internal/admin/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/access"
@@ -41,7 +42,7 @@
 	reply := newReply(code, appliedDetail(a))
 	reply.Revision = a.Revision
 	reply.InForce = a.InForce
-	reply.Unconfirmed = a.Unconfirmed
+	reply.Unconfirmed = slices.Sorted(slices.Values(a.Unconfirmed))
 	return reply
 }
 
--- a/internal/cell/endpoint.go
+++ b/internal/cell/endpoint.go
@@ -35,6 +35,15 @@
 	return e.link != nil && e.fenced && e.listed && e.stamped
 }
 
+// mayStart tells whether the agent could start a task that was sent to it
+// before now. One that said that it leaves starts nothing.
+func (e *endpoint) mayStart(now time.Time, freshness time.Duration) bool {
+	if e.link != nil {
+		return true
+	}
+	return !e.leaving && now.Sub(e.detachedAt) < freshness
+}
+
 // updateEndpoint tells the scheduler the endpoint's state.
 func (c *Cell) updateEndpoint(e *endpoint, now time.Time) {
 	state := sched.InService
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -138,14 +138,15 @@
 	}
 }
 
-// Unapplied names the attached agents that have not applied a control
-// revision yet.
-func (c *Cell) Unapplied(revision uint64) []string {
+// Unapplied names the agents that may still start tasks under an older control
+// revision: those that are attached, and those that lost their stream less
+// than the freshness limit ago, since their last stamp may still hold.
+func (c *Cell) Unapplied(revision uint64, now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var names []string
 	for _, e := range c.endpoints {
-		if e.link != nil && e.revision < revision {
+		if e.revision < revision && e.mayStart(now, c.cfg.Freshness) {
 			names = append(names, "agent "+e.name)
 		}
 	}
--- a/internal/entry/inspect.go
+++ b/internal/entry/inspect.go
@@ -57,7 +57,7 @@
 		return eachCell(e, (*cell.Cell).Teams), nil
 	case kindUnapplied:
 		d := e.board.Doc()
-		return eachCell(e, func(c *cell.Cell) []string { return c.Unapplied(d.Revision) }), nil
+		return eachCell(e, func(c *cell.Cell) []string { return c.Unapplied(d.Revision, time.Now()) }), nil
 	case kindEntries:
 		return []api.EntryRow{e.entryRow()}, nil
 	case kindAnswer:
