Keep the entry's debug pages for operators; one version for every program

With tokens configured the state dump and the profiles could still be read without one. /metrics and /healthz stay open for the platform.

--- a/cmd/pomelosill-entry/main.go
+++ b/cmd/pomelosill-entry/main.go
@@ -16,9 +16,6 @@
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
-// version is set by the linker.
-var version = "dev"
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	err := command().Run(ctx, os.Args)
@@ -33,7 +30,7 @@
 	return &cli.Command{
 		Name:    "pomelosill-entry",
 		Usage:   "take callers' jobs, place their tasks and serve operators",
-		Version: version,
+		Version: process.Version(),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
 		},
--- a/cmd/pomelosill-load/main.go
+++ b/cmd/pomelosill-load/main.go
@@ -18,9 +18,6 @@
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
-// version is set by the linker.
-var version = "development"
-
 const defaultLength = time.Minute
 
 func main() {
@@ -40,7 +37,7 @@
 	return &cli.Command{
 		Name:    "pomelosill-load",
 		Usage:   "measure a running fleet against the ideal, or against queues kept for comparison only",
-		Version: version,
+		Version: process.Version(),
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run one scenario and print its JSON line", Flags: runFlags(), Action: run},
 			{Name: "table", Usage: "turn JSON lines on standard input into a table", Action: table},
--- a/cmd/pomelosill-standin/main.go
+++ b/cmd/pomelosill-standin/main.go
@@ -49,8 +49,9 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:  "pomelosill-standin",
-		Usage: "stand in for the platform's store and for endpoints, in tests and demos",
+		Name:    "pomelosill-standin",
+		Usage:   "stand in for the platform's store and for endpoints, in tests and demos",
+		Version: process.Version(),
 		Commands: []*cli.Command{
 			platformCommand(),
 			endpointCommand(),
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -108,6 +108,19 @@
 	must.Eq(t, Identity{Name: "booth", Role: Caller, Team: "booths"}, seen)
 }
 
+func TestRequireOperator(t *testing.T) {
+	let := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	refuse := func(w http.ResponseWriter, err error) { w.WriteHeader(result.Describe(result.CodeOf(err)).HTTP) }
+	h := NewGuard(tokens, zap.NewNop()).RequireOperator(let, refuse)
+	for token, status := range map[string]int{operatorToken: 200, callerToken: 403, "": 401} {
+		r := httptest.NewRequest(http.MethodGet, "/debug/state", nil)
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		must.Eq(t, status, w.Code)
+	}
+}
+
 func TestOpenAccessIsLogged(t *testing.T) {
 	core, logs := observer.New(zapcore.InfoLevel)
 	id, err := NewGuard(nil, zap.New(core)).Identify(httptest.NewRequest(http.MethodGet, "/", nil))
--- a/internal/access/guard.go
+++ b/internal/access/guard.go
@@ -106,6 +106,18 @@
 	})
 }
 
+// RequireOperator is Require for operators only; refuse gets Forbidden for
+// others.
+func (g *Guard) RequireOperator(next http.Handler, refuse func(http.ResponseWriter, error)) http.Handler {
+	return g.Require(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := From(r.Context()); id.Role != Operator {
+			refuse(w, result.Errorf(result.Forbidden, "%s is no operator", id.Name))
+			return
+		}
+		next.ServeHTTP(w, r)
+	}), refuse)
+}
+
 // WithIdentity returns a context that carries id.
 func WithIdentity(ctx context.Context, id Identity) context.Context {
 	return context.WithValue(ctx, identityKey{}, id)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -24,13 +24,15 @@
 	mux.HandleFunc("POST /v1/jobs", e.postJob)
 	mux.HandleFunc("GET /v1/jobs/{id}", e.getJob)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.deleteJob)
-	refuse := func(w http.ResponseWriter, err error) { writeAnswer(w, refusal("", err)) }
 	open := http.NewServeMux()
 	open.HandleFunc("GET /ready", e.ready)
 	open.Handle("/v1/", e.guard.Require(mux, refuse))
 	return open
 }
 
+// refuse answers a request that was let no further.
+func refuse(w http.ResponseWriter, err error) { writeAnswer(w, refusal("", err)) }
+
 // ready tells the platform's balancer whether to send callers here.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
 	d := e.board.Doc()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,7 +189,10 @@
 	peer.Handle(pomelosillv1connect.NewDispatchServiceHandler(e, process.Uncompressed()))
 	operators := http.NewServeMux()
 	operators.Handle("/v1/", e.admin)
-	e.debug.Mount(operators, func() any { return e.State() })
+	pages := http.NewServeMux()
+	e.debug.Mount(pages, func() any { return e.State() })
+	operators.Handle("/debug/", e.guard.RequireOperator(pages, refuse))
+	operators.Handle("/", pages)
 	return []*http.Server{
 		process.NewServer(e.callers()),
 		process.NewServer(peer),
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/access"
-	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/sched"
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
@@ -162,5 +161,5 @@
 }
 
 func bad(field, reason string) error {
-	return result.Errorf(result.SettingsValue, "%s %s", field, reason)
+	return settings.BadValue(field, reason)
 }
