--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -182,7 +182,9 @@
 		return
 	}
 	if result.Code(a.GetCode()) == result.NotOwner {
-		if j.sentTo == from {
+		// An entry that has not opened the cell yet answers without a
+		// generation.
+		if j.sentTo.id == from.id && j.sentTo.link == from.link {
 			j.sentTo = ownerRef{}
 		}
 		return
@@ -363,19 +365,17 @@
 // Relay serves another entry's submissions to the cells owned here.
 func (e *Entry) Relay(ctx context.Context, s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) error {
 	out := outbox.New[*pb.Answer]()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		defer cancel()
-		writeAnswers(ctx, out, s)
-	}()
-	// Nothing may be sent once the handler has returned.
-	defer func() {
-		out.Close()
-		<-written
-	}()
+	defer out.Close()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() { cancel(e.readRelay(s, out)) }()
+	// Only the handler sends: a send after its end would panic.
+	writeAnswers(ctx, out, s)
+	return context.Cause(ctx)
+}
+
+// readRelay takes requests until the stream ends.
+func (e *Entry) readRelay(s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse], out *outbox.Outbox[*pb.Answer]) error {
 	for {
 		req, err := s.Receive()
 		if err != nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -78,7 +80,7 @@
 	return c.Core.Write(e, f)
 }
 
-// Debug serves /metrics, /healthz and /debug/state.
+// Debug serves /metrics, /healthz, /debug/state and /debug/pprof.
 type Debug struct {
 	// Meter makes the process's instruments.
 	Meter    metric.Meter
@@ -113,6 +115,9 @@
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, http.StatusOK, state())
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 }
 
 // WriteJSON answers with v as JSON.
@@ -147,6 +152,13 @@
 	}
 }
 
+// Uncompressed are the options of a connect handler that answers without
+// compression: between hosts of one platform it costs more processor time than
+// the bytes are worth.
+func Uncompressed() connect.HandlerOption {
+	return connect.WithCompression("gzip", nil, nil)
+}
+
 // NewStreamClient returns a client for connect streams over unencrypted
 // HTTP/2.
 func NewStreamClient() *http.Client {
