--- a/internal/load/scenario/plan.go
+++ b/internal/load/scenario/plan.go
@@ -51,6 +51,9 @@
 	waveTasks  = 10
 	waveRun    = 200 * time.Millisecond
 	waveSpread = 2 * time.Second
+	// smallJob is the largest number of tasks in the jobs of the scenarios
+	// with small jobs.
+	smallJob = 10
 )
 
 // Info describes a scenario for people.
@@ -70,7 +73,9 @@
 		{"owner-killed", "the script kills the owner during the run; reports the longest gap between starts", 0.7, ownerAway},
 		{"owner-paused", "the script pauses the owner past its lease and continues it; reports the longest gap between starts", 0.7, ownerAway},
 		{"head-of-line", "bursts of long tasks of another team, against a run without them", 0.5, headOfLine},
+		{"head-of-line-small", "the same against jobs of 1 to 10 short tasks", 0.3, headOfLineSmall},
 		{"straggler", "one endpoint runs five times slower, against a run without it", 0.5, straggler},
+		{"straggler-small", "the same with jobs of 1 to 10 short tasks", 0.5, stragglerSmall},
 		{"overload", "twice the work that the slots can do, with deadlines", 2, overload},
 		{"cancel-wave", "10,000 tasks of another team cancelled at once, against a run without them", 0.5, cancelWave},
 		{"failing-endpoint", "one endpoint fails everything from a quarter to three quarters of the run", 0.7, failingEndpoint},
@@ -128,9 +133,10 @@
 
 // shortTrace has short tasks of one team, for another team or an endpoint to
 // disturb.
-func (b *builder) shortTrace() trace.Trace {
+func (b *builder) shortTrace(largestJob int) trace.Trace {
 	o := b.options(jobTimeout, []string{teamAlerts})
 	o.ShortOnly = true
+	o.LargestJob = largestJob
 	return trace.New(o)
 }
 
@@ -177,8 +183,13 @@
 	return p
 }
 
-func headOfLine(b *builder) plan {
-	p := b.base(b.shortTrace())
+func headOfLine(b *builder) plan { return b.withBursts(b.shortTrace(trace.MaxTasks)) }
+
+func headOfLineSmall(b *builder) plan { return b.withBursts(b.shortTrace(smallJob)) }
+
+// withBursts disturbs a trace with bursts of another team's long tasks.
+func (b *builder) withBursts(t trace.Trace) plan {
+	p := b.base(t)
 	p.without = p.trace
 	for i := range burstCount {
 		at := b.o.Length * time.Duration(i+1) / (burstCount + 1)
@@ -188,8 +199,13 @@
 	return p
 }
 
-func straggler(b *builder) plan {
-	p := b.base(b.shortTrace())
+func straggler(b *builder) plan { return b.withStraggler(b.shortTrace(trace.MaxTasks)) }
+
+func stragglerSmall(b *builder) plan { return b.withStraggler(b.shortTrace(smallJob)) }
+
+// withStraggler disturbs a trace by slowing one endpoint.
+func (b *builder) withStraggler(t trace.Trace) plan {
+	p := b.base(t)
 	p.without = p.trace
 	p.slowed = true
 	last := len(b.fleet.Endpoints) - 1
@@ -211,7 +227,7 @@
 }
 
 func cancelWave(b *builder) plan {
-	p := b.base(b.shortTrace())
+	p := b.base(b.shortTrace(trace.MaxTasks))
 	p.without = p.trace
 	at := b.o.Length / 2
 	wave := trace.Batch(teamMasterings, waveJobs, waveTasks, waveRun, at, waveSpread, jobTimeout)
--- a/internal/load/trace/trace.go
+++ b/internal/load/trace/trace.go
@@ -99,11 +99,17 @@
 	Timeout time.Duration
 	// ShortOnly leaves out the tasks between LongMin and LongMax.
 	ShortOnly bool
+	// LargestJob is the largest number of tasks in a job; zero stands for
+	// MaxTasks.
+	LargestJob int
 }
 
 // New makes a trace. Gaps between arrivals are exponential and stretched so
 // that the work offered over Length is exactly Load.
 func New(o Options) Trace {
+	if o.LargestJob == 0 {
+		o.LargestJob = MaxTasks
+	}
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	wanted := time.Duration(o.Load * float64(o.Slots) * float64(o.Length))
 	var jobs []Job
@@ -134,7 +140,7 @@
 }
 
 func newJob(rng *rand.Rand, o Options) Job {
-	runs := make([]time.Duration, jobSize(rng))
+	runs := make([]time.Duration, jobSize(rng, o.LargestJob))
 	for i := range runs {
 		runs[i] = runTime(rng, o.ShortOnly)
 	}
@@ -146,8 +152,8 @@
 }
 
 // jobSize has a logarithm spread evenly: small jobs are many, large ones few.
-func jobSize(rng *rand.Rand) int {
-	return int(math.Pow(MaxTasks+1, rng.Float64()))
+func jobSize(rng *rand.Rand, largest int) int {
+	return int(math.Pow(float64(largest+1), rng.Float64()))
 }
 
 // runTime is a whole number of milliseconds, as the endpoints take it.
--- a/internal/load/trace/trace_test.go
+++ b/internal/load/trace/trace_test.go
@@ -53,10 +53,12 @@
 	must.Between(t, 0.018, float64(long)/float64(trace.Tasks()), 0.022)
 }
 
-func TestShortOnlyHasNoLongTask(t *testing.T) {
+func TestNewKeepsToShortTasksAndSmallJobs(t *testing.T) {
 	o := options(1)
 	o.ShortOnly = true
+	o.LargestJob = 10
 	for _, j := range New(o).Jobs {
+		must.Between(t, 1, len(j.Runs), 10)
 		must.Less(t, LongMin, slices.Max(j.Runs))
 	}
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -79,7 +79,8 @@
     begin "$1" "$2" "$name" product 0.7 "$BENCH_SECONDS"
   done
   begin "$1" "$2" overload product 2 $((BENCH_SECONDS / 2))
-  for name in head-of-line straggler cancel-wave; do
+  begin "$1" "$2" head-of-line-small product 0.3 $((BENCH_SECONDS / 2))
+  for name in head-of-line straggler straggler-small cancel-wave; do
     begin "$1" "$2" "$name" product 0.5 $((BENCH_SECONDS / 2))
   done
 }
