Let a superseded cell start nothing

Cause: the stamp and the cell's freshness check took the basis of whatever document the board held, and the cell of the generation that was still open. An entry that was paused learns of a takeover on its board before it closes the cell; in between it stamped the old generation with the new document's confirmation (age zero), and could start a job under it that the new owner, past its wait, starts as well. Document and basis were also read one after the other, so that an old service state could go out with a new age. Ruled out: closing cells inside the board's lock (the cell's lock would nest in it, and its repliers call back). Change: the basis counts only if the document it belongs to names this entry as the owner under the cell's generation; both are read under one lock. A basis younger than the heartbeat's instant gives age zero, not a negative one.

--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -158,15 +158,16 @@
 	}
 }
 
-// stamp answers a heartbeat. Without ownership or a fresh confirmation the
-// answer is only an echo, with generation zero.
+// stamp answers a heartbeat. Without ownership by the very document that is
+// confirmed, or without a fresh confirmation, the answer is only an echo, with
+// generation zero.
 func (a *agents) stamp(l *link, c *cell.Cell, h *pb.Heartbeat, now time.Time) {
 	s := &pb.Stamp{EchoNs: h.GetSentNs(), Cell: l.hello.GetCell()}
-	d := a.board.Doc()
-	age := now.Sub(a.board.Basis(now))
+	d, basis := a.board.Confirmed(now)
+	age := max(0, now.Sub(basis))
 	s.ControlRevision = d.Revision
 	s.InService = d.Config.InService(l.hello.GetEndpoint(), l.hello.GetFailureDomain())
-	fresh := c != nil && age < a.freshness
+	fresh := c != nil && owns(d, a.board.self, c.Number(), c.Generation()) && age < a.freshness
 	if fresh {
 		s.AgeNs = int64(age)
 		s.Generation = c.Generation()
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -158,12 +158,40 @@
 
 // Basis returns the instant since which nothing newer can have been accepted.
 func (b *board) Basis(now time.Time) time.Time {
+	_, basis := b.Confirmed(now)
+	return basis
+}
+
+// Confirmed returns the document together with its basis. Read one after the
+// other, the basis of a newer document could be taken for the older one's.
+func (b *board) Confirmed(now time.Time) (*control.Document, time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.doc == nil {
+		return nil, time.Time{}
+	}
+	return b.doc, control.Basis(b.doc, b.self, b.confirmations, now)
+}
+
+// OwnerBasis returns the basis of the document if it names this entry as the
+// owner of a cell under a generation, and the zero time otherwise: what
+// confirms the document says then that the ownership has ended.
+func (b *board) OwnerBasis(cell uint32, generation uint64, now time.Time) time.Time {
+	d, basis := b.Confirmed(now)
+	if !owns(d, b.self, cell, generation) {
 		return time.Time{}
 	}
-	return control.Basis(b.doc, b.self, b.confirmations, now)
+	return basis
+}
+
+// owns tells whether the document names a member as the owner of a cell under
+// a generation.
+func owns(d *control.Document, id string, cell uint32, generation uint64) bool {
+	if d == nil || int(cell) >= len(d.Cells) {
+		return false
+	}
+	c := d.Cells[cell]
+	return c.Owner == id && c.Generation == generation
 }
 
 // Acked returns a test for which members hold at least a revision.
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -299,7 +299,7 @@
 		MaxPending:      maxPending,
 		Sched:           limits,
 		Fresh: func(now time.Time) bool {
-			return now.Sub(o.board.Basis(now)) < s.Freshness.Std()
+			return now.Sub(o.board.OwnerBasis(n, generation, now)) < s.Freshness.Std()
 		},
 	}
 }
