Keep a record for longer than any owner lets its id pass

Cause: an agent dropped its records by its wall clock and the time in the id alone, at the same age at which owners refuse ids. With the agent's clock ahead (a second at the edge of the retention, minutes anywhere) the record was gone while an owner by its own clock still admitted the id: after a takeover the same task could start at another agent. Ruled out: a longer default of record_retention, since that also lets older ids start and does not help against a wrong clock. Change: a record also stays for the retention and a minute after its start on the monotonic clock.

--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -29,7 +29,7 @@
 		g.Admit(0, s)
 		g.End(0, Record{Task: s.Task})
 		if n%100_000 == 0 {
-			g.Expire(2 * time.Minute)
+			g.Expire(12 * time.Minute)
 		}
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,7 +20,8 @@
 	// Freshness is the greatest age of the stamp that a start may rely on.
 	Freshness time.Duration
 	// RecordRetention is the age, counted from the time in the submission id,
-	// up to which a submission may start. The records outlive it.
+	// up to which a submission may start. The records outlive it. It must not
+	// be less than the entries' retention of ids.
 	RecordRetention time.Duration
 	// BodyRetention is how long the body of an ended task is held unless it
 	// is released before.
@@ -132,7 +133,7 @@
 	if code := g.checkRoom(s.Timeout); code != result.OK {
 		return Decision{Code: code}
 	}
-	g.records.begin(s.Task)
+	g.records.begin(now, s.Task)
 	g.permit.running++
 	return Decision{Code: result.OK}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -225,6 +225,32 @@
 	must.Eq(t, int64(0), g.State(0).HeldBytes)
 }
 
+// An owner may start a task elsewhere for as long as its own clock lets the id
+// pass. The agent's clock must not make it forget the start before.
+func TestRecordOutlivesItsIDUnderAWrongClock(t *testing.T) {
+	for name, ahead := range map[string]time.Duration{
+		"right clock":         0,
+		"a second ahead":      time.Second,
+		"five minutes ahead":  5 * time.Minute,
+		"five minutes behind": -5 * time.Minute,
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Epoch = epoch.Add(ahead)
+			g := New(cfg)
+			g.Fence(0, 1)
+			g.Stamp(0, Stamp{Generation: 1, InService: true})
+			// The epoch begins a minute, so that the id is the last of its own.
+			s := Start{Generation: 1, Task: Task{Submission: submission(-time.Millisecond, 1)}, Timeout: time.Second}
+			must.Eq(t, result.OK, g.Admit(0, s).Code)
+			g.End(0, Record{Task: s.Task})
+			g.Expire(cfg.RecordRetention + 10*time.Second)
+			records, _ := g.Fence(0, 2)
+			must.Len(t, 1, records)
+		})
+	}
+}
+
 func TestRunningTaskKeepsItsRecord(t *testing.T) {
 	g := openGate()
 	g.Admit(0, start(1))
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -18,6 +18,10 @@
 	// bucketSpan is the span of submission times that share a bucket; a
 	// bucket expires as a whole.
 	bucketSpan = time.Minute
+	// recordMargin is how much longer than the retention a record is kept
+	// after its start, whatever the wall clock says: the clocks of callers,
+	// owners and other agents differ.
+	recordMargin = time.Minute
 )
 
 // Task names one task of a submission.
@@ -91,6 +95,8 @@
 type bucket struct {
 	records map[Task]record
 	running int
+	// lastBegin is the instant of the last start of a task.
+	lastBegin time.Duration
 	// lastEnd is the instant of the last end of a task.
 	lastEnd time.Duration
 }
@@ -143,7 +149,7 @@
 }
 
 // begin makes the record of a task that has none.
-func (rs *records) begin(t Task) {
+func (rs *records) begin(now time.Duration, t Task) {
 	s := rs.shard(t.Submission)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,6 +161,7 @@
 	}
 	b.records[t] = record{running: true}
 	b.running++
+	b.lastBegin = max(b.lastBegin, now)
 	rs.count.Add(1)
 }
 
@@ -286,12 +293,17 @@
 	}
 }
 
-// expired tells whether no id of the bucket may start any more and nobody
-// waits for the outcomes.
+// expired tells whether no id of the bucket may start any more, here or at
+// another agent, and nobody waits for the outcomes. The wall clock alone could
+// be ahead of the owners', which would start a task elsewhere that was started
+// here.
 func (rs *records) expired(now time.Duration, m int64, b *bucket) bool {
 	if b.running > 0 || now-b.lastEnd < rs.cfg.BodyRetention {
 		return false
 	}
+	if now-b.lastBegin <= rs.cfg.RecordRetention+recordMargin {
+		return false
+	}
 	end := time.UnixMilli((m + 1) * bucketSpan.Milliseconds())
 	return rs.cfg.Epoch.Add(now).Sub(end) > rs.cfg.RecordRetention
 }
