Mend what a takeover left behind in a cell

Four causes, each with a test in takeover_test.go that failed before and passes after (4 of 4): - A task that a record showed as running and that its agent then reported as unsent kept its record. The job sent again by the receiving entry waited for it until the deadline and was answered 'outcome unknown'. The record is now dropped with the report. - A job with fewer tasks under the id of one with records took those over; the end of a task beyond its own would have been looked up out of range, which ends the process. It is refused with IDConflict, the records stay, and the index is checked. - A listed agent that never came back after a takeover never departed: it stayed on the list for ever, made every later takeover wait for the whole freshness limit, and made each of them answer every older id with 'outcome unknown'. It departs once the cell has served for lost_after. - A cancellation that came while the cell was not serving yet was lost. It is kept with the waiting submission and applied when the cell serves. Ruled out: applying the cancellation at once, since before the fence nobody can say whether a task of the job runs.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -118,6 +118,7 @@
 type pendingSubmission struct {
 	submission *pb.Submission
 	reply      Replier
+	cancelled  bool
 }
 
 // New returns a cell that is not serving yet. members is the list that the
@@ -220,6 +221,7 @@
 	}
 	c.maybeServe(now)
 	c.loseEndpoints(now)
+	c.departMissing(now)
 	c.passDeadlines(now)
 	c.forget(now)
 	c.check(now)
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -129,6 +129,9 @@
 	c.pending = nil
 	for _, p := range held {
 		c.submit(p.submission, p.reply, now)
+		if p.cancelled {
+			c.cancel(sched.Key(p.submission.GetId()), now)
+		}
 	}
 }
 
@@ -188,6 +191,19 @@
 	})
 }
 
+// departMissing gives up on listed agents that have not come back since the
+// takeover. The old owner's time is over, so that nothing started there later.
+func (c *Cell) departMissing(now time.Time) {
+	if c.phase != serving || len(c.gaps) == 0 || now.Sub(c.servingSince) < c.cfg.LostAfter {
+		return
+	}
+	for _, a := range c.members.Agents {
+		if _, missing := c.gaps[a.Incarnation]; missing {
+			c.depart(a.Incarnation, now)
+		}
+	}
+}
+
 // depart marks an agent as gone.
 func (c *Cell) depart(incarnation string, now time.Time) {
 	i := c.members.index(incarnation)
--- a/internal/cell/outcome.go
+++ b/internal/cell/outcome.go
@@ -59,7 +59,7 @@
 		return
 	}
 	j := c.active[k.job]
-	if j == nil || j.tasks[k.index].state != running {
+	if j == nil || int(k.index) >= len(j.tasks) || j.tasks[k.index].state != running {
 		return
 	}
 	c.endTask(j, int(k.index), o)
@@ -73,6 +73,7 @@
 // when the retry budget does not allow another try.
 func (c *Cell) notStarted(e *endpoint, k taskKey, code result.Code, now time.Time) {
 	c.counters.RefusalsReceived++
+	c.dropRecord(e, k)
 	again := c.sched.NotStarted(now, k.job, int(k.index), e.name, code)
 	j := c.active[k.job]
 	if j == nil || int(k.index) >= len(j.tasks) || j.tasks[k.index].state != running {
@@ -89,6 +90,20 @@
 	c.settle(j, now)
 }
 
+// dropRecord forgets the record of a task that was running when the record was
+// taken and that, as its agent tells now, did not start.
+func (c *Cell) dropRecord(e *endpoint, k taskKey) {
+	byIndex := c.records[k.job]
+	r := byIndex[k.index]
+	if r == nil || r.incarnation != e.incarnation {
+		return
+	}
+	delete(byIndex, k.index)
+	if len(byIndex) == 0 {
+		delete(c.records, k.job)
+	}
+}
+
 // anyStarted tells whether a start of any task may have happened.
 func (j *job) anyStarted() bool {
 	for i := range j.tasks {
@@ -144,15 +159,23 @@
 	}
 }
 
+// recordsFit tells whether the starts that agents reported can be those of a
+// job with this many tasks.
+func (c *Cell) recordsFit(key sched.Key, tasks int) bool {
+	for index := range c.records[key] {
+		if int(index) >= tasks {
+			return false
+		}
+	}
+	return true
+}
+
 // adoptRecords fills a job that was submitted again with the starts that
 // agents reported for it, and tells whether there are any.
 func (c *Cell) adoptRecords(j *job) bool {
 	byIndex := c.records[j.key]
 	delete(c.records, j.key)
 	for index, r := range byIndex {
-		if int(index) >= len(j.tasks) {
-			continue
-		}
 		t := &j.tasks[index]
 		t.endpoint = r.endpoint
 		t.incarnation = r.incarnation
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"fmt"
 	"time"
 
@@ -44,6 +45,10 @@
 		refuse(code, detail)
 		return
 	}
+	if !c.recordsFit(key, len(s.GetTasks())) {
+		refuse(result.IDConflict, "")
+		return
+	}
 	c.admit(key, s, reply, now)
 }
 
@@ -53,7 +58,7 @@
 		reply(c.plainAnswer(s.GetId(), result.NoOwner, "too many submissions wait for the takeover"))
 		return
 	}
-	c.pending = append(c.pending, pendingSubmission{s, reply})
+	c.pending = append(c.pending, pendingSubmission{submission: s, reply: reply})
 }
 
 // attachReply lets a resubmission wait for, or get, the job's answer.
@@ -126,6 +131,15 @@
 func (c *Cell) Cancel(key sched.Key, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == fencing {
+		return c.cancelPending(key)
+	}
+	known := c.cancel(key, now)
+	c.dispatch(now)
+	return known
+}
+
+func (c *Cell) cancel(key sched.Key, now time.Time) bool {
 	j := c.active[key]
 	if j == nil {
 		return false
@@ -133,10 +147,23 @@
 	c.stopJob(j, result.Cancelled, "", now)
 	c.cancelRunning(j)
 	c.settle(j, now)
-	c.dispatch(now)
 	return true
 }
 
+// cancelPending marks the submissions of an id that wait for the cell to
+// serve. They are cancelled once it is known what of them was started.
+func (c *Cell) cancelPending(key sched.Key) bool {
+	known := false
+	for i := range c.pending {
+		p := &c.pending[i]
+		if bytes.Equal(p.submission.GetId(), key[:]) {
+			p.cancelled = true
+			known = true
+		}
+	}
+	return known
+}
+
 // Lookup gives the answer of a job that has ended, or attaches the reply to
 // one that has not. It is false for an unknown id.
 func (c *Cell) Lookup(key sched.Key) (state string, a *pb.Answer, team string) {
--- /dev/null
+++ b/internal/cell/takeover_test.go
@@ -0,0 +1,111 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// tookOver is a cell of a second owner whose one agent reports records.
+func tookOver(t *testing.T, records ...*pb.Outcome) (*bench, *fakeLink) {
+	b := newBench(t, 2, Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}}})
+	b.cell.Accepted(b.now)
+	return b, b.attach("e-1", "i1", records...)
+}
+
+// A task that was running when its record was taken may turn out not to have
+// started. A job that comes later must start it, not wait for it.
+func TestAbortedRecordIsForgotten(t *testing.T) {
+	for name, others := range map[string]int{"the only task": 0, "one of two": 1} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, Members{})
+			id := b.id(time.Second)
+			records := []*pb.Outcome{outcomeOf(id, 0, true)}
+			if others > 0 {
+				records = append(records, outcomeOf(id, 1, false))
+			}
+			b, l := tookOver(t, records...)
+			unsent := outcomeOf(id, 0, false)
+			unsent.Code = uint32(result.EndpointUnreachable)
+			b.cell.Outcomes("e-1", l, []*pb.Outcome{unsent}, b.now)
+			got := b.submit(id, 1+others, 7)
+			b.tick(time.Second)
+			starts := l.takeStarts()
+			must.Len(t, 1, starts)
+			b.finish(l, starts, result.OK)
+			must.Eq(t, []result.Code{result.OK}, codes(got))
+			must.Eq(t, 0, b.cell.State().Counters.InvariantFailures)
+		})
+	}
+}
+
+// Another job under the id of one whose records are held must not take them
+// over, and its end must not be looked for in the other's tasks.
+func TestRecordsOfAnotherJobConflict(t *testing.T) {
+	b := newBench(t, 2, Members{})
+	id := b.id(time.Second)
+	b, l := tookOver(t, outcomeOf(id, 2, true))
+	must.Eq(t, []result.Code{result.IDConflict}, codes(b.submit(id, 1, 8)))
+	got := b.submit(id, 3, 7)
+	b.cell.Outcomes("e-1", l, []*pb.Outcome{outcomeOf(id, 2, false)}, b.now)
+	b.finish(l, l.takeStarts(), result.OK)
+	must.Eq(t, []result.Code{result.OK}, codes(got))
+}
+
+// An agent that went together with the owner must not keep every later
+// takeover waiting, nor make it doubt ids that are much younger.
+func TestMemberThatNeverCameBackDeparts(t *testing.T) {
+	b := newBench(t, 2, Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}, {Endpoint: "e-2", Incarnation: "i2"}}})
+	b.cell.Accepted(b.now)
+	b.attach("e-1", "i1")
+	b.tick(fresh)
+	must.True(t, b.cell.MembersToStore(b.now).Agents[1].DepartedAt.IsZero())
+	b.tick(time.Millisecond)
+	b.tick(5 * time.Second)
+	departed := b.now
+	m := b.cell.MembersToStore(b.now)
+	must.True(t, m.Agents[0].DepartedAt.IsZero())
+	must.True(t, departed.Equal(m.Agents[1].DepartedAt))
+
+	third := newBench(t, 3, m)
+	third.now = departed.Add(time.Minute)
+	third.cell.Accepted(third.now)
+	l := third.attach("e-1", "i1")
+	must.Len(t, 0, *third.submit(third.id(time.Second), 1, 7))
+	must.Len(t, 1, l.takeStarts())
+	must.Eq(t, []result.Code{result.OutcomeUnknown}, codes(third.submit(third.id(2*time.Minute), 1, 7)))
+}
+
+// A cancellation that comes while the cell is not serving yet must not be lost.
+func TestCancelWhileFencing(t *testing.T) {
+	for name, running := range map[string]bool{"nothing started": false, "one task runs": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}}})
+			id := b.id(time.Second)
+			got := b.submit(id, 2, 7)
+			must.True(t, b.cell.Cancel(sched.Key(id), b.now))
+			must.Len(t, 0, *got)
+			b.cell.Accepted(b.now)
+			var records []*pb.Outcome
+			if running {
+				records = append(records, outcomeOf(id, 0, true))
+			}
+			l := b.attach("e-1", "i1", records...)
+			must.Len(t, 0, l.takeStarts())
+			if !running {
+				must.Eq(t, []result.Code{result.Cancelled}, codes(got))
+				return
+			}
+			must.Len(t, 1, l.cancels)
+			ended := outcomeOf(id, 0, false)
+			ended.Code = uint32(result.CancelledAfterStart)
+			b.cell.Outcomes("e-1", l, []*pb.Outcome{ended}, b.now)
+			must.Eq(t, []result.Code{result.CancelledAfterStart}, codes(got))
+		})
+	}
+}
