Pass cancellations and unconfirmed answers on across owners

Cause: (1) a refusal that could not be confirmed in time became 'outcome unknown' without the generation, and the receiving entry takes failures only from the generation it sent the job to: it dropped the answer and waited until ten seconds past the deadline. (2) A job that was cancelled before it reached an owner on the receiving entry itself was submitted as if it had not been; an operator's cancellation was not noted at the receiving entry at all, so that a takeover brought the job back. Change: the answer names its cell and generation; the receiving entry marks the job on any cancellation and sends it on as cancelled to each later owner.

--- a/internal/entry/confirms.go
+++ b/internal/entry/confirms.go
@@ -99,9 +99,11 @@
 			continue
 		}
 		h.release(&pb.Answer{
-			Id:     h.answer.GetId(),
-			Code:   uint32(result.OutcomeUnknown),
-			Detail: "this owner started nothing but could not confirm that it still owned the job's cell",
+			Id:         h.answer.GetId(),
+			Code:       uint32(result.OutcomeUnknown),
+			Detail:     "this owner started nothing but could not confirm that it still owned the job's cell",
+			Cell:       h.answer.GetCell(),
+			Generation: h.answer.GetGeneration(),
 		})
 	}
 }
--- a/internal/entry/inspect.go
+++ b/internal/entry/inspect.go
@@ -102,6 +102,7 @@
 	if len(id) != len(sched.Key{}) {
 		return nil
 	}
+	e.relay.MarkCancelled(sched.Key(id))
 	var done []bool
 	for _, c := range e.ownership.Cells() {
 		if c.Cancel(sched.Key(id), time.Now()) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -147,10 +147,16 @@
 	}
 	ref := ownerRef{id: owner.Owner, generation: owner.Generation}
 	j.sentTo, j.everSent = ref, true
+	cancelled := j.cancelled
 	// The cell may answer at once, and the answer needs the shard's lock.
-	go c.Submit(s, func(a *pb.Answer) {
-		r.confirms.Release(a, func(a *pb.Answer) { r.answered(j.key, ref, a) })
-	}, time.Now())
+	go func() {
+		c.Submit(s, func(a *pb.Answer) {
+			r.confirms.Release(a, func(a *pb.Answer) { r.answered(j.key, ref, a) })
+		}, time.Now())
+		if cancelled {
+			c.Cancel(j.key, time.Now())
+		}
+	}()
 }
 
 func (r *relay) sendRemote(ctx context.Context, j *relayed, s *pb.Submission, d *control.Document, owner control.Cell) {
@@ -201,12 +207,7 @@
 
 // Cancel passes a cancellation to the owner.
 func (r *relay) Cancel(ctx context.Context, key sched.Key) {
-	sh := r.shard(key)
-	sh.mu.Lock()
-	if j := sh.jobs[key]; j != nil {
-		j.cancelled = true
-	}
-	sh.mu.Unlock()
+	r.MarkCancelled(key)
 	d := r.board.Doc()
 	if d == nil {
 		return
@@ -221,6 +222,17 @@
 	}
 }
 
+// MarkCancelled makes a submission that waits here go to a later owner as
+// cancelled.
+func (r *relay) MarkCancelled(key sched.Key) {
+	sh := r.shard(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if j := sh.jobs[key]; j != nil {
+		j.cancelled = true
+	}
+}
+
 // run sends again what lost its owner, and gives up on what nobody answers.
 func (r *relay) run(ctx context.Context) {
 	tick := time.NewTicker(resendInterval)
