Take no refusal while the owner has another copy of the job

Cause: an owner that lost a cell and got it back, or whose stream broke while it lived, may hold two copies of one submission. The receiving entry sent a third when the first was answered with NotOwner, and gave the caller the refusal of one copy ('not run') while the owner could still admit another. Ruled out: making refusals final at the owner, since a caller may send a refused id again. Change: the receiving entry counts the copies at each owner. A refusal counts only when no copy waits for an answer; after a broken stream to the same owner it is 'outcome unknown'. NotOwner sends the job again only when no copy waits.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -58,7 +58,9 @@
 	// sentTo names the owner and generation that has it, empty for none.
 	sentTo   ownerRef
 	everSent bool
-	waiters  []chan *pb.Answer
+	// copies are what each owner has got of it.
+	copies  []copies
+	waiters []chan *pb.Answer
 }
 
 type ownerRef struct {
@@ -146,7 +148,7 @@
 		return
 	}
 	ref := ownerRef{id: owner.Owner, generation: owner.Generation}
-	j.sentTo, j.everSent = ref, true
+	j.sent(ref)
 	cancelled := j.cancelled
 	// The cell may answer at once, and the answer needs the shard's lock.
 	go func() {
@@ -169,7 +171,7 @@
 		return
 	}
 	r.counters.relaysSent.Add(1)
-	j.sentTo, j.everSent = ownerRef{id: owner.Owner, generation: owner.Generation, link: l}, true
+	j.sent(ownerRef{id: owner.Owner, generation: owner.Generation, link: l})
 	if j.cancelled {
 		l.out.Put(&pb.RelayRequest{Cancels: []*pb.Cancel{{Id: s.GetId(), Cell: s.GetCell()}}})
 	}
@@ -187,18 +189,25 @@
 		r.counters.lateAnswers.Add(1)
 		return
 	}
+	c := j.copiesAt(from.id)
+	c.waiting = max(0, c.waiting-1)
 	if result.Code(a.GetCode()) == result.NotOwner {
 		// An entry that has not opened the cell yet answers without a
 		// generation.
-		if j.sentTo.id == from.id && j.sentTo.link == from.link {
-			j.sentTo = ownerRef{}
-		}
+		j.sendAgain(from, c)
 		return
 	}
 	if j.sentTo != from && result.Code(a.GetCode()) != result.OK {
 		r.counters.lateAnswers.Add(1)
+		j.sendAgain(from, c)
+		return
+	}
+	if claimsNotRun(a) && c.waiting > 0 {
 		return
 	}
+	if claimsNotRun(a) && c.lost {
+		a = &pb.Answer{Id: key[:], Code: uint32(result.OutcomeUnknown), Detail: "refused, but the owner may also have it from a stream that broke"}
+	}
 	delete(sh.jobs, key)
 	for _, w := range j.waiters {
 		w <- a
@@ -357,6 +366,10 @@
 			if j.sentTo.link == l {
 				j.sentTo = ownerRef{}
 			}
+			if c := j.copiesAt(l.id); c.waiting > 0 {
+				c.waiting = 0
+				c.lost = true
+			}
 		}
 		sh.mu.Unlock()
 	}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -112,3 +112,86 @@
 	})))
 	must.Eq(t, result.Cancelled, answerOf(got))
 }
+
+// oldFailure is a failure that comes under the generation before the present.
+const oldFailure = result.OutcomeUnknown
+
+// An entry that lost a cell and got it back may hold two copies of a
+// submission. That it refuses one says nothing of the other.
+func TestRefusalOfOneCopyIsNotTheAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		// then are the codes that follow the refusal of one copy.
+		then []result.Code
+		want result.Code
+	}{
+		"the other is done":     {[]result.Code{result.OK}, result.OK},
+		"the other is refused":  {[]result.Code{result.OverQuota}, result.OverQuota},
+		"nothing follows":       {nil, result.Internal},
+		"an old one, sent anew": {[]result.Code{oldFailure, result.OverQuota}, result.OverQuota},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newRelayBench(t, ownedBy(2, "e2", 4))
+			key, got := b.submit()
+			b.board.FromStore(ownedBy(3, "e2", 6), 30, time.Now())
+			b.sweep()
+			b.answer(key, result.OverQuota, 6)
+			must.Eq(t, result.Internal, answerOf(got))
+			for _, code := range c.then {
+				if code == oldFailure {
+					b.answer(key, code, 4)
+					b.sweep()
+					continue
+				}
+				b.answer(key, code, 6)
+			}
+			must.Eq(t, c.want, answerOf(got))
+		})
+	}
+}
+
+// The answer that an older copy gets must not lead to one copy more.
+func TestNotOwnerOfAnOlderCopySendsNoOther(t *testing.T) {
+	b := newRelayBench(t, ownedBy(2, "e2", 4))
+	key, got := b.submit()
+	b.board.FromStore(ownedBy(3, "e2", 6), 30, time.Now())
+	b.sweep()
+	b.answer(key, result.NotOwner, 4)
+	b.sweep()
+	sent, _ := b.link.out.Take(t.Context())
+	must.Len(t, 2, sent)
+	b.answer(key, result.NotOwner, 6)
+	b.sweep()
+	sent, _ = b.link.out.Take(t.Context())
+	must.Len(t, 1, sent)
+	b.answer(key, result.OverQuota, 6)
+	must.Eq(t, result.OverQuota, answerOf(got))
+}
+
+// A copy that was on a broken stream may still be read by an owner that lives.
+func TestRefusalAfterABrokenStreamIsNotCertain(t *testing.T) {
+	for name, c := range map[string]struct {
+		after *control.Document
+		code  result.Code
+		want  result.Code
+	}{
+		"same owner refuses":  {ownedBy(2, "e2", 4), result.OverQuota, result.OutcomeUnknown},
+		"same owner is done":  {ownedBy(2, "e2", 4), result.OK, result.OK},
+		"another one refuses": {ownedBy(3, "e3", 5), result.OverQuota, result.OverQuota},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := c.after
+			b := newRelayBench(t, ownedBy(2, "e2", 4))
+			d.Roster = append(d.Roster, control.Member{ID: "e3"})
+			key, got := b.submit()
+			b.relay.dropLink(b.link)
+			b.board.FromStore(d, 30, time.Now())
+			owner := d.Cells[0]
+			b.link = &ownerLink{id: owner.Owner, out: outbox.New[*pb.RelayRequest]()}
+			b.relay.peers[owner.Owner] = b.link
+			b.sweep()
+			ref := ownerRef{id: owner.Owner, generation: owner.Generation, link: b.link}
+			b.relay.answered(key, ref, &pb.Answer{Id: key[:], Code: uint32(c.code), Generation: owner.Generation})
+			must.Eq(t, c.want, answerOf(got))
+		})
+	}
+}
