Call no command done or ineffective on old knowledge

Cause: (1) a command that found nothing to change was answered as accepted by the entry's own document, which may be older than another operator's command in the opposite sense: 'take out' was confirmed while the domain was back in service. (2) After an attempt with a lost answer a later attempt's 'unavailable' was given to the operator, though the first may still be executed. Change: finding nothing to change counts only after the store was read since the command came; an error after an attempt in doubt says so. The write is cut into smaller steps on the way.

--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -33,35 +33,80 @@
 // of the store, or CommandConflict when others always came first.
 func (w *writer) Write(ctx context.Context, change changeFunc) (*control.Document, error) {
 	operation := uuid.NewString()
+	began := time.Now()
+	last := swapOvertaken
 	for range writeAttempts {
-		d, storeRevision := w.board.StoreRevision()
-		if d == nil || storeRevision == 0 {
+		d, storeRevision, err := w.latest(ctx)
+		if err != nil {
+			return nil, last.doubt(err)
+		}
+		next, err := change(d.Settled(w.board.Acked(d.Revision)), operation)
+		if err != nil {
+			return nil, err
+		}
+		if next == nil && w.board.StoreConfirmed().Before(began) {
+			// An old document proves nothing: ask the store and look again.
 			if err := w.sync.read(ctx); err != nil {
 				return nil, err
 			}
-			d, storeRevision = w.board.StoreRevision()
+			continue
 		}
-		if d == nil {
-			return nil, result.Errorf(result.StoreNotFound, "there is no control document yet")
+		if next == nil {
+			return nil, nil
 		}
-		next, err := change(d.Settled(w.board.Acked(d.Revision)), operation)
-		if err != nil || next == nil {
-			return nil, err
+		swapped, err := w.swap(ctx, next, storeRevision)
+		if err != nil {
+			return next, last.doubt(err)
 		}
-		done, err := w.swap(ctx, next, storeRevision)
-		if done || err != nil {
-			return next, err
+		if swapped == swapDone {
+			return next, nil
 		}
+		last = swapped
+	}
+	return nil, last.doubt(result.Errorf(result.CommandConflict, "other writers always came first"))
+}
+
+// latest returns the document to change with the store's revision of it.
+func (w *writer) latest(ctx context.Context) (*control.Document, uint64, error) {
+	d, storeRevision := w.board.StoreRevision()
+	if d == nil || storeRevision == 0 {
+		if err := w.sync.read(ctx); err != nil {
+			return nil, 0, err
+		}
+		d, storeRevision = w.board.StoreRevision()
+	}
+	if d == nil {
+		return nil, 0, result.Errorf(result.StoreNotFound, "there is no control document yet")
 	}
-	return nil, result.Errorf(result.CommandConflict, "other writers always came first")
+	return d, storeRevision, nil
 }
 
-// swap writes once. It is false without an error when another writer came
-// first.
-func (w *writer) swap(ctx context.Context, next *control.Document, expect uint64) (bool, error) {
+// swapResult is what became of one attempt to write.
+type swapResult int
+
+const (
+	// swapOvertaken tells that another writer came first.
+	swapOvertaken swapResult = iota
+	swapDone
+	// swapUnseen tells that the answer was lost and that the store did not
+	// hold the write when it was read. It may still take effect.
+	swapUnseen
+)
+
+// doubt returns the error of a write after an attempt: it must not say that
+// there was no effect while the attempt may still have one.
+func (r swapResult) doubt(err error) error {
+	if r != swapUnseen {
+		return err
+	}
+	return result.Wrap(result.StoreAnswerLost, err, "an earlier attempt may take effect")
+}
+
+// swap writes once.
+func (w *writer) swap(ctx context.Context, next *control.Document, expect uint64) (swapResult, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
-		return false, result.Wrap(result.Internal, err, "control document")
+		return swapOvertaken, result.Wrap(result.Internal, err, "control document")
 	}
 	sctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
@@ -70,13 +115,23 @@
 	switch result.CodeOf(err) {
 	case result.OK:
 		w.board.FromStore(next, revision, asked)
-		return true, nil
+		return swapDone, nil
 	case result.StoreConflict:
-		return w.readBack(ctx, next)
+		done, err := w.readBack(ctx, next)
+		return seen(done, swapOvertaken), err
 	case result.StoreAnswerLost:
-		return w.readBackLost(ctx, next)
+		done, err := w.readBackLost(ctx, next)
+		return seen(done, swapUnseen), err
+	}
+	return swapOvertaken, err
+}
+
+// seen is swapDone if the write was found in the store.
+func seen(done bool, otherwise swapResult) swapResult {
+	if done {
+		return swapDone
 	}
-	return false, err
+	return otherwise
 }
 
 // readBackLost reads until the store answers whether a write took effect. If
--- a/internal/entry/write_test.go
+++ b/internal/entry/write_test.go
@@ -137,3 +137,76 @@
 	must.Eq(t, 6, b.Doc().Revision)
 	must.Eq(t, now, b.StoreConfirmed())
 }
+
+// A command that finds nothing to change must have looked at what the store
+// holds now: another operator may have changed the object back.
+func TestCommandIsNotDoneByAnOldDocument(t *testing.T) {
+	for name, c := range map[string]struct {
+		// back tells that another entry returned the domain to service.
+		back  bool
+		fault []platform.Fault
+		code  result.Code
+		out   []string
+	}{
+		"out already":            {false, nil, result.OK, []string{"Comas"}},
+		"returned since":         {true, nil, result.CommandConflict, []string{}},
+		"the store does not say": {false, []platform.Fault{{Kind: platform.Unavailable}}, result.StoreUnavailable, []string{"Comas"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestStore(t)
+			other := s.writer()
+			_, err := other.Write(t.Context(), domainOut("Comas"))
+			must.NoError(t, err)
+			w := s.writer()
+			must.NoError(t, w.sync.read(t.Context()))
+			if c.back {
+				edit := control.Edit{Who: "eva", What: "return domain Comas", Base: 2, Domain: &control.ServiceEdit{Name: "Comas"}}
+				_, err = other.Write(t.Context(), func(d *control.Document, op string) (*control.Document, error) {
+					return control.Edited(d, edit, op, time.Now())
+				})
+				must.NoError(t, err)
+			}
+			s.platform.SetFaults(c.fault...)
+			edit := control.Edit{Who: "ana", What: "take domain Comas out", Base: 2, Domain: &control.ServiceEdit{Name: "Comas", Out: true}}
+			next, err := w.Write(t.Context(), func(d *control.Document, op string) (*control.Document, error) {
+				return control.Edited(d, edit, op, time.Now())
+			})
+			must.Nil(t, next)
+			must.Eq(t, c.code, result.CodeOf(err))
+			s.platform.SetFaults()
+			must.Eq(t, c.out, append([]string{}, s.document().Config.DomainsOut...))
+		})
+	}
+}
+
+// A write of which one attempt is in doubt must not be called ineffective
+// because a later attempt surely was.
+func TestDoubtOutlivesTheAttempt(t *testing.T) {
+	s := newTestStore(t)
+	w := s.writer()
+	must.NoError(t, w.sync.read(t.Context()))
+	lost := &lateStore{Store: w.store}
+	w.store = lost
+	_, err := w.Write(t.Context(), domainOut("Comas"))
+	must.Eq(t, result.StoreAnswerLost, result.CodeOf(err))
+	must.NoError(t, lost.late(t.Context()))
+	must.Eq(t, []string{"Comas"}, s.document().Config.DomainsOut)
+}
+
+// lateStore holds back the first write, answers that its answer is lost, and
+// is away for the next.
+type lateStore struct {
+	store.Store
+	late func(context.Context) error
+}
+
+func (l *lateStore) CompareAndSwap(_ context.Context, key string, expect uint64, value []byte, lease store.LeaseID) (uint64, error) {
+	if l.late != nil {
+		return 0, result.Errorf(result.StoreUnavailable, "")
+	}
+	l.late = func(ctx context.Context) error {
+		_, err := l.Store.CompareAndSwap(ctx, key, expect, value, lease)
+		return err
+	}
+	return 0, result.Errorf(result.StoreAnswerLost, "")
+}
