Confirm 'not run' also when a job is looked up

Cause: GET of a job gave the answer that any entry on the roster held for it. An owner that was paused past a takeover fails its waiting jobs by their deadline when it wakes; its unconfirmed 'not run' went out while the new owner had run the job. Change: the lookup waits for the same confirmation as the answer itself; an entry that gets none in time counts as one that did not answer.

--- a/internal/entry/inspect.go
+++ b/internal/entry/inspect.go
@@ -32,11 +32,14 @@
 	kindUnapplied = "unapplied"
 )
 
-var errUnknownKind = errors.New("unknown kind of row")
+var (
+	errUnknownKind = errors.New("unknown kind of row")
+	errUnconfirmed = errors.New("the answer could not be confirmed in time")
+)
 
 // Inspect gives what this entry itself holds.
-func (e *Entry) Inspect(_ context.Context, req *connect.Request[pb.InspectRequest]) (*connect.Response[pb.InspectResponse], error) {
-	rows, err := e.inspectHere(req.Msg.GetKind(), req.Msg.GetId())
+func (e *Entry) Inspect(ctx context.Context, req *connect.Request[pb.InspectRequest]) (*connect.Response[pb.InspectResponse], error) {
+	rows, err := e.inspectHere(ctx, req.Msg.GetKind(), req.Msg.GetId())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
@@ -47,7 +50,7 @@
 	return connect.NewResponse(&pb.InspectResponse{Rows: text}), nil
 }
 
-func (e *Entry) inspectHere(kind string, id []byte) (any, error) {
+func (e *Entry) inspectHere(ctx context.Context, kind string, id []byte) (any, error) {
 	switch kind {
 	case kindJobs:
 		return eachCell(e, func(c *cell.Cell) []api.JobRow { return c.Jobs(time.Now()) }), nil
@@ -61,7 +64,7 @@
 	case kindEntries:
 		return []api.EntryRow{e.entryRow()}, nil
 	case kindAnswer:
-		return e.answerHere(id), nil
+		return e.answerHere(ctx, id)
 	case kindCancel:
 		return e.cancelHere(id), nil
 	}
@@ -79,9 +82,9 @@
 // jobAnswer is a job's state and, once it has ended, its answer.
 type jobAnswer = api.JobStatus
 
-func (e *Entry) answerHere(id []byte) []jobAnswer {
+func (e *Entry) answerHere(ctx context.Context, id []byte) ([]jobAnswer, error) {
 	if len(id) != len(sched.Key{}) {
-		return nil
+		return nil, nil
 	}
 	for _, c := range e.ownership.Cells() {
 		state, a, team := c.Lookup(sched.Key(id))
@@ -90,12 +93,32 @@
 		}
 		found := jobAnswer{Team: team, State: state}
 		if a != nil {
+			a = e.confirmed(ctx, a)
+			if a == nil {
+				return nil, errUnconfirmed
+			}
+			if result.Code(a.GetCode()) == result.NotOwner {
+				continue
+			}
 			whole := toAPI(uuidText(id), a)
 			found.Answer = &whole
 		}
-		return []jobAnswer{found}
+		return []jobAnswer{found}, nil
+	}
+	return nil, nil
+}
+
+// confirmed waits until an answer may leave the entry: it comes as it is, as
+// NotOwner, or not before ctx ends.
+func (e *Entry) confirmed(ctx context.Context, a *pb.Answer) *pb.Answer {
+	got := make(chan *pb.Answer, 1)
+	e.confirms.Release(a, func(a *pb.Answer) { got <- a })
+	select {
+	case a := <-got:
+		return a
+	case <-ctx.Done():
+		return nil
 	}
-	return nil
 }
 
 func (e *Entry) cancelHere(id []byte) []bool {
@@ -167,7 +190,7 @@
 func inspectMember[T any](ctx context.Context, e *Entry, m control.Member, kind string, id []byte) ([]T, error) {
 	var text []byte
 	if m.ID == e.id {
-		rows, err := e.inspectHere(kind, id)
+		rows, err := e.inspectHere(ctx, kind, id)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -65,6 +65,19 @@
 	b.relay.answered(key, ref, &pb.Answer{Id: key[:], Code: uint32(code), Generation: generation})
 }
 
+// servingCell is a cell that serves under the document, without agents.
+func servingCell(t *testing.T, d *control.Document) *cell.Cell {
+	t.Helper()
+	c := cell.New(cell.Config{
+		Generation: d.Cells[0].Generation, IDRetention: time.Minute, ClockSkew: time.Second, LostAfter: time.Minute,
+		Freshness: time.Second, MaxPending: 1, MaxAnswerBytes: 1 << 20, AnswerRetention: time.Minute,
+		Sched: sched.DefaultConfig(),
+		Fresh: func(time.Time) bool { return true },
+	}, d, cell.Members{}, rand.New(rand.NewPCG(1, 2)), time.Now())
+	c.Accepted(time.Now())
+	return c
+}
+
 func answerOf(c <-chan *pb.Answer) result.Code {
 	select {
 	case a := <-c:
@@ -97,12 +110,7 @@
 	key, got := b.submit()
 	b.relay.Cancel(t.Context(), key)
 	d := ownedBy(3, "e1", 5)
-	b.local = cell.New(cell.Config{
-		Generation: 5, IDRetention: time.Minute, ClockSkew: time.Second, LostAfter: time.Minute,
-		Freshness: time.Second, MaxPending: 1, Sched: sched.DefaultConfig(),
-		Fresh: func(time.Time) bool { return true },
-	}, d, cell.Members{}, rand.New(rand.NewPCG(1, 2)), time.Now())
-	b.local.Accepted(time.Now())
+	b.local = servingCell(t, d)
 	b.board.FromStore(d, 30, time.Now())
 	b.sweep()
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(time.Second), wait.BoolFunc(func() bool {
