--- a/internal/entry/inspect.go
+++ b/internal/entry/inspect.go
@@ -60,7 +60,7 @@
 		return eachCell(e, (*cell.Cell).Teams), nil
 	case kindUnapplied:
 		d := e.board.Doc()
-		return eachCell(e, func(c *cell.Cell) []string { return c.Unapplied(d.Revision) }), nil
+		return eachCell(e, func(c *cell.Cell) []string { return c.Unapplied(d.Revision, time.Now()) }), nil
 	case kindEntries:
 		return []api.EntryRow{e.entryRow()}, nil
 	case kindAnswer:
