Refuse no started job for an id ahead of the clock

Cause: an owner refused ids ahead of its clock as 'not run' before it looked at records and gaps. After a takeover its clock may be behind the old owner's by the bound on skew, and the job may have been started under the id. Change: the gap comes first (outcome unknown), then the records (the job goes on from them), then the refusal.

--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -80,15 +80,16 @@
 // been started before without a record that reached this owner.
 func (c *Cell) checkUnknownID(key sched.Key, now time.Time) (result.Code, string) {
 	made := idTime(key)
-	if made.After(now.Add(c.cfg.ClockSkew)) {
-		return result.IDFromFuture, fmt.Sprintf("the id's time is %s ahead", made.Sub(now).Round(time.Millisecond))
-	}
 	if made.Before(now.Add(-c.cfg.IDRetention)) {
 		return result.OutcomeUnknown, "the id is older than ids are remembered"
 	}
 	if !made.After(c.gapUntil()) {
 		return result.OutcomeUnknown, "records of an earlier owner are missing"
 	}
+	// An earlier owner's clock may have been ahead of this one's.
+	if made.After(now.Add(c.cfg.ClockSkew)) && len(c.records[key]) == 0 {
+		return result.IDFromFuture, fmt.Sprintf("the id's time is %s ahead", made.Sub(now).Round(time.Millisecond))
+	}
 	return result.OK, ""
 }
 
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -109,3 +109,35 @@
 		})
 	}
 }
+
+// The clocks of two owners differ: an id that the old one took may lie ahead
+// of the new one's clock. What was started must not be refused as "not run".
+func TestIDAheadOfTheNewOwnersClock(t *testing.T) {
+	ahead := -skew - skew/2
+	for name, c := range map[string]struct {
+		started bool
+		missing bool
+		want    []result.Code
+	}{
+		"started before":      {true, false, []result.Code{result.OK}},
+		"never started":       {false, false, []result.Code{result.IDFromFuture}},
+		"an agent is missing": {false, true, []result.Code{result.OutcomeUnknown}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old := Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}}}
+			if c.missing {
+				old.Agents = append(old.Agents, Member{Endpoint: "e-2", Incarnation: "i2"})
+			}
+			b := newBench(t, 2, old)
+			b.cell.Accepted(b.now)
+			b.tick(fresh + time.Millisecond)
+			id := b.id(ahead)
+			var records []*pb.Outcome
+			if c.started {
+				records = append(records, outcomeOf(id, 0, false))
+			}
+			b.attach("e-1", "i1", records...)
+			must.Eq(t, c.want, codes(b.submit(id, 1, 7)))
+		})
+	}
+}
