Bound callers' durations and tell the team from the first payload

Cause: timeout_ms, declared_run_ms and a team's max_timeout were multiplied without a bound: 2^64 nanoseconds wrapped to a timeout under a millisecond, and a large team limit refused every job. The digest ran the team's name into the first payload, so that another team's job under the same id could attach. Change: comparisons are in milliseconds, conversions are bounded, and the digest has a separator. callers_test.go: 3 of 6 cases and the digest's test failed before, none after.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"time"
 	"unicode/utf8"
@@ -112,13 +113,13 @@
 	if len(job.Tasks) == 0 || len(job.Tasks) > api.MaxTasks {
 		return nil, result.Errorf(result.Malformed, "a job has from 1 to %d tasks, not %d", api.MaxTasks, len(job.Tasks))
 	}
-	timeout := time.Duration(job.TimeoutMS) * time.Millisecond
-	if timeout <= 0 || timeout > e.maxTimeout(job.Team) {
-		return nil, result.Errorf(result.Malformed, "timeout_ms must be from 1 to %d", e.maxTimeout(job.Team).Milliseconds())
+	if limit := e.maxTimeoutMS(job.Team); job.TimeoutMS <= 0 || job.TimeoutMS > limit {
+		return nil, result.Errorf(result.Malformed, "timeout_ms must be from 1 to %d", limit)
 	}
-	s := &pb.Submission{Id: id[:], Team: job.Team, TimeoutNs: int64(timeout)}
+	s := &pb.Submission{Id: id[:], Team: job.Team, TimeoutNs: nanoseconds(job.TimeoutMS)}
 	h := xxhash.New()
 	_, _ = h.WriteString(job.Team)
+	_, _ = h.Write([]byte{0})
 	for _, t := range job.Tasks {
 		payload := []byte(t.Payload)
 		if len(payload) == 0 {
@@ -133,15 +134,22 @@
 		s.Tasks = append(s.Tasks, &pb.Task{
 			Payload:       payload,
 			Idempotent:    t.Idempotent,
-			DeclaredRunNs: t.DeclaredRunMS * int64(time.Millisecond),
+			DeclaredRunNs: nanoseconds(t.DeclaredRunMS),
 		})
 	}
 	s.Digest = h.Sum64()
 	return s, nil
 }
 
-func (e *Entry) maxTimeout(team string) time.Duration {
-	limit := e.settings.MaxTimeout.Std()
+// nanoseconds converts milliseconds from a caller; what does not fit becomes
+// the longest duration.
+func nanoseconds(ms int64) int64 {
+	return min(max(ms, 0), math.MaxInt64/int64(time.Millisecond)) * int64(time.Millisecond)
+}
+
+// maxTimeoutMS is the longest timeout of a team's job in milliseconds.
+func (e *Entry) maxTimeoutMS(team string) int64 {
+	limit := e.settings.MaxTimeout.Std().Milliseconds()
 	d := e.board.Doc()
 	if d == nil {
 		return limit
@@ -150,7 +158,7 @@
 	if !ok || t.MaxTimeoutMS == 0 {
 		return limit
 	}
-	return min(limit, time.Duration(t.MaxTimeoutMS)*time.Millisecond)
+	return min(limit, t.MaxTimeoutMS)
 }
 
 func submissionID(text string) (sched.Key, error) {
