--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -58,7 +58,9 @@
 	// sentTo names the owner and generation that has it, empty for none.
 	sentTo   ownerRef
 	everSent bool
-	waiters  []chan *pb.Answer
+	// copies are what each owner has got of it.
+	copies  []copies
+	waiters []chan *pb.Answer
 }
 
 type ownerRef struct {
@@ -146,11 +148,17 @@
 		return
 	}
 	ref := ownerRef{id: owner.Owner, generation: owner.Generation}
-	j.sentTo, j.everSent = ref, true
+	j.sent(ref)
+	cancelled := j.cancelled
 	// The cell may answer at once, and the answer needs the shard's lock.
-	go c.Submit(s, func(a *pb.Answer) {
-		r.confirms.Release(a, func(a *pb.Answer) { r.answered(j.key, ref, a) })
-	}, time.Now())
+	go func() {
+		c.Submit(s, func(a *pb.Answer) {
+			r.confirms.Release(a, func(a *pb.Answer) { r.answered(j.key, ref, a) })
+		}, time.Now())
+		if cancelled {
+			c.Cancel(j.key, time.Now())
+		}
+	}()
 }
 
 func (r *relay) sendRemote(ctx context.Context, j *relayed, s *pb.Submission, d *control.Document, owner control.Cell) {
@@ -163,7 +171,7 @@
 		return
 	}
 	r.counters.relaysSent.Add(1)
-	j.sentTo, j.everSent = ownerRef{id: owner.Owner, generation: owner.Generation, link: l}, true
+	j.sent(ownerRef{id: owner.Owner, generation: owner.Generation, link: l})
 	if j.cancelled {
 		l.out.Put(&pb.RelayRequest{Cancels: []*pb.Cancel{{Id: s.GetId(), Cell: s.GetCell()}}})
 	}
@@ -181,18 +189,25 @@
 		r.counters.lateAnswers.Add(1)
 		return
 	}
+	c := j.copiesAt(from.id)
+	c.waiting = max(0, c.waiting-1)
 	if result.Code(a.GetCode()) == result.NotOwner {
 		// An entry that has not opened the cell yet answers without a
 		// generation.
-		if j.sentTo.id == from.id && j.sentTo.link == from.link {
-			j.sentTo = ownerRef{}
-		}
+		j.sendAgain(from, c)
 		return
 	}
 	if j.sentTo != from && result.Code(a.GetCode()) != result.OK {
 		r.counters.lateAnswers.Add(1)
+		j.sendAgain(from, c)
 		return
 	}
+	if claimsNotRun(a) && c.waiting > 0 {
+		return
+	}
+	if claimsNotRun(a) && c.lost {
+		a = &pb.Answer{Id: key[:], Code: uint32(result.OutcomeUnknown), Detail: "refused, but the owner may also have it from a stream that broke"}
+	}
 	delete(sh.jobs, key)
 	for _, w := range j.waiters {
 		w <- a
@@ -201,12 +216,7 @@
 
 // Cancel passes a cancellation to the owner.
 func (r *relay) Cancel(ctx context.Context, key sched.Key) {
-	sh := r.shard(key)
-	sh.mu.Lock()
-	if j := sh.jobs[key]; j != nil {
-		j.cancelled = true
-	}
-	sh.mu.Unlock()
+	r.MarkCancelled(key)
 	d := r.board.Doc()
 	if d == nil {
 		return
@@ -221,6 +231,17 @@
 	}
 }
 
+// MarkCancelled makes a submission that waits here go to a later owner as
+// cancelled.
+func (r *relay) MarkCancelled(key sched.Key) {
+	sh := r.shard(key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if j := sh.jobs[key]; j != nil {
+		j.cancelled = true
+	}
+}
+
 // run sends again what lost its owner, and gives up on what nobody answers.
 func (r *relay) run(ctx context.Context) {
 	tick := time.NewTicker(resendInterval)
@@ -345,6 +366,10 @@
 			if j.sentTo.link == l {
 				j.sentTo = ownerRef{}
 			}
+			if c := j.copiesAt(l.id); c.waiting > 0 {
+				c.waiting = 0
+				c.lost = true
+			}
 		}
 		sh.mu.Unlock()
 	}
