Send fewer heartbeats, wake fewer waiters, answer while draining

An entry closed its listener at SIGTERM, so /ready could not tell the balancer and new callers were refused by the host instead of with a code. A cancelled job was shown as failed with all its tasks done.

Change: a heartbeat a second to the owner, every third second to the deputy; it rides along with outcomes; agents are told a new revision at once and answer at once; waiters for the document only wake for it. The listener stays open until every submission made here has its answer. Rows count tasks that succeeded.

Ruled out: cutting an agent after half the freshness limit, which needs two heartbeats a second; a stopped agent now gets work for up to 3 s.

--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -62,6 +62,9 @@
 		InService:       s.GetInService(),
 	})
 	st.echo(s.GetEchoNs())
+	if a.gate.State(a.now()).ControlRevision > st.told.Load() {
+		st.out.addHeartbeat()
+	}
 	a.delivery.confirm(st)
 }
 
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -54,7 +54,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Freshness:       settings.Duration(3 * time.Second),
-		Heartbeat:       settings.Duration(500 * time.Millisecond),
+		Heartbeat:       settings.Duration(time.Second),
 		RecordRetention: settings.Duration(10 * time.Minute),
 		MaxRecords:      500_000,
 		BodyRetention:   settings.Duration(time.Minute),
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -26,6 +26,10 @@
 	// delivered is the instant after which the last outcomes or the last
 	// acknowledgement were handed to the transport.
 	delivered atomic.Int64
+	// beaten is when the last heartbeat was sent, told the control revision
+	// that it named.
+	beaten atomic.Int64
+	told   atomic.Uint64
 	// echoed is the sending instant of the last heartbeat that was answered.
 	echoed atomic.Int64
 	// leavingEchoed is set once a heartbeat with the mark leaving was
@@ -102,7 +106,9 @@
 			if st.silence(a.now()) > maxSilence {
 				return errSilent
 			}
-			st.out.addHeartbeat()
+			if a.beatDue(st) {
+				st.out.addHeartbeat()
+			}
 		case <-st.out.wake:
 		}
 		if err := a.flush(w, st); err != nil {
@@ -111,6 +117,30 @@
 	}
 }
 
+// standbyBeats is how many times longer the time between heartbeats is on the
+// stream to an entry that does not own the cell.
+const standbyBeats = 3
+
+// beatDue tells at a tick whether a heartbeat must go by itself. One that went
+// with outcomes since the last tick counts.
+func (a *Agent) beatDue(st *stream) bool {
+	interval := a.settings.Heartbeat.Std()
+	if a.delivery.current() != st && !a.gate.State(a.now()).Leaving {
+		interval *= standbyBeats
+	}
+	return st.sinceBeat(a.now()) > interval-a.settings.Heartbeat.Std()/2
+}
+
+// ridesAlong tells whether a heartbeat goes with outcomes, which costs no
+// message of its own.
+func (a *Agent) ridesAlong(st *stream, c contents) bool {
+	return len(c.outcomes) > 0 && st.sinceBeat(a.now()) > a.settings.Heartbeat.Std()/2
+}
+
+func (st *stream) sinceBeat(now time.Duration) time.Duration {
+	return now - time.Duration(st.beaten.Load())
+}
+
 // flush sends all that waits.
 func (a *Agent) flush(w *wire, st *stream) error {
 	for {
@@ -119,6 +149,7 @@
 			return nil
 		}
 		frame := &pb.AgentFrame{Outcomes: c.outcomes, FenceAck: c.ack}
+		c.heartbeat = c.heartbeat || a.ridesAlong(st, c)
 		if c.heartbeat {
 			frame.Heartbeat = a.heartbeat(st)
 		}
@@ -162,6 +193,8 @@
 func (a *Agent) heartbeat(st *stream) *pb.Heartbeat {
 	now := a.now()
 	state := a.gate.State(now)
+	st.beaten.Store(int64(now))
+	st.told.Store(state.ControlRevision)
 	if state.Leaving {
 		st.leavingSince.CompareAndSwap(0, int64(now))
 	}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -46,6 +46,8 @@
 	tasks    []task
 	waiting  int
 	running  int
+	// succeeded counts the tasks that ended well.
+	succeeded int
 	// stop is the code that the job fails with, OK while it goes on.
 	stop     result.Code
 	detail   string
@@ -133,6 +135,9 @@
 	}
 	t.state = ended
 	t.outcome = o
+	if o.GetCode() == uint32(result.OK) {
+		j.succeeded++
+	}
 	t.payload = nil
 	o.Task = &pb.TaskRef{Submission: j.key[:], Index: uint32(index)}
 }
@@ -275,6 +280,8 @@
 	switch {
 	case j.isEnded && j.code == result.OK:
 		return "done"
+	case j.isEnded && (j.code == result.Cancelled || j.code == result.CancelledAfterStart):
+		return "cancelled"
 	case j.isEnded:
 		return "failed"
 	case j.running > 0:
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -31,7 +31,7 @@
 		Tasks:   len(j.tasks),
 		Waiting: j.waiting,
 		Running: j.running,
-		Done:    len(j.tasks) - j.waiting - j.running,
+		Done:    j.succeeded,
 		Code:    int(j.code),
 		AgeMS:   now.Sub(j.admitted).Milliseconds(),
 		LeftMS:  max(0, j.deadline.Sub(now).Milliseconds()),
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -80,11 +80,8 @@
 	a.attach(l)
 	defer a.detach(l)
 	a.receive(l, first)
-	limit := a.freshness / silenceShare
-	silence := time.AfterFunc(limit, func() {
-		cancel(errSilentAgent)
-		a.detach(l)
-	})
+	limit := a.freshness
+	silence := time.AfterFunc(limit, func() { a.cutSilent(l, cancel) })
 	defer silence.Stop()
 	go func() {
 		cancel(a.read(l, s, func() { silence.Reset(limit) }))
@@ -95,9 +92,16 @@
 	return context.Cause(ctx)
 }
 
-// silenceShare of the freshness limit is how long an agent may send nothing
-// until its stream is cut: one that is stopped must not get more work.
-const silenceShare = 2
+// cutSilent ends the stream of an agent of an own cell that has sent nothing
+// for the freshness limit: one that is stopped must not get more work. Agents
+// of other cells send little.
+func (a *agents) cutSilent(l *link, cancel context.CancelCauseFunc) {
+	if a.cells(l.hello.GetCell()) == nil {
+		return
+	}
+	cancel(errSilentAgent)
+	a.detach(l)
+}
 
 // read takes frames until the stream ends; heard is called for each.
 func (a *agents) read(l *link, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame], heard func()) error {
@@ -187,7 +191,7 @@
 func (a *agents) pushLocations(ctx context.Context, l *link) {
 	sent := ""
 	for {
-		changed := a.board.Changed()
+		changed := a.board.DocChanged()
 		loc := locate(a.board.Doc(), l.hello.GetCell())
 		if key := locationKey(loc); key != sent {
 			sent = key
@@ -204,20 +208,22 @@
 // permitsNothing is the age of a stamp that only carries the service state.
 const permitsNothing = time.Hour
 
-// PushStop tells every agent of the own cells at once that it went out of
-// service, rather than with its next heartbeat's stamp.
-func (a *agents) PushStop(d *control.Document) {
+// PushService tells every agent of the own cells the service state of a new
+// document at once, rather than with its next heartbeat's stamp. The agents
+// answer with a heartbeat that names the revision.
+func (a *agents) PushService(d *control.Document) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, l := range a.links {
 		c := a.cells(l.hello.GetCell())
-		if c == nil || d.Config.InService(l.hello.GetEndpoint(), l.hello.GetFailureDomain()) {
+		if c == nil {
 			continue
 		}
 		l.out.Put(&pb.OwnerFrame{Stamp: &pb.Stamp{
 			Cell:            l.hello.GetCell(),
 			Generation:      c.Generation(),
 			ControlRevision: d.Revision,
+			InService:       d.Config.InService(l.hello.GetEndpoint(), l.hello.GetFailureDomain()),
 			AgeNs:           int64(permitsNothing),
 		}})
 	}
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -26,6 +26,9 @@
 	leaseGone map[string]bool
 	leaving   bool
 	changed   chan struct{}
+	// docChanged is closed when the document changes, for those whom its
+	// confirmations don't matter.
+	docChanged chan struct{}
 }
 
 func newBoard(self string) *board {
@@ -35,6 +38,7 @@
 		acks:          map[string]uint64{},
 		leaseGone:     map[string]bool{},
 		changed:       make(chan struct{}),
+		docChanged:    make(chan struct{}),
 	}
 }
 
@@ -45,6 +49,14 @@
 	return b.changed
 }
 
+// DocChanged returns a channel that is closed at the next change of the
+// document.
+func (b *board) DocChanged() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.docChanged
+}
+
 func (b *board) notify() {
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -109,6 +121,8 @@
 	}
 	b.doc = d
 	b.acks[b.self] = d.Revision
+	close(b.docChanged)
+	b.docChanged = make(chan struct{})
 	b.notify()
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,7 +163,7 @@
 		e.confirms.run,
 		e.relay.run,
 		e.tickCells,
-		e.stopAgents,
+		e.tellAgents,
 	}
 }
 
@@ -215,15 +215,15 @@
 	}
 }
 
-// stopAgents tells the agents of what went out of service as soon as the
-// document says so.
-func (e *Entry) stopAgents(ctx context.Context) {
+// tellAgents tells the agents the service state as soon as the document
+// changes.
+func (e *Entry) tellAgents(ctx context.Context) {
 	revision := uint64(0)
 	for {
-		changed := e.board.Changed()
+		changed := e.board.DocChanged()
 		if d := e.board.Doc(); d != nil && d.Revision > revision {
 			revision = d.Revision
-			e.agents.PushStop(d)
+			e.agents.PushService(d)
 		}
 		select {
 		case <-changed:
@@ -243,6 +243,9 @@
 		e.log.Warn("cells not handed over", zap.Error(err))
 		e.awaitIdle(ctx)
 	}
+	// While requests are in progress new ones get an answer (111), and
+	// /ready tells the balancer.
+	e.awaitAnswers(ctx)
 	if err := servers[0].Shutdown(ctx); err != nil {
 		e.log.Warn("callers' requests cut", zap.Error(err))
 	}
@@ -273,6 +276,13 @@
 	return err
 }
 
+// awaitAnswers waits until no submission made here is without its answer.
+func (e *Entry) awaitAnswers(ctx context.Context) {
+	for ctx.Err() == nil && e.relay.InProgress() > 0 {
+		pause(ctx, resendInterval)
+	}
+}
+
 // awaitIdle waits until the own cells have nothing in progress.
 func (e *Entry) awaitIdle(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -21,7 +21,7 @@
 
 // ownershipInterval is how often ownership is looked at without a change of
 // the board.
-const ownershipInterval = 100 * time.Millisecond
+const ownershipInterval = 250 * time.Millisecond
 
 // ownership takes over the cells that lack an alive owner, keeps deputies for
 // the own ones, and keeps the local cells in step with the document.
