Keep the digest of a submission with the records of its starts

Cause: a new owner knew of a started task only the id. Another body under the same id that came first after a takeover got the answers of the first job's tasks, started its own for the rest, and the first job got IDConflict. Change: Start carries the digest, the agent's record keeps it (8 bytes more a record), and an owner refuses a submission with another digest than the records' with IDConflict. Fields are added to two messages, none changes.

--- a/internal/agent/delivery.go
+++ b/internal/agent/delivery.go
@@ -138,6 +138,7 @@
 		RunNs:   int64(r.Run),
 		Running: r.Running,
 		Detail:  r.Detail,
+		Digest:  r.Digest,
 	}
 	if r.Running {
 		out.Code = uint32(result.AlreadyStarted)
--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -76,6 +76,7 @@
 		Cell:       s.GetCell(),
 		Generation: s.GetGeneration(),
 		Task:       task,
+		Digest:     s.GetDigest(),
 		Timeout:    time.Duration(s.GetTimeoutNs()),
 	}
 	code := a.delivery.admit(a.now(), st, ask)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -279,6 +279,7 @@
 		Payload:    t.payload,
 		Idempotent: t.idempotent,
 		TimeoutNs:  int64(j.deadline.Sub(now)),
+		Digest:     j.digest,
 	})
 }
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -124,7 +124,7 @@
 }
 
 func outcomeOf(id []byte, index uint32, running bool) *pb.Outcome {
-	return &pb.Outcome{Task: &pb.TaskRef{Submission: id, Index: index}, Running: running, Body: []byte("1")}
+	return &pb.Outcome{Task: &pb.TaskRef{Submission: id, Index: index}, Running: running, Body: []byte("1"), Digest: 7}
 }
 
 func TestResubmissionStartsNothingAgain(t *testing.T) {
--- a/internal/cell/outcome.go
+++ b/internal/cell/outcome.go
@@ -12,7 +12,9 @@
 type record struct {
 	endpoint    string
 	incarnation string
-	outcome     *pb.Outcome
+	// digest is that of the submission that the start was of.
+	digest  uint64
+	outcome *pb.Outcome
 }
 
 // Outcomes takes what an agent reports of starts. What comes late or twice is
@@ -152,18 +154,18 @@
 		byIndex = map[uint32]*record{}
 		c.records[k.job] = byIndex
 	}
-	byIndex[k.index] = &record{endpoint: e.name, incarnation: e.incarnation, outcome: o}
+	byIndex[k.index] = &record{endpoint: e.name, incarnation: e.incarnation, digest: o.GetDigest(), outcome: o}
 	if o.GetRunning() {
 		e.placed[k] = struct{}{}
 		c.sched.Occupy(k.job, int(k.index), e.name, "")
 	}
 }
 
-// recordsFit tells whether the starts that agents reported can be those of a
-// job with this many tasks.
-func (c *Cell) recordsFit(key sched.Key, tasks int) bool {
-	for index := range c.records[key] {
-		if int(index) >= tasks {
+// recordsFit tells whether the starts that agents reported for the id are of
+// this very submission.
+func (c *Cell) recordsFit(key sched.Key, s *pb.Submission) bool {
+	for index, r := range c.records[key] {
+		if int(index) >= len(s.GetTasks()) || r.digest != s.GetDigest() {
 			return false
 		}
 	}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -45,7 +45,7 @@
 		refuse(code, detail)
 		return
 	}
-	if !c.recordsFit(key, len(s.GetTasks())) {
+	if !c.recordsFit(key, s) {
 		refuse(result.IDConflict, "")
 		return
 	}
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -141,3 +141,24 @@
 		})
 	}
 }
+
+// A job that is another by its body must not get the answers of the one that
+// was started under its id, nor add its own tasks to it.
+func TestRecordsOfAnotherBodyConflict(t *testing.T) {
+	b := newBench(t, 1, Members{})
+	b.cell.Accepted(b.now)
+	l := b.attach("e-1", "i1")
+	id := b.id(time.Second)
+	b.submit(id, 2, 7)
+	starts := l.takeStarts()
+	must.Len(t, 2, starts)
+	record := outcomeOf(id, 0, false)
+	record.Digest = starts[0].GetDigest()
+
+	b, l = tookOver(t, record)
+	must.Eq(t, []result.Code{result.IDConflict}, codes(b.submit(id, 2, 8)))
+	must.Len(t, 0, l.takeStarts())
+	got := b.submit(id, 2, 7)
+	b.finish(l, l.takeStarts(), result.OK)
+	must.Eq(t, []result.Code{result.OK}, codes(got))
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,8 @@
 	Cell       uint32
 	Generation uint64
 	Task       Task
+	// Digest tells the submission's body from another's under the same id.
+	Digest uint64
 	// Timeout is what remains until the deadline.
 	Timeout time.Duration
 }
@@ -133,7 +135,7 @@
 	if code := g.checkRoom(s.Timeout); code != result.OK {
 		return Decision{Code: code}
 	}
-	g.records.begin(now, s.Task)
+	g.records.begin(now, s.Task, s.Digest)
 	g.permit.running++
 	return Decision{Code: result.OK}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -251,6 +251,18 @@
 	}
 }
 
+func TestRecordNamesItsSubmissionsBody(t *testing.T) {
+	g := openGate()
+	s := start(1)
+	s.Digest = 9
+	g.Admit(0, s)
+	records, _ := g.Fence(0, 1)
+	must.Eq(t, 9, records[0].Digest)
+	g.End(0, Record{Task: s.Task})
+	records, _ = g.Fence(0, 1)
+	must.Eq(t, 9, records[0].Digest)
+}
+
 func TestRunningTaskKeepsItsRecord(t *testing.T) {
 	g := openGate()
 	g.Admit(0, start(1))
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -52,12 +52,15 @@
 	Detail string
 	// Run is the time that the endpoint took.
 	Run time.Duration
+	// Digest is that of the Start.
+	Digest uint64
 }
 
 // record is the stored form of a Record.
 type record struct {
 	// answer is nil while the task runs and once the body was dropped.
 	answer  *answer
+	digest  uint64
 	runUS   uint32
 	code    uint16
 	running bool
@@ -79,6 +82,7 @@
 		Running: r.running,
 		Code:    result.Code(r.code),
 		Run:     time.Duration(r.runUS) * time.Microsecond,
+		Digest:  r.digest,
 	}
 	if r.answer != nil {
 		out.Body = r.answer.body
@@ -149,7 +153,7 @@
 }
 
 // begin makes the record of a task that has none.
-func (rs *records) begin(now time.Duration, t Task) {
+func (rs *records) begin(now time.Duration, t Task, digest uint64) {
 	s := rs.shard(t.Submission)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,7 +163,7 @@
 		b = &bucket{records: map[Task]record{}}
 		s.buckets[m] = b
 	}
-	b.records[t] = record{running: true}
+	b.records[t] = record{running: true, digest: digest}
 	b.running++
 	b.lastBegin = max(b.lastBegin, now)
 	rs.count.Add(1)
@@ -188,7 +192,7 @@
 	if !ok {
 		return false
 	}
-	b.records[r.Task] = record{answer: a, code: uint16(r.Code), runUS: micros(r.Run)}
+	b.records[r.Task] = record{answer: a, code: uint16(r.Code), runUS: micros(r.Run), digest: b.records[r.Task].digest}
 	b.running--
 	b.lastEnd = now
 	return true
--- a/internal/model/agent.go
+++ b/internal/model/agent.go
@@ -236,6 +236,7 @@
 		Cell:       m.GetCell(),
 		Generation: m.GetGeneration(),
 		Task:       gate.Task{Submission: uuid.UUID(m.GetTask().GetSubmission()), Index: m.GetTask().GetIndex()},
+		Digest:     m.GetDigest(),
 		Timeout:    time.Duration(m.GetTimeoutNs()),
 	}
 	if s != a.owner {
@@ -301,6 +302,7 @@
 		Code:    uint32(r.Code),
 		Body:    r.Body,
 		Running: r.Running,
+		Digest:  r.Digest,
 	}
 	if r.Running {
 		out.Code = uint32(result.AlreadyStarted)
