Let an entry that leaves the roster vouch for nothing

Cause: a leaving entry marks itself as ended, which counts as having acknowledged every later revision. Its write may take effect while its answer is lost, and the process may be paused there and wake later: it then vouched for the revision before, and with its word a stale owner counted as fresh although its cell had been taken over and the takeover accepted. Change: from before that write on the entry vouches for nothing and has no basis of its own. TestLeavingEntryVouchesForNothing failed before and passes after.

--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -25,6 +25,7 @@
 	// leaseGone are members whose lease in the store has lapsed.
 	leaseGone map[string]bool
 	leaving   bool
+	gone      bool
 	changed   chan struct{}
 }
 
@@ -167,8 +168,8 @@
 func (b *board) Confirmed(now time.Time) (*control.Document, time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.doc == nil {
-		return nil, time.Time{}
+	if b.doc == nil || b.gone {
+		return b.doc, time.Time{}
 	}
 	return b.doc, control.Basis(b.doc, b.self, b.confirmations, now)
 }
@@ -236,6 +237,23 @@
 	b.notify()
 }
 
+// SetGone marks the entry as taking itself off the roster. Whether that has
+// taken effect or not, it counts from now on as one whose process has ended:
+// it must not vouch for its document, and nothing confirms it any more.
+func (b *board) SetGone() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gone = true
+	b.notify()
+}
+
+// Vouches tells whether this entry may vouch for one that holds a revision.
+func (b *board) Vouches(theirs uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.doc != nil && !b.gone && control.Vouches(b.doc, b.self, theirs)
+}
+
 // Leaving tells whether the entry is shutting down.
 func (b *board) Leaving() bool {
 	b.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -264,6 +264,7 @@
 }
 
 func (e *Entry) leaveRoster(ctx context.Context) error {
+	e.board.SetGone()
 	_, err := e.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
 		if !d.Rostered(e.id) {
 			return nil, nil
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -188,7 +188,7 @@
 		return connect.NewResponse(res), nil
 	}
 	res.Revision = d.Revision
-	res.Vouched = control.Vouches(d, e.id, req.Msg.GetRevision())
+	res.Vouched = e.board.Vouches(req.Msg.GetRevision())
 	if req.Msg.GetRevision() < d.Revision {
 		res.Document, _ = json.Marshal(d)
 	}
