--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -157,7 +157,7 @@
 func (c *Cell) applyControl(d *control.Document, now time.Time) {
 	c.control = d
 	c.sched.SetTeams(now, teamsOf(d))
-	for _, e := range c.endpoints {
+	for _, e := range c.inOrder(anyEndpoint) {
 		c.updateEndpoint(e, now)
 	}
 }
@@ -198,7 +198,7 @@
 		p.reply(c.plainAnswer(p.submission.GetId(), result.NotOwner, ""))
 	}
 	c.pending = nil
-	for _, j := range c.active {
+	for _, j := range c.activeInOrder(func(*job) bool { return true }) {
 		c.reply(j, c.plainAnswer(j.key[:], result.NotOwner, ""))
 	}
 }
--- a/internal/cell/endpoint.go
+++ b/internal/cell/endpoint.go
@@ -97,10 +97,8 @@
 
 // loseEndpoints gives up on agents that have been without a stream for long.
 func (c *Cell) loseEndpoints(now time.Time) {
-	for _, e := range c.endpoints {
-		if e.link != nil || now.Sub(e.detachedAt) < c.cfg.LostAfter {
-			continue
-		}
+	lost := func(e *endpoint) bool { return e.link == nil && now.Sub(e.detachedAt) >= c.cfg.LostAfter }
+	for _, e := range c.inOrder(lost) {
 		c.depart(e.incarnation, now)
 		c.loseTasks(e, "the agent was lost", now)
 		if now.Sub(e.detachedAt) > c.idHorizon() {
@@ -111,7 +109,7 @@
 }
 
 func (c *Cell) loseTasks(e *endpoint, why string, now time.Time) {
-	for k := range e.placed {
+	for _, k := range e.placedInOrder() {
 		c.outcome(e, k, &pb.Outcome{Code: uint32(result.OutcomeUnknown), Detail: why}, now)
 	}
 }
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -204,10 +204,7 @@
 // passDeadlines stops the jobs whose deadline has passed, and gives up on
 // tasks that an agent has not answered for long after it.
 func (c *Cell) passDeadlines(now time.Time) {
-	for _, j := range c.active {
-		if now.Before(j.deadline) {
-			continue
-		}
+	for _, j := range c.activeInOrder(func(j *job) bool { return !now.Before(j.deadline) }) {
 		c.stopJob(j, result.DeadlinePassed, "", now)
 		if now.After(j.deadline.Add(c.cfg.LostAfter)) {
 			c.giveUpRunning(j, now)
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -160,7 +160,7 @@
 func (c *Cell) MembersStored(m Members, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, e := range c.endpoints {
+	for _, e := range c.inOrder(anyEndpoint) {
 		if i := m.index(e.incarnation); i >= 0 && m.Agents[i].DepartedAt.IsZero() {
 			e.listed = true
 			c.updateEndpoint(e, now)
--- a/internal/cell/outcome.go
+++ b/internal/cell/outcome.go
@@ -113,7 +113,7 @@
 		seen[k] = struct{}{}
 		c.takeRecord(e, k, o, now)
 	}
-	for k := range e.placed {
+	for _, k := range e.placedInOrder() {
 		if _, ok := seen[k]; !ok {
 			delete(e.placed, k)
 			c.notStarted(e, k, result.StaleStamp, now)
--- a/internal/model/agent.go
+++ b/internal/model/agent.go
@@ -1,6 +1,8 @@
 package model
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -220,6 +222,9 @@
 	ack := &pb.FenceAck{Cell: f.GetCell(), Generation: f.GetGeneration()}
 	records, ok := a.gate.Fence(f.GetCell(), f.GetGeneration())
 	ack.Superseded = !ok
+	slices.SortFunc(records, func(a, b gate.Record) int {
+		return cmp.Or(bytes.Compare(a.Task.Submission[:], b.Task.Submission[:]), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
 	for _, r := range records {
 		ack.Records = append(ack.Records, outcomeOf(r))
 	}
