--- a/cmd/pomelosill-agent/main.go
+++ b/cmd/pomelosill-agent/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -30,7 +29,7 @@
 	return &cli.Command{
 		Name:    "pomelosill-agent",
 		Usage:   "announce an endpoint and run its tasks",
-		Version: version(),
+		Version: process.Version(),
 		Description: "Runs beside one endpoint. SIGTERM drains: running tasks finish,\n" +
 			"their outcomes are delivered, then the process ends.",
 		Flags: []cli.Flag{&cli.StringFlag{
@@ -51,18 +50,9 @@
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(s, version(), log)
+	a, err := agent.New(s, process.Version(), log)
 	if err != nil {
 		return err
 	}
 	return a.Run(ctx)
 }
-
-// version is the version of the module that the program was built from.
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
