Wake a stopped owner while it counts as fresh, and stopped agents with starts in their streams

Change: two tests that come closer to what the checks are for. The checks are covered by the gate's own tests only.

--- a/test/failure/domain_test.go
+++ b/test/failure/domain_test.go
@@ -163,6 +163,29 @@
 	}
 }
 
+// TestStoppedAgentsWakeWithStartsInTheirStreams stops the domain's agents
+// while they are idle, so that all starts sent to them wait in their streams,
+// takes the domain out, and wakes them some seconds later.
+func TestStoppedAgentsWakeWithStartsInTheirStreams(t *testing.T) {
+	f := start(t)
+	for _, e := range f.Endpoints[:2] {
+		e.Agent.Stop()
+	}
+	j := fleet.NewJob(16, shortRun)
+	call := f.Go(t.Context(), f.Entries[0], j)
+	f.AwaitStarts(t, j, 8)
+	out := issue(t, f, f.Entries[0], takeOut)
+	load := f.StartLoad(t, 2, 2, shortRun, f.Entries...)
+	pass(t, load, out)
+	for _, e := range f.Endpoints[:2] {
+		e.Agent.Continue()
+	}
+	call.MustAnswer(t, result.OK, result.OutcomeUnknown)
+	load.AwaitMore(t, 50)
+	mustStayOut(t, f, out)
+	mustAllBeDone(t, load.Stop())
+}
+
 // TestOperatorsRace lets two operators order the opposite through two entries,
 // again and again. The revisions rise, each success makes its own, and all
 // entries end with the same configuration.
--- a/test/failure/resubmit_test.go
+++ b/test/failure/resubmit_test.go
@@ -137,6 +137,26 @@
 	mustAllBeDone(t, load.Stop())
 }
 
+// TestOwnerContinuedWhileItCountsAsFresh wakes the old owner as soon as the new
+// one serves: it has waiting tasks, free slots by the outcomes that it finds,
+// and a confirmation that is not too old yet.
+func TestOwnerContinuedWhileItCountsAsFresh(t *testing.T) {
+	f := start(t)
+	load := f.StartLoad(t, 12, 8, shortRun, f.Entries...)
+	for range 3 {
+		load.AwaitMore(t, 10)
+		owner := f.MustOwner(t)
+		others := f.Others(owner)
+		owner.Stop()
+		f.AwaitOtherOwner(t, owner)
+		f.MustSubmit(t, others[0], fleet.NewJob(1, 0), result.OK)
+		owner.Continue()
+		load.AwaitMore(t, 10)
+		f.AwaitReady(t)
+	}
+	mustAllBeDone(t, load.Stop())
+}
+
 func TestResubmitDuringStoreOutage(t *testing.T) {
 	f := start(t)
 	j := fleet.NewJob(tasks, longRun)
