--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 LINT := bin/golangci-lint
 
-.PHONY: build check lint test generate demo bench soak
+.PHONY: build check lint test generate demo bench slopes soak
 
 build: ## build every program into bin/
 	go build -o bin/ ./cmd/...
@@ -22,9 +22,14 @@
 	go tool -modfile=tools/buf/go.mod buf lint
 	go tool -modfile=tools/buf/go.mod buf generate
 
-bench: build ## every load scenario at both sizes: JSON lines on stdout, a table on stderr
+bench: ## every load scenario at both sizes: JSON lines on stdout, a table on stderr
+	@$(MAKE) -s build >&2
 	@scripts/bench.sh
 
+slopes: ## what each process costs per task and against the size of the fleet
+	@$(MAKE) -s build >&2
+	@scripts/slopes.sh
+
 SEEDS ?= 1000
 FROM ?= 1
 
