--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Runs every load scenario at both users' sizes against fleets of real
 # processes on loopback. Prints one JSON line per scenario on standard output
-# and a table on standard error. Use: scripts/bench.sh [OUTPUT_FOLDER]
+# and a table on standard error; the exit status is not zero if a line is
+# missing, a task started twice, or an answer was partial, another's or untrue.
+# Use: scripts/bench.sh [OUTPUT_FOLDER]
 #
 # BENCH_SECONDS is the time over which a scenario submits jobs (half of it for
 # each run of a scenario that compares two), BENCH_SEED the first seed.
@@ -98,4 +100,8 @@
 cat "${LINES[@]}"
 cat "${LINES[@]}" | "$FLEET_BIN/pomelosill-load" table >&2
 echo "bench: $(cat "${LINES[@]}" | wc -l) of $COUNT lines in $((SECONDS - BEGAN)) s, files in $OUT" >&2
+
+# The exit status tells whether every line is there and no promise was broken.
 [[ $(cat "${LINES[@]}" | wc -l) -eq $COUNT ]]
+jq -se 'map(.double_starts + .partial_answers + .foreign_answers + .false_not_run) | add == 0' \
+  "${LINES[@]}" >/dev/null
