--- a/test/failure/domain_test.go
+++ b/test/failure/domain_test.go
@@ -25,14 +25,14 @@
 	giveIn  = "return domain comas"
 )
 
-// issue sends a command that may stay unconfirmed, and returns the instant of
+// issueOut takes comas out by a command that may stay unconfirmed, and returns the instant of
 // the reply.
-func issue(t *testing.T, f *fleet.Fleet, e *fleet.Entry, text string) time.Time {
+func issueOut(t *testing.T, f *fleet.Fleet, e *fleet.Entry) time.Time {
 	t.Helper()
-	reply, err := f.Command(t.Context(), e, api.Statement{Text: text, WaitMS: 1000})
+	reply, err := f.Command(t.Context(), e, api.Statement{Text: takeOut, WaitMS: 1000})
 	must.NoError(t, err)
 	must.SliceContains(t, []result.Code{result.OK, result.CommandUnconfirmed}, reply.Code,
-		must.Sprintf("%s: %s %s", text, reply.Text, reply.Detail))
+		must.Sprintf("%s: %s %s", takeOut, reply.Text, reply.Detail))
 	return time.Now()
 }
 
@@ -112,7 +112,7 @@
 			if c.before != nil {
 				c.before(t, f)
 			}
-			out := issue(t, f, issuer, takeOut)
+			out := issueOut(t, f, issuer)
 			if c.after != nil {
 				c.after(t, f)
 			}
@@ -133,7 +133,7 @@
 	load := f.StartLoad(t, 8, 8, shortRun, others...)
 	load.AwaitMore(t, 10)
 	owner.Stop()
-	out := issue(t, f, others[0], takeOut)
+	out := issueOut(t, f, others[0])
 	pass(t, load, out)
 	owner.Continue()
 	load.AwaitMore(t, 20)
@@ -150,7 +150,7 @@
 	for _, e := range f.Endpoints[:2] {
 		e.Agent.Stop()
 	}
-	out := issue(t, f, f.Entries[0], takeOut)
+	out := issueOut(t, f, f.Entries[0])
 	pass(t, load, out)
 	for _, e := range f.Endpoints[:2] {
 		e.Agent.Continue()
@@ -174,7 +174,7 @@
 	j := fleet.NewJob(16, shortRun)
 	call := f.Go(t.Context(), f.Entries[0], j)
 	f.AwaitStarts(t, j, 8)
-	out := issue(t, f, f.Entries[0], takeOut)
+	out := issueOut(t, f, f.Entries[0])
 	load := f.StartLoad(t, 2, 2, shortRun, f.Entries...)
 	pass(t, load, out)
 	for _, e := range f.Endpoints[:2] {
