Write a lost lease key again, and bound lost_after from below

Cause: (1) after a lost answer to the write of an entry's key under its lease the key was taken as written. If it was not, the entry kept a lease without a key: the others saw it as lapsed, and it could not be the one that takes dead entries off the roster. (2) A takeover does not wait for departed agents, which is right only if an agent that was lost can hold no fresh stamp; nothing kept lost_after from being shorter than freshness. Change: an entry that misses its own key among the leases takes a new lease; settings with lost_after below freshness are refused.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -33,11 +33,7 @@
 	defer tick.Stop()
 	lease := store.LeaseID(0)
 	for {
-		lease = m.keepLease(ctx, lease)
-		if lease != 0 {
-			m.join(ctx)
-			m.lookAtLeases(ctx)
-		}
+		lease = m.step(ctx, lease)
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -47,6 +43,21 @@
 	}
 }
 
+// step renews the lease and does what it allows. It returns the lease to
+// renew next, zero for a new one.
+func (m *membership) step(ctx context.Context, lease store.LeaseID) store.LeaseID {
+	lease = m.keepLease(ctx, lease)
+	if lease == 0 {
+		return 0
+	}
+	m.join(ctx)
+	if !m.lookAtLeases(ctx) {
+		// The answer to the write of the key was lost, and so was the write.
+		return 0
+	}
+	return lease
+}
+
 func (m *membership) call(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, m.settings.StoreTimeout.Std())
 }
@@ -132,13 +143,14 @@
 }
 
 // lookAtLeases reads who holds a lease, and takes one member off the roster
-// that neither holds one nor answers.
-func (m *membership) lookAtLeases(ctx context.Context) {
+// that neither holds one nor answers. It is false if the store lacks this
+// entry's own key.
+func (m *membership) lookAtLeases(ctx context.Context) bool {
 	cctx, cancel := m.call(ctx)
 	defer cancel()
 	ch, err := m.store.Watch(cctx, leasePrefix, 0, 0)
 	if err != nil {
-		return
+		return true
 	}
 	alive := map[string]bool{}
 	for _, e := range ch.Entries {
@@ -147,14 +159,15 @@
 	m.board.SetLeases(alive)
 	d := m.board.Doc()
 	if d == nil || !d.Rostered(m.member.ID) || !m.removesDead(d, alive) {
-		return
+		return alive[m.member.ID]
 	}
 	for _, o := range d.Roster {
 		if !alive[o.ID] && o.ID != m.member.ID && !m.peers.Alive(o.ID) {
 			m.remove(ctx, o)
-			return
+			break
 		}
 	}
+	return alive[m.member.ID]
 }
 
 // removesDead lets one member do the removals, the first that is alive.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -151,6 +151,11 @@
 	if 2*s.Confirm > s.Freshness {
 		return bad("confirm", "must be at most half of freshness")
 	}
+	if s.LostAfter < s.Freshness {
+		// A lost agent is not waited for at a takeover: it must not be able
+		// to start anything.
+		return bad("lost_after", "must be at least freshness")
+	}
 	if s.AnswerRetention > s.IDRetention {
 		return bad("answer_retention", "must not exceed id_retention")
 	}
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -30,6 +30,7 @@
 		{`"failure_domain": "Comas"`, `"failure_domain": ""`, "failure_domain"},
 		{`"cells": 1`, `"cells": 0`, "cells"},
 		{`"confirm": "1s"`, `"confirm": "2s"`, "confirm"},
+		{`"lost_after": "5s"`, `"lost_after": "2s"`, "lost_after"},
 		{`"freshness": "3s"`, `"freshness": "-3s"`, "freshness"},
 		{`"answer_retention": "1m"`, `"answer_retention": "1h"`, "answer_retention"},
 		{`"max_timeout": "5m"`, `"max_timeout": "5h"`, "max_timeout"},
