Count the wait for a takeover towards the deadline

Cause: a submission that waited for the cell to serve got its whole timeout from then on, so that its tasks could start after the caller's deadline. Change: the time waited is taken off. TestWaitForTheTakeoverCounts failed before and passes after.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -118,6 +118,7 @@
 type pendingSubmission struct {
 	submission *pb.Submission
 	reply      Replier
+	arrived    time.Time
 	cancelled  bool
 }
 
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -128,6 +128,7 @@
 	held := c.pending
 	c.pending = nil
 	for _, p := range held {
+		p.submission.TimeoutNs -= int64(now.Sub(p.arrived))
 		c.submit(p.submission, p.reply, now)
 		if p.cancelled {
 			c.cancel(sched.Key(p.submission.GetId()), now)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -34,7 +34,7 @@
 		refuse(result.NotOwner, "")
 		return
 	case fencing:
-		c.hold(s, reply)
+		c.hold(s, reply, now)
 		return
 	}
 	if j := c.jobs[key]; j != nil {
@@ -52,13 +52,13 @@
 	c.admit(key, s, reply, now)
 }
 
-// hold keeps a submission until the cell serves.
-func (c *Cell) hold(s *pb.Submission, reply Replier) {
+// hold keeps a submission until the cell serves; the cell may change it then.
+func (c *Cell) hold(s *pb.Submission, reply Replier, now time.Time) {
 	if len(c.pending) >= c.cfg.MaxPending {
 		reply(c.plainAnswer(s.GetId(), result.NoOwner, "too many submissions wait for the takeover"))
 		return
 	}
-	c.pending = append(c.pending, pendingSubmission{submission: s, reply: reply})
+	c.pending = append(c.pending, pendingSubmission{submission: s, reply: reply, arrived: now})
 }
 
 // attachReply lets a resubmission wait for, or get, the job's answer.
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -162,3 +162,15 @@
 	b.finish(l, l.takeStarts(), result.OK)
 	must.Eq(t, []result.Code{result.OK}, codes(got))
 }
+
+// The time that a submission waits for the takeover counts towards its
+// deadline.
+func TestWaitForTheTakeoverCounts(t *testing.T) {
+	b := newBench(t, 2, Members{Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}}})
+	got := b.submit(b.id(0), 1, 7)
+	b.tick(15 * time.Second)
+	b.cell.Accepted(b.now)
+	b.attach("e-1", "i1")
+	must.Eq(t, 5000, b.cell.Jobs(b.now)[0].LeftMS)
+	must.Len(t, 0, *got)
+}
