Send nothing on stamps that ran out with the confirmation

Cause: an endpoint counted as stamped for as long as its stream lived. After a time without a confirmation (a paused entry, the store and the peers away) all slots were filled before the next heartbeats; every start was refused for its old stamp, used up retries, and jobs failed with 601. Change: when the confirmation runs out the cell waits for a new stamp of each agent before it sends to it again. TestNothingIsSentOnOldStamps failed before and passes after.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -111,6 +111,8 @@
 	counters       Counters
 	recordsSweptAt time.Time
 	checkedAt      time.Time
+	// stampsDropped tells that the entry had no confirmation when last asked.
+	stampsDropped bool
 	// lastInvariant is the last failed check of the scheduler.
 	lastInvariant string
 }
@@ -245,9 +247,14 @@
 
 // dispatch sends waiting tasks to free slots.
 func (c *Cell) dispatch(now time.Time) {
-	if c.phase != serving || !c.cfg.Fresh(now) {
+	if c.phase != serving {
 		return
 	}
+	if !c.cfg.Fresh(now) {
+		c.dropStamps(now)
+		return
+	}
+	c.stampsDropped = false
 	for {
 		a, ok := c.sched.Next(now)
 		if !ok {
@@ -257,6 +264,19 @@
 	}
 }
 
+// dropStamps waits for new stamps before anything is sent again: those that
+// the agents have are as old as the confirmation that has run out.
+func (c *Cell) dropStamps(now time.Time) {
+	if c.stampsDropped {
+		return
+	}
+	c.stampsDropped = true
+	for _, e := range c.endpoints {
+		e.stamped = false
+		c.updateEndpoint(e, now)
+	}
+}
+
 func (c *Cell) start(a sched.Assignment, now time.Time) {
 	j := c.jobs[a.Key]
 	t := &j.tasks[a.Index]
