--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -46,6 +46,8 @@
 	tasks    []task
 	waiting  int
 	running  int
+	// succeeded counts the tasks that ended well.
+	succeeded int
 	// stop is the code that the job fails with, OK while it goes on.
 	stop     result.Code
 	detail   string
@@ -133,6 +135,9 @@
 	}
 	t.state = ended
 	t.outcome = o
+	if o.GetCode() == uint32(result.OK) {
+		j.succeeded++
+	}
 	t.payload = nil
 	o.Task = &pb.TaskRef{Submission: j.key[:], Index: uint32(index)}
 }
@@ -204,10 +209,7 @@
 // passDeadlines stops the jobs whose deadline has passed, and gives up on
 // tasks that an agent has not answered for long after it.
 func (c *Cell) passDeadlines(now time.Time) {
-	for _, j := range c.active {
-		if now.Before(j.deadline) {
-			continue
-		}
+	for _, j := range c.activeInOrder(func(j *job) bool { return !now.Before(j.deadline) }) {
 		c.stopJob(j, result.DeadlinePassed, "", now)
 		if now.After(j.deadline.Add(c.cfg.LostAfter)) {
 			c.giveUpRunning(j, now)
@@ -275,6 +277,8 @@
 	switch {
 	case j.isEnded && j.code == result.OK:
 		return "done"
+	case j.isEnded && (j.code == result.Cancelled || j.code == result.CancelledAfterStart):
+		return "cancelled"
 	case j.isEnded:
 		return "failed"
 	case j.running > 0:
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -27,6 +27,9 @@
 	leaving   bool
 	gone      bool
 	changed   chan struct{}
+	// docChanged is closed when the document changes, for those whom its
+	// confirmations don't matter.
+	docChanged chan struct{}
 }
 
 func newBoard(self string) *board {
@@ -36,6 +39,7 @@
 		acks:          map[string]uint64{},
 		leaseGone:     map[string]bool{},
 		changed:       make(chan struct{}),
+		docChanged:    make(chan struct{}),
 	}
 }
 
@@ -46,6 +50,14 @@
 	return b.changed
 }
 
+// DocChanged returns a channel that is closed at the next change of the
+// document.
+func (b *board) DocChanged() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.docChanged
+}
+
 func (b *board) notify() {
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -110,6 +122,8 @@
 	}
 	b.doc = d
 	b.acks[b.self] = d.Revision
+	close(b.docChanged)
+	b.docChanged = make(chan struct{})
 	b.notify()
 }
 
