Wake an owner that would refuse a job which the next owner ran

Change: the owner is stopped with a waiting job, the next owner runs it, and the old one wakes after the job's first deadline.

--- a/test/failure/notrun_test.go
+++ b/test/failure/notrun_test.go
@@ -181,6 +181,37 @@
 	must.SliceEmpty(t, f.StartsOf(t, j), must.Sprint(ans.Detail))
 }
 
+// TestWokenOwnerRefusesNothingThatRan stops the owner with a waiting job, has
+// the job done by the next owner, and wakes the old one after the job's first
+// deadline: it must not say that the job did not run.
+func TestWokenOwnerRefusesNothingThatRan(t *testing.T) {
+	f := start(t)
+	owner := f.MustOwner(t)
+	others := f.Others(owner)
+	busyJob := fleet.NewJob(16, 1500*time.Millisecond)
+	busy := f.Go(t.Context(), others[0], busyJob)
+	f.AwaitStarts(t, busyJob, 16)
+	deadline := 2500 * time.Millisecond
+	j := fleet.NewJob(4, shortRun)
+	sent := time.Now()
+	first := f.Go(t.Context(), owner, j.WithTimeout(deadline))
+	fleet.Eventually(t, "the job waits", func(ctx context.Context) error { return jobsKnown(ctx, f, 2) })
+	owner.Stop()
+	f.AwaitOtherOwner(t, owner)
+	f.MustSubmit(t, others[0], j, result.OK)
+	fleet.Eventually(t, "the first deadline passes", func(context.Context) error {
+		if left := deadline - time.Since(sent); left > 0 {
+			return fmt.Errorf("%v are left", left)
+		}
+		return nil
+	})
+	owner.Continue()
+	ans, err := first.Wait()
+	must.NoError(t, err)
+	must.False(t, ans.Code.NotRun(), must.Sprintf("%s %s", ans.Code, ans.Detail))
+	busy.MustAnswer(t, result.OK)
+}
+
 func TestNoAgents(t *testing.T) {
 	f := start(t)
 	for _, e := range f.Endpoints {
