Take only an entry's own whole answer for the job's

Cause: the client's library reported an answer that it could not read as Malformed, which says 'not run' of a job that may have run; and JSON of something between (a balancer's error) decoded to code 0, 'done'. Change: an unreadable answer is OutcomeUnknown (CommandUnconfirmed for a command); the status must be the code's, and a done answer must have each task. Tests: TestAnswerThatIsNoJSON expected Malformed, which was the fault; it is replaced by TestAnswerThatIsNotTheEntrys (6 rows and the query, all failed before, none after). Two tests of the command line answered 'done' without tasks, which no entry does; their fakes now answer with the tasks.

--- a/cmd/pomelosill/main_test.go
+++ b/cmd/pomelosill/main_test.go
@@ -86,7 +86,7 @@
 	for code, want := range cases {
 		var job api.Job
 		info := result.Describe(code)
-		address := serve(t, code, api.Answer{ID: "x", Code: code, Effect: info.Effect}, &job)
+		address := serve(t, code, api.Answer{ID: "x", Code: code, Effect: info.Effect, Tasks: make([]api.TaskAnswer, 3)}, &job)
 		out, status := run(t, "submit", "--entry", address, "--team", "alerts", "--tasks", "3", "--run-ms", "7", "--id", "x")
 		must.Eq(t, want, status, must.Sprint(out))
 		must.Eq(t, "x", job.ID)
@@ -99,7 +99,7 @@
 	path := filepath.Join(t.TempDir(), "job.json")
 	must.NoError(t, os.WriteFile(path, []byte(`{"team":"radio","timeout_ms":5,"tasks":[{"payload":{}}]}`), 0o600))
 	var job api.Job
-	address := serve(t, result.OK, api.Answer{}, &job)
+	address := serve(t, result.OK, api.Answer{Tasks: make([]api.TaskAnswer, 1)}, &job)
 	_, status := run(t, "submit", "--entry", address, "--file", path)
 	must.Eq(t, exitDone, status)
 	must.Eq(t, "radio", job.Team)
--- a/internal/client/calls.go
+++ b/internal/client/calls.go
@@ -25,7 +25,22 @@
 		return api.Answer{}, err
 	}
 	var a api.Answer
-	return a, got.decode(&a)
+	if err := got.decode(&a); err != nil {
+		return api.Answer{}, err
+	}
+	return a, checkAnswer(got.status, a, len(job.Tasks))
+}
+
+// checkAnswer refuses an answer that no entry gave, such as that of a balancer
+// in JSON, and one that is done without an answer for each task.
+func checkAnswer(status int, a api.Answer, tasks int) error {
+	if status != result.Describe(a.Code).HTTP {
+		return result.Errorf(result.OutcomeUnknown, "an answer with status %d is not an entry's", status)
+	}
+	if a.Code == result.OK && len(a.Tasks) != tasks {
+		return result.Errorf(result.OutcomeUnknown, "the answer has %d of %d tasks", len(a.Tasks), tasks)
+	}
+	return nil
 }
 
 // startedNothing tells that this entry passed the job to nobody.
@@ -80,7 +95,10 @@
 		return api.Reply{}, err
 	}
 	var r api.Reply
-	return r, got.decode(&r)
+	if err := got.decode(&r); err != nil {
+		return api.Reply{}, result.Errorf(result.CommandUnconfirmed, "%s; look at changes", result.DetailOf(err))
+	}
+	return r, nil
 }
 
 // Dump returns the state dump of the first process that answers, as JSON.
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -74,12 +74,13 @@
 	body   []byte
 }
 
-// decode reads the body's JSON into v.
+// decode reads the body's JSON into v. Its error has the code OutcomeUnknown:
+// what cannot be read says nothing of what was done.
 func (r reply) decode(v any) error {
 	dec := json.NewDecoder(bytes.NewReader(r.body))
 	dec.UseNumber()
 	if err := dec.Decode(v); err != nil {
-		return result.Errorf(result.Malformed, "the answer with status %d is not JSON of the expected form", r.status)
+		return result.Errorf(result.OutcomeUnknown, "the answer with status %d is not JSON of the expected form", r.status)
 	}
 	return nil
 }
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -117,10 +117,32 @@
 	must.Eq(t, result.NotFound, result.CodeOf(err))
 }
 
-func TestAnswerThatIsNoJSON(t *testing.T) {
+// What stands between the client and an entry may answer in its place, and an
+// answer may be cut: the job may have run all the same.
+func TestAnswerThatIsNotTheEntrys(t *testing.T) {
+	job := api.Job{ID: "x", Tasks: []api.Task{{}}}
+	for name, c := range map[string]struct {
+		status int
+		answer any
+	}{
+		"not JSON":               {http.StatusOK, "text"},
+		"a balancer's JSON":      {http.StatusBadGateway, map[string]string{"message": "bad gateway"}},
+		"done with other status": {http.StatusBadGateway, api.Answer{Code: result.OK, Tasks: []api.TaskAnswer{{}}}},
+		"done without its tasks": {http.StatusOK, api.Answer{Code: result.OK}},
+		"an empty object":        {http.StatusOK, map[string]string{}},
+		"not run, other status":  {http.StatusBadGateway, api.Answer{Code: result.OverQuota}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			odd := newFakeEntry(t, false, c.status, c.answer)
+			_, err := newClient(t, odd.URL).Submit(context.Background(), job)
+			must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
+		})
+	}
 	odd := newFakeEntry(t, false, http.StatusOK, "text")
-	_, err := newClient(t, odd.URL).Submit(context.Background(), api.Job{})
-	must.Eq(t, result.Malformed, result.CodeOf(err))
+	_, err := newClient(t, odd.URL).Query(context.Background(), api.Statement{})
+	must.Eq(t, result.CommandUnconfirmed, result.CodeOf(err))
+	_, err = newClient(t, odd.URL).Job(context.Background(), "x")
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
 }
 
 func TestNewNeedsAnAddress(t *testing.T) {
