--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -58,7 +58,8 @@
 	WorkKept *float64 `json:"work_kept"`
 	// Goodput is the work of jobs answered OK done inside the window, as a
 	// share of the slots.
-	Goodput      *float64 `json:"goodput"`
+	Goodput *float64 `json:"goodput"`
+	// TakeoverGap is the longest time without any start while work waited.
 	TakeoverGap  *float64 `json:"takeover_gap_ms"`
 	StoreCalls   *float64 `json:"store_calls_per_s"`
 	NetworkMS    float64  `json:"network_ms"`
--- a/internal/load/scenario/plan.go
+++ b/internal/load/scenario/plan.go
@@ -70,8 +70,8 @@
 	return []Info{
 		{"steady", "one load, no faults", 0.8, steady},
 		{"domain", "a failure domain is taken out at a quarter and returned at half of the run", 0.7, domain},
-		{"owner-killed", "the script kills the owner during the run; reports the longest gap between starts", 0.7, ownerAway},
-		{"owner-paused", "the script pauses the owner past its lease and continues it; reports the longest gap between starts", 0.7, ownerAway},
+		{"owner-killed", "the script kills the owner during the run; reports the longest gap between starts while work waited", 0.7, ownerAway},
+		{"owner-paused", "the script pauses the owner past its lease and continues it; reports the longest gap between starts while work waited", 0.7, ownerAway},
 		{"head-of-line", "bursts of long tasks of another team, against a run without them", 0.5, headOfLine},
 		{"head-of-line-small", "the same against jobs of 1 to 10 short tasks", 0.3, headOfLineSmall},
 		{"straggler", "one endpoint runs five times slower, against a run without it", 0.5, straggler},
@@ -107,7 +107,7 @@
 	capacities []ideal.Capacity
 	window     ideal.Span
 	actions    []action
-	// gap asks for the longest gap between starts.
+	// gap asks for the longest gap between starts while work waited.
 	gap bool
 	// slowed says that the time on the endpoints is not the work done.
 	slowed bool
--- a/internal/load/scenario/run.go
+++ b/internal/load/scenario/run.go
@@ -223,7 +223,7 @@
 		line.WithoutRatioP99 = report.Divide(line.ResponseP99MS, p99)
 	}
 	if p.gap {
-		gap := audit.LongestGap(m.findings.Spans, p.window)
+		gap := audit.LongestGap(m.findings.Begins, p.window)
 		line.TakeoverGap = report.Number(float64(gap.Milliseconds()))
 	}
 	return line
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,7 +6,8 @@
 # Use: scripts/bench.sh [OUTPUT_FOLDER]
 #
 # BENCH_SECONDS is the time over which a scenario submits jobs (half of it for
-# each run of a scenario that compares two), BENCH_SEED the first seed.
+# each run of a scenario that compares two), BENCH_SEED the first seed, and
+# BENCH_SCENARIOS the scenarios to run if not all.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # shellcheck source=scripts/fleet.sh
@@ -14,6 +15,7 @@
 
 BENCH_SECONDS=${BENCH_SECONDS:-80}
 BENCH_SEED=${BENCH_SEED:-1}
+BENCH_SCENARIOS=${BENCH_SCENARIOS:-}
 OUT=${1:-$(mktemp -d)}
 FIRST_FLEET=${BENCH_FIRST_FLEET:-100}
 COUNT=0
@@ -58,6 +60,7 @@
 # begin SIZE SEED SCENARIO POLICY LOAD SECONDS starts a scenario in the
 # background on a fleet of its own.
 begin() {
+  [[ -z $BENCH_SCENARIOS || " $BENCH_SCENARIOS " == *" $3 "* ]] || return 0
   COUNT=$((COUNT + 1))
   local dir
   dir=$OUT/$(printf %02d "$COUNT")-$1-$3-$4-$5
