Leave the document out of confirmations that find it unchanged

Change: the store's interface gets GetNewer, a read that leaves the value out when its revision is known; contract test.

Ruled out: a watch without waiting as the confirmation, since a watch may be answered by an old replica; a second small key, since two writes are not one.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -26,6 +26,8 @@
 	member   control.Member
 	settings *Settings
 	log      *zap.Logger
+	// looked is when the leases were last read.
+	looked time.Time
 }
 
 func (m *membership) run(ctx context.Context) {
@@ -51,6 +53,10 @@
 		return 0
 	}
 	m.join(ctx)
+	if time.Since(m.looked) < m.settings.LeaseTTL.Std() {
+		return lease
+	}
+	m.looked = time.Now()
 	if !m.lookAtLeases(ctx) {
 		// The answer to the write of the key was lost, and so was the write.
 		return 0
--- a/internal/entry/storesync.go
+++ b/internal/entry/storesync.go
@@ -66,18 +66,23 @@
 	}
 }
 
-// read gets the document once.
+// read asks for the document once; the value comes only if it has changed.
 func (s *storeSync) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	asked := time.Now()
-	e, err := s.store.Get(ctx, control.DocumentKey)
+	_, known := s.board.StoreRevision()
+	e, err := s.store.GetNewer(ctx, control.DocumentKey, known)
 	if result.CodeOf(err) == result.StoreNotFound {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
+	if known != 0 && e.Revision == known {
+		s.board.StoreUnchanged(known, asked)
+		return nil
+	}
 	var d control.Document
 	if err := json.Unmarshal(e.Value, &d); err != nil {
 		return result.Wrap(result.Internal, err, "control document")
--- a/internal/standin/platform/memory.go
+++ b/internal/standin/platform/memory.go
@@ -125,7 +125,11 @@
 	if !ok {
 		return refuse(result.StoreNotFound, req.Key)
 	}
-	return wire.Response{Entries: []wire.Entry{entry(req.Key, r)}, Revision: r.revision}
+	e := entry(req.Key, r)
+	if req.After == r.revision {
+		e.Value = nil
+	}
+	return wire.Response{Entries: []wire.Entry{e}, Revision: r.revision}
 }
 
 func (m *Memory) compareAndSwap(req wire.Request) wire.Response {
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -56,7 +56,12 @@
 
 // Get implements Store.
 func (h *HTTP) Get(ctx context.Context, key string) (Entry, error) {
-	resp, err := h.call(ctx, wire.Get, wire.Request{Key: key})
+	return h.GetNewer(ctx, key, 0)
+}
+
+// GetNewer implements Store.
+func (h *HTTP) GetNewer(ctx context.Context, key string, known uint64) (Entry, error) {
+	resp, err := h.call(ctx, wire.Get, wire.Request{Key: key, After: known})
 	if err != nil {
 		return Entry{}, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,6 +47,9 @@
 type Store interface {
 	// Get returns one key.
 	Get(ctx context.Context, key string) (Entry, error)
+	// GetNewer returns one key, without its value when its revision is known
+	// already. It is no older than Get's answer, and as cheap as a key's name.
+	GetNewer(ctx context.Context, key string, known uint64) (Entry, error)
 	// CompareAndSwap writes value under key if the key's revision is expect;
 	// zero means that the key must not exist. With a lease the key goes when
 	// the lease expires. It returns the new revision.
--- a/internal/store/storetest/plain.go
+++ b/internal/store/storetest/plain.go
@@ -14,6 +14,7 @@
 func plainCases() []testCase {
 	return []testCase{
 		{"get of a missing key", getMissing},
+		{"get of what is newer", getNewer},
 		{"compare and swap", compareAndSwap},
 		{"delete", deleteKey},
 		{"value too large", tooLarge},
@@ -31,6 +32,21 @@
 	mustCode(t, result.StoreNotFound, err)
 }
 
+func getNewer(t *testing.T, f *fixture) {
+	_, err := f.GetNewer(f.ctx, "a", 7)
+	mustCode(t, result.StoreNotFound, err)
+	first := f.put(t, "a", 0, "1")
+	second := f.put(t, "a", first, "2")
+	e, err := f.GetNewer(f.ctx, "a", second)
+	must.NoError(t, err)
+	must.Eq(t, second, e.Revision)
+	must.SliceEmpty(t, e.Value)
+	e, err = f.GetNewer(f.ctx, "a", first)
+	must.NoError(t, err)
+	must.Eq(t, second, e.Revision)
+	must.Eq(t, "2", string(e.Value))
+}
+
 func compareAndSwap(t *testing.T, f *fixture) {
 	first := f.put(t, "a", 0, "1")
 	must.Positive(t, first)
--- a/internal/store/wire/wire.go
+++ b/internal/store/wire/wire.go
@@ -42,7 +42,9 @@
 	// TTLMS is the time to live of a new lease in milliseconds.
 	TTLMS  int64  `json:"ttl_ms,omitempty"`
 	Prefix string `json:"prefix,omitempty"`
-	After  uint64 `json:"after,omitempty"`
+	// After is the revision that the caller knows: a watch answers with what
+	// is newer, a get leaves out the value of what is not.
+	After uint64 `json:"after,omitempty"`
 	// WaitMS is how long a watch waits for a change, in milliseconds.
 	WaitMS int64 `json:"wait_ms,omitempty"`
 }
