--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -59,6 +59,7 @@
 	m.looked = time.Now()
 	if !m.lookAtLeases(ctx) {
 		// The answer to the write of the key was lost, and so was the write.
+		m.looked = time.Time{}
 		return 0
 	}
 	return lease
