Pause before a cell is opened again

Cause: opening a cell ended at once, without a pause, when the member list in the store was a newer owner's or could not be written, and then woke the loop that opens cells. An owner that was paused past a takeover, or a store that takes no writes, led to as many calls as the store answers. Change: each failed opening pauses as a failed read did.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -209,7 +209,9 @@
 	}
 	o.opening[n] = true
 	go func() {
-		o.open(ctx, n, generation, d)
+		if !o.open(ctx, n, generation, d) {
+			pause(ctx, retryPause)
+		}
 		o.mu.Lock()
 		delete(o.opening, n)
 		o.mu.Unlock()
@@ -255,17 +257,17 @@
 	o.board.Poke()
 }
 
-// open makes a local cell. It first writes the member list under the new
-// generation, so that the old owner can add no agent any more.
-func (o *ownership) open(ctx context.Context, n uint32, generation uint64, d *control.Document) {
+// open makes a local cell, and tells whether it did. It first writes the
+// member list under the new generation, so that the old owner can add no agent
+// any more.
+func (o *ownership) open(ctx context.Context, n uint32, generation uint64, d *control.Document) bool {
 	old, storeRevision, err := o.readMembers(ctx, n)
 	if err != nil {
 		o.log.Warn("member list not read", zap.Uint32("cell", n), zap.Error(err))
-		pause(ctx, retryPause)
-		return
+		return false
 	}
 	if old.Generation > generation {
-		return
+		return false
 	}
 	now := time.Now()
 	oc := &ownedCell{
@@ -273,13 +275,14 @@
 		storeRevision: storeRevision,
 	}
 	if !o.storeMembers(ctx, oc) {
-		return
+		return false
 	}
 	o.mu.Lock()
 	o.cells[n] = oc
 	o.mu.Unlock()
 	o.agents.Adopt(oc.cell)
 	o.log.Info("opened a cell", zap.Uint32("cell", n), zap.Uint64("generation", generation))
+	return true
 }
 
 func (o *ownership) cellConfig(n uint32, generation uint64) cell.Config {
