--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -208,6 +208,53 @@
 	must.NotEq(t, "e0", deputy.ID)
 }
 
+func TestSurplusEndsInBalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &Document{Cells: make([]Cell, rapid.IntRange(1, 60).Draw(t, "cells"))}
+		n := rapid.IntRange(1, 12).Draw(t, "members")
+		for i := range n {
+			d.Roster = append(d.Roster, member(i))
+		}
+		for i := range d.Cells {
+			d.Cells[i].Owner = member(rapid.IntRange(0, n-1).Draw(t, "owner")).ID
+		}
+		gone := member(rapid.IntRange(0, n).Draw(t, "gone")).ID
+		alive := func(id string) bool { return id != gone }
+		for range 60 * 12 {
+			moved := false
+			for _, m := range d.Roster {
+				i, to, ok := Surplus(d, m.ID, alive)
+				if ok && alive(m.ID) {
+					moved = true
+					d = TakeOver(d, []int{i}, to, "op", alive)
+				}
+			}
+			if !moved {
+				checkBalance(t, d, alive)
+				return
+			}
+		}
+		t.Fatal("cells never stop moving")
+	})
+}
+
+func checkBalance(t *rapid.T, d *Document, alive func(string) bool) {
+	counts := map[string]int{}
+	for _, c := range d.Cells {
+		counts[c.Owner]++
+	}
+	least, most := len(d.Cells), 0
+	for _, m := range d.Roster {
+		if alive(m.ID) {
+			least = min(least, counts[m.ID])
+			most = max(most, counts[m.ID])
+		}
+	}
+	if most-least > 1 {
+		t.Fatalf("owners hold from %d to %d cells", least, most)
+	}
+}
+
 func TestCellsSpread(t *testing.T) {
 	counts := make([]int, 50)
 	rnd := rand.New(rand.NewPCG(1, 2))
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -74,6 +74,30 @@
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64(b, uint64(cell)))
 }
 
+// Surplus returns a cell that its owner should hand to another member, so that
+// alive members own about equally many; ok is false when they do.
+func Surplus(d *Document, owner string, alive func(id string) bool) (cell int, to string, ok bool) {
+	counts := map[string]int{}
+	for _, c := range d.Cells {
+		counts[c.Owner]++
+	}
+	fewest := ""
+	for _, m := range d.Roster {
+		if alive(m.ID) && (fewest == "" || counts[m.ID] < counts[fewest]) {
+			fewest = m.ID
+		}
+	}
+	if fewest == "" || counts[owner]-counts[fewest] < 2 {
+		return 0, "", false
+	}
+	for i, c := range d.Cells {
+		if c.Owner == owner {
+			return i, fewest, true
+		}
+	}
+	return 0, "", false
+}
+
 // TakeOver returns the document with the cells under a new owner and a higher
 // generation each.
 func TakeOver(d *Document, cells []int, owner, operation string, alive func(id string) bool) *Document {
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -34,6 +34,9 @@
 	settings *Settings
 	log      *zap.Logger
 
+	// gave is when a cell was last handed over for balance.
+	gave time.Time
+
 	mu    sync.Mutex
 	cells map[uint32]*ownedCell
 	// opening are the cells whose member lists are being read.
@@ -53,9 +56,38 @@
 	o.loop(ctx, func(d *control.Document) {
 		o.takeOver(ctx, d)
 		o.keepDeputies(ctx)
+		o.giveSurplus(ctx)
 	})
 }
 
+// giveInterval is the least time between two cells that an owner hands over
+// for balance.
+const giveInterval = time.Second
+
+// giveSurplus hands one cell to an entry that owns fewer, once the last change
+// is accepted.
+func (o *ownership) giveSurplus(ctx context.Context) {
+	d := o.board.Doc()
+	_, accepted := o.board.Accepted()
+	if !accepted || time.Since(o.gave) < giveInterval {
+		return
+	}
+	if _, _, ok := control.Surplus(d, o.board.self, o.alive); !ok {
+		return
+	}
+	o.gave = time.Now()
+	_, err := o.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
+		i, to, ok := control.Surplus(d, o.board.self, o.alive)
+		if !ok {
+			return nil, nil
+		}
+		return control.TakeOver(d, []int{i}, to, op, o.alive), nil
+	})
+	if err != nil {
+		o.log.Warn("surplus cell not handed over", zap.Error(err))
+	}
+}
+
 // runFollow keeps the local cells in step with the document. It never waits
 // for the store, so that a change of the configuration takes effect at once.
 func (o *ownership) runFollow(ctx context.Context) {
