Hold a takeover for an agent that was lost before the acceptance

Cause: a new owner that waits for acceptance marked an agent as departed when it had no stream to it for LostAfter. The agent was on the other side of a split and still worked for the old owner. Change: an agent departs only once it has acknowledged this generation or the old owner's time is over.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -213,6 +213,22 @@
 	must.Len(t, 1, l.takeStarts())
 }
 
+// TestMemberLostBeforeAcceptanceHoldsTheTakeover loses an agent to this owner
+// while it may still work for the old one, whose time ends only F after the
+// acceptance.
+func TestMemberLostBeforeAcceptanceHoldsTheTakeover(t *testing.T) {
+	b := newBench(t, 2, Members{Generation: 1, Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}}})
+	l := b.hello("e-1", "i1")
+	b.cell.Detach("e-1", l, b.now)
+	b.tick(6 * time.Second)
+	b.cell.Accepted(b.now)
+	id := b.id(0)
+	got := b.submit(id, 1, 1)
+	must.SliceEmpty(t, *got)
+	b.tick(fresh + time.Millisecond)
+	must.Eq(t, []result.Code{result.OutcomeUnknown}, codes(got))
+}
+
 func TestCutStreamNeverDoublesAStart(t *testing.T) {
 	b := newBench(t, 1, Members{})
 	b.cell.Accepted(b.now)
--- a/internal/cell/endpoint.go
+++ b/internal/cell/endpoint.go
@@ -99,7 +99,9 @@
 func (c *Cell) loseEndpoints(now time.Time) {
 	lost := func(e *endpoint) bool { return e.link == nil && now.Sub(e.detachedAt) >= c.cfg.LostAfter }
 	for _, e := range c.inOrder(lost) {
-		c.depart(e.incarnation, now)
+		if !c.mayObeyOldOwner(e.incarnation) {
+			c.depart(e.incarnation, now)
+		}
 		c.loseTasks(e, "the agent was lost", now)
 		if now.Sub(e.detachedAt) > c.idHorizon() {
 			delete(c.endpoints, e.name)
@@ -108,6 +110,14 @@
 	}
 }
 
+// mayObeyOldOwner tells whether an agent may still start work for an earlier
+// owner: it has not acknowledged this generation and that owner's time is not
+// over. That it has no stream here does not mean that it has departed.
+func (c *Cell) mayObeyOldOwner(incarnation string) bool {
+	_, missing := c.gaps[incarnation]
+	return c.phase == fencing && missing
+}
+
 func (c *Cell) loseTasks(e *endpoint, why string, now time.Time) {
 	for _, k := range e.placedInOrder() {
 		c.outcome(e, k, &pb.Outcome{Code: uint32(result.OutcomeUnknown), Detail: why}, now)
