Split the network in the randomised run; list agents again after a new stream

Without splits the run did not provoke a domain that stays in service on the far side. The run also kept agents unlisted after a new stream, which the product does not.

--- a/internal/model/caller.go
+++ b/internal/model/caller.go
@@ -40,7 +40,7 @@
 	if w.at < w.cfg.Length && w.chance(0.03) {
 		c.newJob()
 	}
-	if w.at < w.cfg.Length && w.chance(0.003) {
+	if w.at < w.cfg.Length && w.chance(0.005) {
 		c.operate()
 	}
 	for _, j := range c.jobs {
@@ -81,7 +81,7 @@
 func (c *callers) submit(j *job) {
 	w := c.w
 	j.left--
-	j.nextAt = w.at + w.between(0, 6*time.Second)
+	j.nextAt = w.at + w.between(0, 4*time.Second)
 	if w.chance(0.1) {
 		j.nextAt += idRetention
 	}
@@ -98,6 +98,12 @@
 	})
 }
 
+// operateSoon takes a random domain out through an entry within a second.
+func (c *callers) operateSoon(e *entry) {
+	name := domainOf(c.w.rnd.IntN(3))
+	c.w.after(c.w.between(0, time.Second), &e.process, func() { e.edit(name, true) })
+}
+
 // operate takes a random domain out or back.
 func (c *callers) operate() {
 	w := c.w
@@ -105,8 +111,13 @@
 	if !e.runs() {
 		return
 	}
-	out := w.chance(0.4)
+	out := w.chance(0.3)
 	name := domainOf(w.rnd.IntN(3))
+	e.edit(name, out)
+}
+
+// edit gives an operator's command to the entry.
+func (e *entry) edit(name string, out bool) {
 	e.edits = append(e.edits, control.Edit{Who: "op", What: name, Domain: &control.ServiceEdit{Name: name, Out: out}})
 }
 
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -61,3 +61,18 @@
 		must.Eq(t, Run(Draw(seed)), Run(Draw(seed)))
 	}
 }
+
+// TestSeedsThatFailed keeps the seeds that showed a fault of the product.
+func TestSeedsThatFailed(t *testing.T) {
+	cases := []struct {
+		seed  uint64
+		fault string
+	}{
+		{76, "an agent that a new owner lost before the acceptance counted as departed"},
+	}
+	for _, c := range cases {
+		r := Run(Draw(c.seed))
+		must.SliceEmpty(t, r.Violations, must.Sprint(c.fault))
+		must.SliceEmpty(t, judge(r.History), must.Sprint(c.fault))
+	}
+}
--- a/internal/model/ownership.go
+++ b/internal/model/ownership.go
@@ -218,9 +218,12 @@
 		if oc == nil || oc.storing {
 			continue
 		}
-		if m := oc.cell.MembersToStore(e.now()); m.Version != oc.storedVersion {
-			e.swapMembers(n, oc, func(bool) {})
+		m := oc.cell.MembersToStore(e.now())
+		if m.Version == oc.storedVersion {
+			oc.cell.MembersStored(m, e.now())
+			continue
 		}
+		e.swapMembers(n, oc, func(bool) {})
 	}
 }
 
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -39,6 +39,9 @@
 	Length time.Duration
 	// FaultEvery is the mean time between two faults.
 	FaultEvery time.Duration
+	// Splits makes every fault a split of the network, with a domain taken out
+	// on the store's side.
+	Splits bool
 }
 
 // Draw returns a random configuration for a seed.
@@ -51,6 +54,7 @@
 		Cells:      1 + rnd.IntN(2),
 		Length:     40*time.Second + time.Duration(rnd.IntN(40))*time.Second,
 		FaultEvery: time.Duration(200+rnd.IntN(6000)) * time.Millisecond,
+		Splits:     seed%2 == 0,
 	}
 }
 
@@ -65,10 +69,12 @@
 	begin time.Time
 	at    time.Duration
 	// events counts recorded events, to give each its own instant.
-	events  time.Duration
-	queue   eventQueue
-	seq     uint64
-	cuts    map[link]time.Duration
+	events time.Duration
+	queue  eventQueue
+	seq    uint64
+	cuts   map[link]time.Duration
+	// splitTo is when the last split of the network ends.
+	splitTo time.Duration
 	store   *kvStore
 	entries []*entry
 	agents  []*agent
@@ -277,8 +283,15 @@
 
 // fault breaks something for a while.
 func (w *World) fault() {
+	if w.cfg.Splits {
+		if w.at >= w.splitTo {
+			w.checks.stats.Faults++
+			w.split()
+		}
+		return
+	}
 	w.checks.stats.Faults++
-	switch w.rnd.IntN(12) {
+	switch w.rnd.IntN(13) {
 	case 0:
 		w.store.awayTo = w.at + w.between(0, 15*time.Second)
 	case 1:
@@ -301,6 +314,34 @@
 		w.cutPair(w.anyEntry().name, w.store.name)
 	case 11:
 		w.island(w.anyEntry())
+	case 12:
+		w.split()
+	}
+}
+
+// split puts every process on one of two sides for a while. An operator on
+// the store's side takes domains out soon after.
+func (w *World) split() {
+	w.splitTo = w.at + w.between(3*time.Second, 12*time.Second)
+	far := map[string]bool{}
+	names := []string{w.store.name}
+	for _, e := range w.entries {
+		far[e.name] = w.chance(0.5)
+		names = append(names, e.name)
+		if !far[e.name] {
+			w.callers.operateSoon(e)
+		}
+	}
+	for _, a := range w.agents {
+		far[a.name] = w.chance(0.5)
+		names = append(names, a.name)
+	}
+	for _, a := range names {
+		for _, b := range names {
+			if far[a] && !far[b] {
+				w.cuts[pair(a, b)] = w.splitTo
+			}
+		}
 	}
 }
 
