--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -62,6 +62,9 @@
 		InService:       s.GetInService(),
 	})
 	st.echo(s.GetEchoNs())
+	if a.gate.State(a.now()).ControlRevision > st.told.Load() {
+		st.out.addHeartbeat()
+	}
 	a.delivery.confirm(st)
 }
 
@@ -76,6 +79,7 @@
 		Cell:       s.GetCell(),
 		Generation: s.GetGeneration(),
 		Task:       task,
+		Digest:     s.GetDigest(),
 		Timeout:    time.Duration(s.GetTimeoutNs()),
 	}
 	code := a.delivery.admit(a.now(), st, ask)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -111,6 +111,8 @@
 	counters       Counters
 	recordsSweptAt time.Time
 	checkedAt      time.Time
+	// stampsDropped tells that the entry had no confirmation when last asked.
+	stampsDropped bool
 	// lastInvariant is the last failed check of the scheduler.
 	lastInvariant string
 }
@@ -118,6 +120,8 @@
 type pendingSubmission struct {
 	submission *pb.Submission
 	reply      Replier
+	arrived    time.Time
+	cancelled  bool
 }
 
 // New returns a cell that is not serving yet. members is the list that the
@@ -220,6 +224,7 @@
 	}
 	c.maybeServe(now)
 	c.loseEndpoints(now)
+	c.departMissing(now)
 	c.passDeadlines(now)
 	c.forget(now)
 	c.check(now)
@@ -242,9 +247,14 @@
 
 // dispatch sends waiting tasks to free slots.
 func (c *Cell) dispatch(now time.Time) {
-	if c.phase != serving || !c.cfg.Fresh(now) {
+	if c.phase != serving {
 		return
 	}
+	if !c.cfg.Fresh(now) {
+		c.dropStamps(now)
+		return
+	}
+	c.stampsDropped = false
 	for {
 		a, ok := c.sched.Next(now)
 		if !ok {
@@ -254,6 +264,19 @@
 	}
 }
 
+// dropStamps waits for new stamps before anything is sent again: those that
+// the agents have are as old as the confirmation that has run out.
+func (c *Cell) dropStamps(now time.Time) {
+	if c.stampsDropped {
+		return
+	}
+	c.stampsDropped = true
+	for _, e := range c.endpoints {
+		e.stamped = false
+		c.updateEndpoint(e, now)
+	}
+}
+
 func (c *Cell) start(a sched.Assignment, now time.Time) {
 	j := c.jobs[a.Key]
 	t := &j.tasks[a.Index]
@@ -277,6 +300,7 @@
 		Payload:    t.payload,
 		Idempotent: t.idempotent,
 		TimeoutNs:  int64(j.deadline.Sub(now)),
+		Digest:     j.digest,
 	})
 }
 
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -25,7 +25,11 @@
 	// leaseGone are members whose lease in the store has lapsed.
 	leaseGone map[string]bool
 	leaving   bool
+	gone      bool
 	changed   chan struct{}
+	// docChanged is closed when the document changes, for those whom its
+	// confirmations don't matter.
+	docChanged chan struct{}
 }
 
 func newBoard(self string) *board {
@@ -35,6 +39,7 @@
 		acks:          map[string]uint64{},
 		leaseGone:     map[string]bool{},
 		changed:       make(chan struct{}),
+		docChanged:    make(chan struct{}),
 	}
 }
 
@@ -45,6 +50,14 @@
 	return b.changed
 }
 
+// DocChanged returns a channel that is closed at the next change of the
+// document.
+func (b *board) DocChanged() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.docChanged
+}
+
 func (b *board) notify() {
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -109,6 +122,8 @@
 	}
 	b.doc = d
 	b.acks[b.self] = d.Revision
+	close(b.docChanged)
+	b.docChanged = make(chan struct{})
 	b.notify()
 }
 
@@ -158,12 +173,40 @@
 
 // Basis returns the instant since which nothing newer can have been accepted.
 func (b *board) Basis(now time.Time) time.Time {
+	_, basis := b.Confirmed(now)
+	return basis
+}
+
+// Confirmed returns the document together with its basis. Read one after the
+// other, the basis of a newer document could be taken for the older one's.
+func (b *board) Confirmed(now time.Time) (*control.Document, time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.doc == nil {
+	if b.doc == nil || b.gone {
+		return b.doc, time.Time{}
+	}
+	return b.doc, control.Basis(b.doc, b.self, b.confirmations, now)
+}
+
+// OwnerBasis returns the basis of the document if it names this entry as the
+// owner of a cell under a generation, and the zero time otherwise: what
+// confirms the document says then that the ownership has ended.
+func (b *board) OwnerBasis(cell uint32, generation uint64, now time.Time) time.Time {
+	d, basis := b.Confirmed(now)
+	if !owns(d, b.self, cell, generation) {
 		return time.Time{}
 	}
-	return control.Basis(b.doc, b.self, b.confirmations, now)
+	return basis
+}
+
+// owns tells whether the document names a member as the owner of a cell under
+// a generation.
+func owns(d *control.Document, id string, cell uint32, generation uint64) bool {
+	if d == nil || int(cell) >= len(d.Cells) {
+		return false
+	}
+	c := d.Cells[cell]
+	return c.Owner == id && c.Generation == generation
 }
 
 // Acked returns a test for which members hold at least a revision.
@@ -208,6 +251,23 @@
 	b.notify()
 }
 
+// SetGone marks the entry as taking itself off the roster. Whether that has
+// taken effect or not, it counts from now on as one whose process has ended:
+// it must not vouch for its document, and nothing confirms it any more.
+func (b *board) SetGone() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gone = true
+	b.notify()
+}
+
+// Vouches tells whether this entry may vouch for one that holds a revision.
+func (b *board) Vouches(theirs uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.doc != nil && !b.gone && control.Vouches(b.doc, b.self, theirs)
+}
+
 // Leaving tells whether the entry is shutting down.
 func (b *board) Leaving() bool {
 	b.mu.Lock()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"time"
 	"unicode/utf8"
@@ -24,13 +25,15 @@
 	mux.HandleFunc("POST /v1/jobs", e.postJob)
 	mux.HandleFunc("GET /v1/jobs/{id}", e.getJob)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.deleteJob)
-	refuse := func(w http.ResponseWriter, err error) { writeAnswer(w, refusal("", err)) }
 	open := http.NewServeMux()
 	open.HandleFunc("GET /ready", e.ready)
 	open.Handle("/v1/", e.guard.Require(mux, refuse))
 	return open
 }
 
+// refuse answers a request that was let no further.
+func refuse(w http.ResponseWriter, err error) { writeAnswer(w, refusal("", err)) }
+
 // ready tells the platform's balancer whether to send callers here.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
 	d := e.board.Doc()
@@ -77,7 +80,7 @@
 
 // admits tells whether this entry can pass submissions on at all.
 func (e *Entry) admits() error {
-	if e.board.Leaving() {
+	if e.closing.Load() {
 		return result.Errorf(result.ShuttingDown, "")
 	}
 	if e.board.Doc() == nil {
@@ -110,13 +113,13 @@
 	if len(job.Tasks) == 0 || len(job.Tasks) > api.MaxTasks {
 		return nil, result.Errorf(result.Malformed, "a job has from 1 to %d tasks, not %d", api.MaxTasks, len(job.Tasks))
 	}
-	timeout := time.Duration(job.TimeoutMS) * time.Millisecond
-	if timeout <= 0 || timeout > e.maxTimeout(job.Team) {
-		return nil, result.Errorf(result.Malformed, "timeout_ms must be from 1 to %d", e.maxTimeout(job.Team).Milliseconds())
+	if limit := e.maxTimeoutMS(job.Team); job.TimeoutMS <= 0 || job.TimeoutMS > limit {
+		return nil, result.Errorf(result.BadTimeout, "timeout_ms must be from 1 to %d", limit)
 	}
-	s := &pb.Submission{Id: id[:], Team: job.Team, TimeoutNs: int64(timeout)}
+	s := &pb.Submission{Id: id[:], Team: job.Team, TimeoutNs: nanoseconds(job.TimeoutMS)}
 	h := xxhash.New()
 	_, _ = h.WriteString(job.Team)
+	_, _ = h.Write([]byte{0})
 	for _, t := range job.Tasks {
 		payload := []byte(t.Payload)
 		if len(payload) == 0 {
@@ -131,15 +134,22 @@
 		s.Tasks = append(s.Tasks, &pb.Task{
 			Payload:       payload,
 			Idempotent:    t.Idempotent,
-			DeclaredRunNs: t.DeclaredRunMS * int64(time.Millisecond),
+			DeclaredRunNs: nanoseconds(t.DeclaredRunMS),
 		})
 	}
 	s.Digest = h.Sum64()
 	return s, nil
 }
 
-func (e *Entry) maxTimeout(team string) time.Duration {
-	limit := e.settings.MaxTimeout.Std()
+// nanoseconds converts milliseconds from a caller; what does not fit becomes
+// the longest duration.
+func nanoseconds(ms int64) int64 {
+	return min(max(ms, 0), math.MaxInt64/int64(time.Millisecond)) * int64(time.Millisecond)
+}
+
+// maxTimeoutMS is the longest timeout of a team's job in milliseconds.
+func (e *Entry) maxTimeoutMS(team string) int64 {
+	limit := e.settings.MaxTimeout.Std().Milliseconds()
 	d := e.board.Doc()
 	if d == nil {
 		return limit
@@ -148,7 +158,7 @@
 	if !ok || t.MaxTimeoutMS == 0 {
 		return limit
 	}
-	return min(limit, time.Duration(t.MaxTimeoutMS)*time.Millisecond)
+	return min(limit, t.MaxTimeoutMS)
 }
 
 func submissionID(text string) (sched.Key, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,8 @@
 	store    *store.HTTP
 	guard    *access.Guard
 	admin    *admin.Handler
+	// closing refuses new submissions at the end of a shutdown.
+	closing atomic.Bool
 	// base outlives callers' requests and ends with the entry.
 	base      context.Context
 	ownership *ownership
@@ -163,7 +165,7 @@
 		e.confirms.run,
 		e.relay.run,
 		e.tickCells,
-		e.stopAgents,
+		e.tellAgents,
 	}
 }
 
@@ -189,7 +191,10 @@
 	peer.Handle(pomelosillv1connect.NewDispatchServiceHandler(e, process.Uncompressed()))
 	operators := http.NewServeMux()
 	operators.Handle("/v1/", e.admin)
-	e.debug.Mount(operators, func() any { return e.State() })
+	pages := http.NewServeMux()
+	e.debug.Mount(pages, func() any { return e.State() })
+	operators.Handle("/debug/", e.guard.RequireOperator(pages, refuse))
+	operators.Handle("/", pages)
 	return []*http.Server{
 		process.NewServer(e.callers()),
 		process.NewServer(peer),
@@ -212,15 +217,15 @@
 	}
 }
 
-// stopAgents tells the agents of what went out of service as soon as the
-// document says so.
-func (e *Entry) stopAgents(ctx context.Context) {
+// tellAgents tells the agents the service state as soon as the document
+// changes.
+func (e *Entry) tellAgents(ctx context.Context) {
 	revision := uint64(0)
 	for {
-		changed := e.board.Changed()
+		changed := e.board.DocChanged()
 		if d := e.board.Doc(); d != nil && d.Revision > revision {
 			revision = d.Revision
-			e.agents.PushStop(d)
+			e.agents.PushService(d)
 		}
 		select {
 		case <-changed:
@@ -240,6 +245,9 @@
 		e.log.Warn("cells not handed over", zap.Error(err))
 		e.awaitIdle(ctx)
 	}
+	// /ready sends the balancer elsewhere; who still comes here is served.
+	pause(ctx, e.settings.DrainDelay.Std())
+	e.closing.Store(true)
 	if err := servers[0].Shutdown(ctx); err != nil {
 		e.log.Warn("callers' requests cut", zap.Error(err))
 	}
@@ -261,6 +269,7 @@
 }
 
 func (e *Entry) leaveRoster(ctx context.Context) error {
+	e.board.SetGone()
 	_, err := e.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
 		if !d.Rostered(e.id) {
 			return nil, nil
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,7 +20,8 @@
 	// Freshness is the greatest age of the stamp that a start may rely on.
 	Freshness time.Duration
 	// RecordRetention is the age, counted from the time in the submission id,
-	// up to which a submission may start. The records outlive it.
+	// up to which a submission may start. The records outlive it. It must not
+	// be less than the entries' retention of ids.
 	RecordRetention time.Duration
 	// BodyRetention is how long the body of an ended task is held unless it
 	// is released before.
@@ -39,6 +40,8 @@
 	Cell       uint32
 	Generation uint64
 	Task       Task
+	// Digest tells the submission's body from another's under the same id.
+	Digest uint64
 	// Timeout is what remains until the deadline.
 	Timeout time.Duration
 }
@@ -132,7 +135,7 @@
 	if code := g.checkRoom(s.Timeout); code != result.OK {
 		return Decision{Code: code}
 	}
-	g.records.begin(s.Task)
+	g.records.begin(now, s.Task, s.Digest)
 	g.permit.running++
 	return Decision{Code: result.OK}
 }
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -18,6 +18,10 @@
 	// bucketSpan is the span of submission times that share a bucket; a
 	// bucket expires as a whole.
 	bucketSpan = time.Minute
+	// recordMargin is how much longer than the retention a record is kept
+	// after its start, whatever the wall clock says: the clocks of callers,
+	// owners and other agents differ.
+	recordMargin = time.Minute
 )
 
 // Task names one task of a submission.
@@ -48,12 +52,15 @@
 	Detail string
 	// Run is the time that the endpoint took.
 	Run time.Duration
+	// Digest is that of the Start.
+	Digest uint64
 }
 
 // record is the stored form of a Record.
 type record struct {
 	// answer is nil while the task runs and once the body was dropped.
 	answer  *answer
+	digest  uint64
 	runUS   uint32
 	code    uint16
 	running bool
@@ -75,6 +82,7 @@
 		Running: r.running,
 		Code:    result.Code(r.code),
 		Run:     time.Duration(r.runUS) * time.Microsecond,
+		Digest:  r.digest,
 	}
 	if r.answer != nil {
 		out.Body = r.answer.body
@@ -91,6 +99,8 @@
 type bucket struct {
 	records map[Task]record
 	running int
+	// lastBegin is the instant of the last start of a task.
+	lastBegin time.Duration
 	// lastEnd is the instant of the last end of a task.
 	lastEnd time.Duration
 }
@@ -143,7 +153,7 @@
 }
 
 // begin makes the record of a task that has none.
-func (rs *records) begin(t Task) {
+func (rs *records) begin(now time.Duration, t Task, digest uint64) {
 	s := rs.shard(t.Submission)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,8 +163,9 @@
 		b = &bucket{records: map[Task]record{}}
 		s.buckets[m] = b
 	}
-	b.records[t] = record{running: true}
+	b.records[t] = record{running: true, digest: digest}
 	b.running++
+	b.lastBegin = max(b.lastBegin, now)
 	rs.count.Add(1)
 }
 
@@ -181,7 +192,7 @@
 	if !ok {
 		return false
 	}
-	b.records[r.Task] = record{answer: a, code: uint16(r.Code), runUS: micros(r.Run)}
+	b.records[r.Task] = record{answer: a, code: uint16(r.Code), runUS: micros(r.Run), digest: b.records[r.Task].digest}
 	b.running--
 	b.lastEnd = now
 	return true
@@ -286,12 +297,17 @@
 	}
 }
 
-// expired tells whether no id of the bucket may start any more and nobody
-// waits for the outcomes.
+// expired tells whether no id of the bucket may start any more, here or at
+// another agent, and nobody waits for the outcomes. The wall clock alone could
+// be ahead of the owners', which would start a task elsewhere that was started
+// here.
 func (rs *records) expired(now time.Duration, m int64, b *bucket) bool {
 	if b.running > 0 || now-b.lastEnd < rs.cfg.BodyRetention {
 		return false
 	}
+	if now-b.lastBegin <= rs.cfg.RecordRetention+recordMargin {
+		return false
+	}
 	end := time.UnixMilli((m + 1) * bucketSpan.Milliseconds())
 	return rs.cfg.Epoch.Add(now).Sub(end) > rs.cfg.RecordRetention
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,10 +1,13 @@
 #!/usr/bin/env bash
 # Runs every load scenario at both users' sizes against fleets of real
 # processes on loopback. Prints one JSON line per scenario on standard output
-# and a table on standard error. Use: scripts/bench.sh [OUTPUT_FOLDER]
+# and a table on standard error; the exit status is not zero if a line is
+# missing, a task started twice, or an answer was partial, another's or untrue.
+# Use: scripts/bench.sh [OUTPUT_FOLDER]
 #
 # BENCH_SECONDS is the time over which a scenario submits jobs (half of it for
-# each run of a scenario that compares two), BENCH_SEED the first seed.
+# each run of a scenario that compares two), BENCH_SEED the first seed, and
+# BENCH_SCENARIOS the scenarios to run if not all.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 # shellcheck source=scripts/fleet.sh
@@ -12,6 +15,7 @@
 
 BENCH_SECONDS=${BENCH_SECONDS:-80}
 BENCH_SEED=${BENCH_SEED:-1}
+BENCH_SCENARIOS=${BENCH_SCENARIOS:-}
 OUT=${1:-$(mktemp -d)}
 FIRST_FLEET=${BENCH_FIRST_FLEET:-100}
 COUNT=0
@@ -56,6 +60,7 @@
 # begin SIZE SEED SCENARIO POLICY LOAD SECONDS starts a scenario in the
 # background on a fleet of its own.
 begin() {
+  [[ -z $BENCH_SCENARIOS || " $BENCH_SCENARIOS " == *" $3 "* ]] || return 0
   COUNT=$((COUNT + 1))
   local dir
   dir=$OUT/$(printf %02d "$COUNT")-$1-$3-$4-$5
@@ -79,7 +84,8 @@
     begin "$1" "$2" "$name" product 0.7 "$BENCH_SECONDS"
   done
   begin "$1" "$2" overload product 2 $((BENCH_SECONDS / 2))
-  for name in head-of-line straggler cancel-wave; do
+  begin "$1" "$2" head-of-line-small product 0.3 $((BENCH_SECONDS / 2))
+  for name in head-of-line straggler straggler-small cancel-wave; do
     begin "$1" "$2" "$name" product 0.5 $((BENCH_SECONDS / 2))
   done
 }
@@ -97,4 +103,8 @@
 cat "${LINES[@]}"
 cat "${LINES[@]}" | "$FLEET_BIN/pomelosill-load" table >&2
 echo "bench: $(cat "${LINES[@]}" | wc -l) of $COUNT lines in $((SECONDS - BEGAN)) s, files in $OUT" >&2
+
+# The exit status tells whether every line is there and no promise was broken.
 [[ $(cat "${LINES[@]}" | wc -l) -eq $COUNT ]]
+jq -se 'map(.double_starts + .partial_answers + .foreign_answers + .false_not_run) | add == 0' \
+  "${LINES[@]}" >/dev/null
