Go back to Malformed for a bad timeout

TestRefusalsBeforeAnyStart rightly asks for Malformed, 'not run', for a new id (it failed: 118 in place of 101). Conclusion: reverted. That an id sent again with another timeout is refused as 'not run' without being looked up stays open.

--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -51,7 +51,6 @@
 	Overloaded      Code = 116
 	// EntryUnreachable is given by clients, never by an entry.
 	EntryUnreachable Code = 117
-	BadTimeout       Code = 118
 
 	TaskFailed          Code = 201
 	OutcomeUnknown      Code = 202
@@ -126,7 +125,6 @@
 	{NotFound, "NotFound", "Nothing is known under this name.", EffectNone, true, http.StatusNotFound},
 	{Overloaded, "Overloaded", "The job cannot be done before its deadline under the present load.", EffectNotRun, true, http.StatusServiceUnavailable},
 	{EntryUnreachable, "EntryUnreachable", "No entry could be reached; nothing was sent.", EffectNotRun, true, http.StatusServiceUnavailable},
-	{BadTimeout, "BadTimeout", "The timeout is out of range; this request started nothing, an earlier one with the same id may have.", EffectMayHaveRun, true, http.StatusBadRequest},
 
 	{TaskFailed, "TaskFailed", "A task ran and failed.", EffectMayHaveRun, false, http.StatusBadGateway},
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown; nothing is started again.", EffectMayHaveRun, false, http.StatusBadGateway},
