Do not take a cell back from an owner that holds a lease

Cause: whoever misses three answers of an owner takes its cells over. Two entries that reach the store but not each other did so in turn for ever, and each takeover stops the cell's work until it is fenced. Ruled out: asking for a lapsed lease before any takeover, which would make the first takeover after a death some three seconds longer. Change: an entry takes a cell back from the one that took it only when that one's lease in the store has lapsed. Cost: an owner that dies after it took the cell from its present deputy is replaced when its lease lapses.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,7 +104,7 @@
 	}
 	e.ownership = &ownership{
 		store: e.store, board: e.board, peers: e.peers, writer: e.writer, agents: e.agents,
-		settings: s, log: part("ownership"), cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{},
+		settings: s, log: part("ownership"), cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{}, lostTo: map[uint32]string{},
 	}
 	e.confirms = newConfirms(e.board, e.peers.Soon, 2*s.Freshness.Std())
 	e.relay = newRelay(e.board, e.client, e.confirms, e.counters, part("relay"))
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -38,6 +38,8 @@
 	cells map[uint32]*ownedCell
 	// opening are the cells whose member lists are being read.
 	opening map[uint32]bool
+	// lostTo names the entry that last took a cell from this one.
+	lostTo map[uint32]string
 }
 
 // ownedCell is a local cell with the state of its member list in the store.
@@ -131,13 +133,22 @@
 	}
 	var cells []int
 	for i, c := range d.Cells {
-		if c.Owner != o.board.self && control.Candidate(d, i, o.alive) == o.board.self {
+		if c.Owner != o.board.self && control.Candidate(d, i, o.alive) == o.board.self && o.mayTake(uint32(i), c.Owner) {
 			cells = append(cells, i)
 		}
 	}
 	return cells
 }
 
+// mayTake tells whether this entry may take a cell from its owner. It does not
+// take it back from one that holds a lease: if the two cannot reach each other
+// they would go on taking it from each other.
+func (o *ownership) mayTake(n uint32, owner string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return owner == "" || o.lostTo[n] != owner || o.board.LeaseGone(owner)
+}
+
 func (o *ownership) keepDeputies(ctx context.Context) {
 	d := o.board.Doc()
 	if o.board.Leaving() || control.SetDeputies(d, o.board.self, "", o.alive) == nil {
@@ -183,7 +194,7 @@
 		oc := o.owned(n)
 		mine := c.Owner == o.board.self
 		if oc != nil && (!mine || oc.cell.Generation() != c.Generation) {
-			o.close(n, oc)
+			o.close(n, oc, c.Owner)
 			oc = nil
 		}
 		if mine && oc == nil {
@@ -248,9 +259,11 @@
 	return slices.Collect(maps.Values(o.cells))
 }
 
-func (o *ownership) close(n uint32, oc *ownedCell) {
+// close ends a local cell that belongs to another entry now.
+func (o *ownership) close(n uint32, oc *ownedCell, owner string) {
 	o.mu.Lock()
 	delete(o.cells, n)
+	o.lostTo[n] = owner
 	o.mu.Unlock()
 	oc.cell.Close()
 	o.log.Info("closed a cell", zap.Uint32("cell", n), zap.Uint64("generation", oc.cell.Generation()))
--- a/internal/entry/ownership_test.go
+++ b/internal/entry/ownership_test.go
@@ -60,3 +60,41 @@
 		})
 	}
 }
+
+// Two entries that reach the store but not each other must not take a cell
+// from each other for ever: each takeover stops its work for a while.
+func TestCellIsNotTakenBackFromOneWithALease(t *testing.T) {
+	roster := []control.Member{{ID: "e1"}, {ID: "e2"}}
+	doc := func(revision uint64, owner string) *control.Document {
+		return &control.Document{Revision: revision, Roster: roster, Cells: []control.Cell{{Owner: owner, Generation: revision}}}
+	}
+	for name, c := range map[string]struct {
+		lost  bool
+		lease bool
+		want  []int
+	}{
+		"dead owner":                {false, false, []int{0}},
+		"silent owner with a lease": {false, true, []int{0}},
+		"taken by one with a lease": {true, true, nil},
+		"taken by one that died":    {true, false, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBoard("e1")
+			p := newPeers(b, nil, time.Second, time.Second, zap.NewNop())
+			p.states["e2"] = &peerState{misses: missesUntilDead}
+			o := &ownership{
+				board: b, peers: p, settings: DefaultSettings(), log: zap.NewNop(),
+				cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{}, lostTo: map[uint32]string{},
+			}
+			if c.lost {
+				b.FromStore(doc(1, "e1"), 10, time.Now())
+				o.cells[0] = &ownedCell{cell: servingCell(t, doc(1, "e1"))}
+			}
+			taken := doc(2, "e2")
+			b.FromStore(taken, 20, time.Now())
+			b.SetLeases(map[string]bool{"e1": true, "e2": c.lease})
+			o.follow(t.Context(), taken)
+			must.Eq(t, c.want, o.wanted(taken))
+		})
+	}
+}
