Share what every program's main does

Cause: four programs stood signals, errors and the settings flag four times. Change: process.Main and process.SettingsFlag; the entry's help says what SIGTERM does. Behaviour as before.

--- a/cmd/pomelosill-agent/main.go
+++ b/cmd/pomelosill-agent/main.go
@@ -3,10 +3,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,15 +11,7 @@
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := command().Run(ctx, os.Args)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "pomelosill-agent:", err)
-		os.Exit(1)
-	}
-}
+func main() { process.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
@@ -32,11 +20,7 @@
 		Version: process.Version(),
 		Description: "Runs beside one endpoint. SIGTERM drains: running tasks finish,\n" +
 			"their outcomes are delivered, then the process ends.",
-		Flags: []cli.Flag{&cli.StringFlag{
-			Name:     "settings",
-			Usage:    "settings `FILE`, JSON with comments (see docs/examples/agent.jsonc)",
-			Required: true,
-		}},
+		Flags:  []cli.Flag{process.SettingsFlag("docs/examples/agent.jsonc")},
 		Action: run,
 	}
 }
--- a/cmd/pomelosill-entry/main.go
+++ b/cmd/pomelosill-entry/main.go
@@ -4,10 +4,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,33 +12,23 @@
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	err := command().Run(ctx, os.Args)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "pomelosill-entry:", err)
-		os.Exit(1)
-	}
-}
+func main() { process.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
 		Name:    "pomelosill-entry",
 		Usage:   "take callers' jobs, place their tasks and serve operators",
 		Version: process.Version(),
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
-		},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return run(ctx, c.String("settings"))
-		},
+		Flags:   []cli.Flag{process.SettingsFlag("docs/examples/entry.jsonc")},
+		Description: "Runs behind the platform's balancer. SIGTERM hands the cells over,\n" +
+			"answers every request in progress, then the process ends.",
+		Action: run,
 	}
 }
 
-func run(ctx context.Context, path string) error {
+func run(ctx context.Context, c *cli.Command) error {
 	s := entry.DefaultSettings()
-	if err := settings.Load(path, s); err != nil {
+	if err := settings.Load(c.String("settings"), s); err != nil {
 		return err
 	}
 	log, err := process.NewLogger(s.LogLevel)
--- a/cmd/pomelosill-load/main.go
+++ b/cmd/pomelosill-load/main.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -20,18 +18,7 @@
 
 const defaultLength = time.Minute
 
-func main() {
-	if err := execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "pomelosill-load:", err)
-		os.Exit(1)
-	}
-}
-
-func execute() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return command().Run(ctx, os.Args)
-}
+func main() { process.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/cmd/pomelosill-standin/main.go
+++ b/cmd/pomelosill-standin/main.go
@@ -10,8 +10,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -34,18 +32,7 @@
 	Journal string `json:"journal"`
 }
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "pomelosill-standin:", err)
-		os.Exit(1)
-	}
-}
-
-func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return command().Run(ctx, os.Args)
-}
+func main() { process.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
