Expect the code of a bad deadline in the refusals

Cause: a bad timeout_ms has a code of its own now, BadTimeout in place of Malformed; the test expected the old one. Change: the test expects exactly the new code, with the same checks. Conclusion: TestRefusalsBeforeAnyStart passes.

--- a/test/failure/notrun_test.go
+++ b/test/failure/notrun_test.go
@@ -44,7 +44,7 @@
 		{"id from the future", func(j *fleet.Job) { j.ID = "f" + j.ID[1:] }, result.IDFromFuture},
 		{"no tasks", func(j *fleet.Job) { j.Tasks = nil }, result.Malformed},
 		{"too many tasks", func(j *fleet.Job) { j.Tasks = make([]api.Task, api.MaxTasks+1) }, result.Malformed},
-		{"no deadline", func(j *fleet.Job) { j.TimeoutMS = 0 }, result.Malformed},
+		{"no deadline", func(j *fleet.Job) { j.TimeoutMS = 0 }, result.BadTimeout},
 		{"too large", func(j *fleet.Job) {
 			j.Tasks[0].Payload = json.RawMessage(`"` + strings.Repeat("x", 5<<20) + `"`)
 		}, result.TooLarge},
