--- a/test/fleet/load.go
+++ b/test/fleet/load.go
@@ -87,8 +87,8 @@
 }
 
 // Persist submits a job as a caller does that wants it done: when it gets no
-// answer, or one that says "not run" and invites another try, it sends the
-// same job to the next entry until the job's deadline.
+// answer, or one that invites another try, it sends the same job to the next
+// entry until the job's deadline.
 func (f *Fleet) Persist(ctx context.Context, j Job, first int, entries ...*Entry) (api.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
