--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -34,10 +34,15 @@
 	settings *Settings
 	log      *zap.Logger
 
+	// gave is when a cell was last handed over for balance.
+	gave time.Time
+
 	mu    sync.Mutex
 	cells map[uint32]*ownedCell
 	// opening are the cells whose member lists are being read.
 	opening map[uint32]bool
+	// lostTo names the entry that last took a cell from this one.
+	lostTo map[uint32]string
 }
 
 // ownedCell is a local cell with the state of its member list in the store.
@@ -53,9 +58,38 @@
 	o.loop(ctx, func(d *control.Document) {
 		o.takeOver(ctx, d)
 		o.keepDeputies(ctx)
+		o.giveSurplus(ctx)
 	})
 }
 
+// giveInterval is the least time between two cells that an owner hands over
+// for balance.
+const giveInterval = time.Second
+
+// giveSurplus hands one cell to an entry that owns fewer, once the last change
+// is accepted.
+func (o *ownership) giveSurplus(ctx context.Context) {
+	d := o.board.Doc()
+	_, accepted := o.board.Accepted()
+	if !accepted || time.Since(o.gave) < giveInterval {
+		return
+	}
+	if _, _, ok := control.Surplus(d, o.board.self, o.alive); !ok {
+		return
+	}
+	o.gave = time.Now()
+	_, err := o.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
+		i, to, ok := control.Surplus(d, o.board.self, o.alive)
+		if !ok {
+			return nil, nil
+		}
+		return control.TakeOver(d, []int{i}, to, op, o.alive), nil
+	})
+	if err != nil {
+		o.log.Warn("surplus cell not handed over", zap.Error(err))
+	}
+}
+
 // runFollow keeps the local cells in step with the document. It never waits
 // for the store, so that a change of the configuration takes effect at once.
 func (o *ownership) runFollow(ctx context.Context) {
@@ -131,13 +165,22 @@
 	}
 	var cells []int
 	for i, c := range d.Cells {
-		if c.Owner != o.board.self && control.Candidate(d, i, o.alive) == o.board.self {
+		if c.Owner != o.board.self && control.Candidate(d, i, o.alive) == o.board.self && o.mayTake(uint32(i), c.Owner) {
 			cells = append(cells, i)
 		}
 	}
 	return cells
 }
 
+// mayTake tells whether this entry may take a cell from its owner. It does not
+// take it back from one that holds a lease: if the two cannot reach each other
+// they would go on taking it from each other.
+func (o *ownership) mayTake(n uint32, owner string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return owner == "" || o.lostTo[n] != owner || o.board.LeaseGone(owner)
+}
+
 func (o *ownership) keepDeputies(ctx context.Context) {
 	d := o.board.Doc()
 	if o.board.Leaving() || control.SetDeputies(d, o.board.self, "", o.alive) == nil {
@@ -183,7 +226,7 @@
 		oc := o.owned(n)
 		mine := c.Owner == o.board.self
 		if oc != nil && (!mine || oc.cell.Generation() != c.Generation) {
-			o.close(n, oc)
+			o.close(n, oc, c.Owner)
 			oc = nil
 		}
 		if mine && oc == nil {
@@ -248,9 +291,11 @@
 	return slices.Collect(maps.Values(o.cells))
 }
 
-func (o *ownership) close(n uint32, oc *ownedCell) {
+// close ends a local cell that belongs to another entry now.
+func (o *ownership) close(n uint32, oc *ownedCell, owner string) {
 	o.mu.Lock()
 	delete(o.cells, n)
+	o.lostTo[n] = owner
 	o.mu.Unlock()
 	oc.cell.Close()
 	o.log.Info("closed a cell", zap.Uint32("cell", n), zap.Uint64("generation", oc.cell.Generation()))
