Don't give a held refusal once the id has been let in

Cause: an owner holds an answer that says "not run" until its ownership is confirmed, up to 2F. Ruled out: a former owner; decision and start were the same cell's. Change: at the release the owner looks whether the id may have started, and if so lets the receiving entry ask again, which attaches to the job. Left: a submission from an older stream that arrives after the release.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -216,6 +216,18 @@
 // TestMemberLostBeforeAcceptanceHoldsTheTakeover loses an agent to this owner
 // while it may still work for the old one, whose time ends only F after the
 // acceptance.
+func TestMayHaveStarted(t *testing.T) {
+	b := newBench(t, 1, Members{})
+	b.cell.Accepted(b.now)
+	l := b.attach("e-1", "i1")
+	id := b.id(0)
+	must.False(t, b.cell.MayHaveStarted(sched.Key(id)))
+	b.submit(id, 1, 1)
+	must.True(t, b.cell.MayHaveStarted(sched.Key(id)))
+	b.finish(l, l.takeStarts(), result.OK)
+	must.True(t, b.cell.MayHaveStarted(sched.Key(id)))
+}
+
 func TestMemberLostBeforeAcceptanceHoldsTheTakeover(t *testing.T) {
 	b := newBench(t, 2, Members{Generation: 1, Agents: []Member{{Endpoint: "e-1", Incarnation: "i1"}}})
 	l := b.hello("e-1", "i1")
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -171,6 +171,14 @@
 	return known
 }
 
+// MayHaveStarted tells whether the id is known and not surely without a start.
+func (c *Cell) MayHaveStarted(key sched.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[key]
+	return j != nil && (!j.isEnded || !j.code.NotRun())
+}
+
 // Lookup gives the answer of a job that has ended, or attaches the reply to
 // one that has not. It is false for an unknown id.
 func (c *Cell) Lookup(key sched.Key) (state string, a *pb.Answer, team string) {
--- a/internal/entry/confirms.go
+++ b/internal/entry/confirms.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/cell"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/sched"
 )
 
 // confirms holds back answers that say "not run" until the entry's ownership
@@ -14,6 +16,8 @@
 // entry might have taken the cell over and started the work.
 type confirms struct {
 	board *board
+	// cells gives the local cell with a number, or nil.
+	cells func(n uint32) *cell.Cell
 	// ask requests a confirmation now.
 	ask func()
 	// limit is how long an answer waits until it becomes "may have run".
@@ -27,7 +31,8 @@
 }
 
 func newConfirms(b *board, ask func(), limit time.Duration) *confirms {
-	return &confirms{board: b, ask: ask, limit: limit, wake: make(chan struct{}, 1)}
+	none := func(uint32) *cell.Cell { return nil }
+	return &confirms{board: b, cells: none, ask: ask, limit: limit, wake: make(chan struct{}, 1)}
 }
 
 type heldAnswer struct {
@@ -90,7 +95,7 @@
 func (c *confirms) releaseConfirmed(now time.Time) {
 	basis := c.board.Basis(now)
 	for _, h := range c.take(basis, now) {
-		if !c.stillOwner(h.answer) {
+		if !c.stillOwner(h.answer) || c.overtaken(h.answer) {
 			h.release(&pb.Answer{Id: h.answer.GetId(), Code: uint32(result.NotOwner)})
 			continue
 		}
@@ -128,6 +133,17 @@
 	return due
 }
 
+// overtaken tells whether a refusal has become untrue while it was held: the
+// same id was submitted again and let in. The receiving entry has to ask again
+// and gets the answer of the job.
+func (c *confirms) overtaken(a *pb.Answer) bool {
+	n := c.cells(a.GetCell())
+	if n == nil || len(a.GetId()) != len(sched.Key{}) || !result.Code(a.GetCode()).NotRun() {
+		return false
+	}
+	return n.MayHaveStarted(sched.Key(a.GetId()))
+}
+
 // stillOwner tells whether the document names this entry as the owner under
 // the generation that gave the answer. If not, the receiving entry has to ask
 // the new owner.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,6 +107,7 @@
 		settings: s, log: part("ownership"), cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{},
 	}
 	e.confirms = newConfirms(e.board, e.peers.Soon, 2*s.Freshness.Std())
+	e.confirms.cells = e.ownership.Cell
 	e.relay = newRelay(e.board, e.client, e.confirms, e.counters, part("relay"))
 	e.relay.cells = e.ownership.Cell
 	e.guard = access.NewGuard(s.Tokens, log)
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -69,6 +69,7 @@
 		fault string
 	}{
 		{76, "an agent that a new owner lost before the acceptance counted as departed"},
+		{1213, "a refusal was still given after a late resubmission had been let in"},
 	}
 	for _, c := range cases {
 		r := Run(Draw(c.seed))
--- a/internal/model/relay.go
+++ b/internal/model/relay.go
@@ -199,9 +199,15 @@
 	}
 }
 
+// overtaken tells whether the id was let in while its refusal was held.
+func (e *entry) overtaken(a *pb.Answer) bool {
+	oc := e.cells[a.GetCell()]
+	return oc != nil && result.Code(a.GetCode()).NotRun() && oc.cell.MayHaveStarted(sched.Key(a.GetId()))
+}
+
 func (e *entry) confirmedAnswer(a *pb.Answer, confirmed bool) *pb.Answer {
 	c := e.doc.Cells[a.GetCell()]
-	if c.Owner != e.id || c.Generation != a.GetGeneration() {
+	if c.Owner != e.id || c.Generation != a.GetGeneration() || e.overtaken(a) {
 		return &pb.Answer{Id: a.GetId(), Code: uint32(result.NotOwner)}
 	}
 	if confirmed {
