--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -38,12 +38,14 @@
 	EndpointsPerDomain int
 	// Slots is the number of slots of each endpoint.
 	Slots int
+	// Cells is the number of cells.
+	Cells int
 }
 
 // Small is enough for most tests: a majority of entries outlives one of them,
 // and a failure domain can go.
 func Small() Config {
-	return Config{Entries: 3, Domains: []string{"comas", "carabayllo"}, EndpointsPerDomain: 2, Slots: 4}
+	return Config{Entries: 3, Domains: []string{"comas", "carabayllo"}, EndpointsPerDomain: 2, Slots: 4, Cells: 1}
 }
 
 // Team is the team that every fleet knows.
@@ -100,7 +102,7 @@
 	t.Cleanup(f.client.CloseIdleConnections)
 	f.addPlatform(t)
 	for i := range c.Entries {
-		f.addEntry(t, i, c.Domains[i%len(c.Domains)])
+		f.addEntry(t, i, c.Domains[i%len(c.Domains)], c.Cells)
 	}
 	for _, domain := range c.Domains {
 		for i := range c.EndpointsPerDomain {
@@ -152,7 +154,7 @@
 	f.store = store.NewHTTP(f.Platform.URL, f.client, store.WithClientID("test"))
 }
 
-func (f *Fleet) addEntry(t *testing.T, i int, domain string) {
+func (f *Fleet) addEntry(t *testing.T, i int, domain string, cells int) {
 	name := fmt.Sprintf("entry-%d", i+1)
 	e := &Entry{Callers: freeAddress(t), Peer: freeAddress(t), Admin: freeAddress(t), Domain: domain}
 	path := writeSettings(t, f.dir, name, entrySettings{
@@ -161,6 +163,7 @@
 		Admin:         e.Admin,
 		FailureDomain: domain,
 		Store:         f.Platform.URL,
+		Cells:         cells,
 		DefaultTeams:  []teamSettings{{Name: Team, Weight: 1}},
 		DrainTimeout:  "30s",
 		LogLevel:      "debug",
--- a/test/fleet/settings.go
+++ b/test/fleet/settings.go
@@ -16,6 +16,7 @@
 	Admin         string         `json:"admin"`
 	FailureDomain string         `json:"failure_domain"`
 	Store         string         `json:"store"`
+	Cells         int            `json:"cells"`
 	DefaultTeams  []teamSettings `json:"default_teams"`
 	DrainTimeout  string         `json:"drain_timeout"`
 	LogLevel      string         `json:"log_level"`
