--- /dev/null
+++ b/internal/entry/ownership_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+// memberStore holds a member list that cannot be written.
+type memberStore struct {
+	store.Store
+	list  cell.Members
+	calls atomic.Int64
+}
+
+func (m *memberStore) Get(_ context.Context, key string) (store.Entry, error) {
+	m.calls.Add(1)
+	text, err := json.Marshal(m.list)
+	return store.Entry{Key: key, Value: text, Revision: 7}, err
+}
+
+func (m *memberStore) CompareAndSwap(context.Context, string, uint64, []byte, store.LeaseID) (uint64, error) {
+	m.calls.Add(1)
+	return 0, result.Errorf(result.StoreUnavailable, "")
+}
+
+// A cell that cannot be opened must be tried again with pauses: the store
+// counts each call, and its rates are low.
+func TestOpeningAgainSparesTheStore(t *testing.T) {
+	for name, list := range map[string]cell.Members{
+		"a newer owner has the list": {Generation: 9},
+		"the list cannot be written": {Generation: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := &memberStore{list: list}
+			b := newBoard("e1")
+			b.FromStore(&control.Document{
+				Revision: 2, Roster: []control.Member{{ID: "e1"}}, Cells: []control.Cell{{Owner: "e1", Generation: 2}},
+			}, 20, time.Now())
+			o := &ownership{
+				store: st, board: b, settings: DefaultSettings(), log: zap.NewNop(),
+				cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{},
+			}
+			began := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*retryPause)
+			defer cancel()
+			o.runFollow(ctx)
+			tries := int64(time.Since(began)/retryPause) + 1
+			must.LessEq(t, 2*tries, st.calls.Load())
+		})
+	}
+}
+
+// Two entries that reach the store but not each other must not take a cell
+// from each other for ever: each takeover stops its work for a while.
+func TestCellIsNotTakenBackFromOneWithALease(t *testing.T) {
+	roster := []control.Member{{ID: "e1"}, {ID: "e2"}}
+	doc := func(revision uint64, owner string) *control.Document {
+		return &control.Document{Revision: revision, Roster: roster, Cells: []control.Cell{{Owner: owner, Generation: revision}}}
+	}
+	for name, c := range map[string]struct {
+		lost  bool
+		lease bool
+		want  []int
+	}{
+		"dead owner":                {false, false, []int{0}},
+		"silent owner with a lease": {false, true, []int{0}},
+		"taken by one with a lease": {true, true, nil},
+		"taken by one that died":    {true, false, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBoard("e1")
+			p := newPeers(b, nil, time.Second, time.Second, zap.NewNop())
+			p.states["e2"] = &peerState{misses: missesUntilDead}
+			o := &ownership{
+				board: b, peers: p, settings: DefaultSettings(), log: zap.NewNop(),
+				cells: map[uint32]*ownedCell{}, opening: map[uint32]bool{}, lostTo: map[uint32]string{},
+			}
+			if c.lost {
+				b.FromStore(doc(1, "e1"), 10, time.Now())
+				o.cells[0] = &ownedCell{cell: servingCell(t, doc(1, "e1"))}
+			}
+			taken := doc(2, "e2")
+			b.FromStore(taken, 20, time.Now())
+			b.SetLeases(map[string]bool{"e1": true, "e2": c.lease})
+			o.follow(t.Context(), taken)
+			must.Eq(t, c.want, o.wanted(taken))
+		})
+	}
+}
