--- /dev/null
+++ b/internal/agent/delivery_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/gate"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+)
+
+// TestOutcomeIsSettledByALaterHeartbeatOnly shows what counts as the proof
+// that an outcome has arrived.
+func TestOutcomeIsSettledByALaterHeartbeatOnly(t *testing.T) {
+	cases := []struct {
+		name string
+		act  func(d *delivery, st *stream)
+		want bool
+	}{
+		{"nothing answered", func(*delivery, *stream) {}, false},
+		{"still queued", func(_ *delivery, st *stream) { st.echo(200) }, false},
+		{"being sent", func(_ *delivery, st *stream) {
+			st.out.take()
+			st.echo(200)
+		}, false},
+		{"an earlier heartbeat answered", func(_ *delivery, st *stream) {
+			send(st, 100)
+			st.echo(99)
+		}, false},
+		{"a later heartbeat answered", func(_ *delivery, st *stream) {
+			send(st, 100)
+			st.echo(101)
+		}, true},
+		{"a later heartbeat answered on a lost stream", func(d *delivery, st *stream) {
+			send(st, 100)
+			d.detach(st)
+			st.echo(101)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := &delivery{gate: gate.New(gate.Config{}), changed: func() {}}
+			st := newStream("entry", 0)
+			must.True(t, d.fence(st, &pb.Fence{Generation: 1}))
+			st.out.take()
+			st.out.sent()
+			d.end(time.Second, gate.Record{Code: result.OK}, false)
+			c.act(d, st)
+			d.confirm(st)
+			must.Eq(t, c.want, d.settled())
+		})
+	}
+}
+
+// send does what the stream's writer does with what is queued.
+func send(st *stream, at int64) {
+	st.out.take()
+	st.delivered.Store(at)
+	st.out.sent()
+}
