Refuse agents whose limits break a takeover's

Cause: an agent with a longer freshness than the entries' could start work after a new owner had waited the old one's time out, and one that keeps its records for less than ids are accepted could start a task twice; nothing compared the two settings files.

--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -187,6 +187,9 @@
 		Slots:         uint32(a.settings.Slots),
 		Version:       a.version,
 		Cell:          a.links.cell(),
+
+		FreshnessNs:       int64(a.settings.Freshness),
+		RecordRetentionNs: int64(a.settings.RecordRetention),
 	}
 }
 
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -14,6 +14,7 @@
 	"github.com/pomelosill/pomelosill/internal/control"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/outbox"
+	"github.com/pomelosill/pomelosill/internal/result"
 )
 
 // agents holds the streams of attached agents, also of those whose cell is
@@ -23,6 +24,7 @@
 	cells func(n uint32) *cell.Cell
 	// freshness is how long a confirmation lets work start.
 	freshness time.Duration
+	limits    agentLimits
 	log       *zap.Logger
 	counters  *counters
 
@@ -55,6 +57,32 @@
 	}
 }
 
+// agentLimits are what the entry's own rules need of an agent's settings.
+type agentLimits struct {
+	// maxFreshness is how long a takeover waits for starts under the old
+	// owner's stamps.
+	maxFreshness time.Duration
+	// minRetention is how old an id may be at its submission.
+	minRetention time.Duration
+}
+
+// check refuses an agent that could start work after a takeover has waited, or
+// forget a start whose id may still be submitted. Its errors have the codes
+// Malformed and SettingsValue.
+func (l agentLimits) check(h *pb.Hello) error {
+	switch {
+	case h.GetEndpoint() == "" || h.GetIncarnation() == "":
+		return result.Errorf(result.Malformed, "the first frame must be a hello")
+	case time.Duration(h.GetFreshnessNs()) > l.maxFreshness:
+		return result.Errorf(result.SettingsValue, "freshness: the agent's %s exceeds the entry's %s",
+			time.Duration(h.GetFreshnessNs()), l.maxFreshness)
+	case time.Duration(h.GetRecordRetentionNs()) < l.minRetention:
+		return result.Errorf(result.SettingsValue, "record_retention: the agent's %s is below the entry's id_retention of %s",
+			time.Duration(h.GetRecordRetentionNs()), l.minRetention)
+	}
+	return nil
+}
+
 // Attach serves an agent's stream.
 func (e *Entry) Attach(ctx context.Context, s *connect.BidiStream[pb.AgentFrame, pb.OwnerFrame]) error {
 	return e.agents.serve(ctx, s)
@@ -65,8 +93,9 @@
 	if err != nil {
 		return err
 	}
-	if first.GetHello().GetEndpoint() == "" || first.GetHello().GetIncarnation() == "" {
-		return connect.NewError(connect.CodeInvalidArgument, errNoHello)
+	if err := a.limits.check(first.GetHello()); err != nil {
+		a.log.Warn("agent refused", zap.String("endpoint", first.GetHello().GetEndpoint()), zap.Error(err))
+		return connect.NewError(connect.CodeFailedPrecondition, err)
 	}
 	d := a.board.Doc()
 	if d == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,7 +30,6 @@
 const cellTick = 20 * time.Millisecond
 
 var (
-	errNoHello     = errors.New("the first frame must be a hello")
 	errNoDocument  = errors.New("this entry has no control document yet")
 	errSilentAgent = errors.New("the agent is silent")
 )
@@ -100,7 +99,8 @@
 	}
 	e.agents = &agents{
 		board: e.board, freshness: s.Freshness.Std(), log: part("agents"), counters: e.counters,
-		cells: func(n uint32) *cell.Cell { return e.ownership.Cell(n) }, links: map[string]*link{},
+		limits: agentLimits{maxFreshness: s.Freshness.Std(), minRetention: s.IDRetention.Std()},
+		cells:  func(n uint32) *cell.Cell { return e.ownership.Cell(n) }, links: map[string]*link{},
 	}
 	e.ownership = &ownership{
 		store: e.store, board: e.board, peers: e.peers, writer: e.writer, agents: e.agents,
