--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -50,6 +50,14 @@
 	}
 }
 
+func TestVouchesOnlyForWhatItHoldsNothingNewerThan(t *testing.T) {
+	d := &Document{Revision: 7, Roster: []Member{member(0), member(1)}}
+	must.False(t, Vouches(d, "e0", 6))
+	must.True(t, Vouches(d, "e0", 7))
+	must.True(t, Vouches(d, "e0", 8))
+	must.False(t, Vouches(d, "e2", 7))
+}
+
 // An accepted revision leaves nobody who could vouch an entry at an older one
 // into freshness, whatever roster it knows.
 func TestAcceptedLeavesNoOlderMajority(t *testing.T) {
--- a/internal/entry/agents_test.go
+++ b/internal/entry/agents_test.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/result"
 )
 
@@ -33,3 +37,39 @@
 		})
 	}
 }
+
+// The stamp's age is that of the entry's own confirmation, so that an agent
+// never starts work on one that is older than the limit.
+func TestStampCarriesTheAgeOfTheConfirmation(t *testing.T) {
+	d := &control.Document{
+		Revision: 2,
+		Roster:   []control.Member{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}},
+		Cells:    []control.Cell{{Owner: "e1", Generation: 4}},
+	}
+	now := time.Now()
+	for name, c := range map[string]struct {
+		age     time.Duration
+		permits bool
+	}{
+		"young":     {time.Second, true},
+		"too old":   {3 * time.Second, false},
+		"long gone": {time.Hour, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBoard("e1")
+			b.FromStore(d, 20, now.Add(-c.age))
+			o := &ownership{board: b, settings: DefaultSettings()}
+			held := cell.New(o.cellConfig(0, 4), d, cell.Members{}, rand.New(rand.NewPCG(1, 2)), now)
+			a := &agents{board: b, freshness: 3 * time.Second, counters: &counters{}}
+			l := &link{hello: &pb.Hello{Endpoint: "e-1"}, out: outbox.New[*pb.OwnerFrame]()}
+			a.stamp(l, held, &pb.Heartbeat{SentNs: 1}, now)
+			frames, ok := l.out.Take(t.Context())
+			must.True(t, ok)
+			stamp := frames[0].GetStamp()
+			must.Eq(t, c.permits, stamp.GetGeneration() != 0)
+			if c.permits {
+				must.Eq(t, c.age, time.Duration(stamp.GetAgeNs()))
+			}
+		})
+	}
+}
