Keep the counts of closed cells; require zero failed invariants in the tests

Cause: an entry's counters fell when it lost a cell, metrics included, and the failure tests never looked at the checks inside the program.

Change: what a closed cell counted is added up; every fleet test ends by asking each living entry for invariant_failures.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -82,6 +82,22 @@
 	InvariantFailures int64 `json:"invariant_failures"`
 }
 
+// Add adds what another cell has counted.
+func (c *Counters) Add(o Counters) {
+	c.StartsSent += o.StartsSent
+	c.OutcomesReceived += o.OutcomesReceived
+	c.RefusalsReceived += o.RefusalsReceived
+	c.DuplicateOutcomes += o.DuplicateOutcomes
+	c.CancelsSent += o.CancelsSent
+	c.JobsAdmitted += o.JobsAdmitted
+	c.JobsRefused += o.JobsRefused
+	c.JobsDone += o.JobsDone
+	c.JobsFailed += o.JobsFailed
+	c.Resubmissions += o.Resubmissions
+	c.OutcomeUnknown += o.OutcomeUnknown
+	c.InvariantFailures += o.InvariantFailures
+}
+
 // Cell is one owned cell. Its methods may be called from any goroutine.
 type Cell struct {
 	mu      sync.Mutex
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -334,12 +334,13 @@
 	for _, c := range e.ownership.Cells() {
 		s.Cells = append(s.Cells, c.State())
 	}
-	s.Counters = e.countersNow(s.Cells)
+	s.Counters = e.countersNow()
 	return s
 }
 
-func (e *Entry) countersNow(cells []cell.State) map[string]int64 {
-	n := map[string]int64{
+func (e *Entry) countersNow() map[string]int64 {
+	c := e.ownership.Counters()
+	return map[string]int64{
 		"jobs_received":       e.counters.jobsReceived.Load(),
 		"answers_sent":        e.counters.answersSent.Load(),
 		"relays_sent":         e.counters.relaysSent.Load(),
@@ -347,16 +348,13 @@
 		"late_answers":        e.counters.lateAnswers.Load(),
 		"heartbeats_received": e.counters.heartbeats.Load(),
 		"stamps_sent":         e.counters.stamps.Load(),
+		"starts_sent":         c.StartsSent,
+		"outcomes_received":   c.OutcomesReceived,
+		"refusals_received":   c.RefusalsReceived,
+		"duplicate_outcomes":  c.DuplicateOutcomes,
+		"cancels_sent":        c.CancelsSent,
+		"invariant_failures":  c.InvariantFailures,
 	}
-	for _, c := range cells {
-		n["starts_sent"] += c.Counters.StartsSent
-		n["outcomes_received"] += c.Counters.OutcomesReceived
-		n["refusals_received"] += c.Counters.RefusalsReceived
-		n["duplicate_outcomes"] += c.Counters.DuplicateOutcomes
-		n["cancels_sent"] += c.Counters.CancelsSent
-		n["invariant_failures"] += c.Counters.InvariantFailures
-	}
-	return n
 }
 
 func asResult(err error) *result.Error {
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -39,6 +39,8 @@
 
 	mu    sync.Mutex
 	cells map[uint32]*ownedCell
+	// past counts what closed cells did.
+	past cell.Counters
 	// opening are the cells whose member lists are being read.
 	opening map[uint32]bool
 	// lostTo names the entry that last took a cell from this one.
@@ -285,6 +287,19 @@
 	return cells
 }
 
+// Counters returns what the local cells have counted, closed ones included.
+func (o *ownership) Counters() cell.Counters {
+	o.mu.Lock()
+	sum := o.past
+	o.mu.Unlock()
+	// A cell's lock is never taken under the ownership's: a cell that answers
+	// comes here through the relay.
+	for _, c := range o.Cells() {
+		sum.Add(c.State().Counters)
+	}
+	return sum
+}
+
 func (o *ownership) ownedCells() []*ownedCell {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -298,6 +313,10 @@
 	o.lostTo[n] = owner
 	o.mu.Unlock()
 	oc.cell.Close()
+	counted := oc.cell.State().Counters
+	o.mu.Lock()
+	o.past.Add(counted)
+	o.mu.Unlock()
 	o.log.Info("closed a cell", zap.Uint32("cell", n), zap.Uint64("generation", oc.cell.Generation()))
 	o.board.Poke()
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -234,6 +234,24 @@
 	Document *control.Document `json:"document"`
 	// Acks are the revisions that members are known to hold.
 	Acks map[string]uint64 `json:"acks"`
+	// Counters count messages and failed checks by kind.
+	Counters map[string]int64 `json:"counters"`
+}
+
+// checkInvariants fails the test if an entry that still answers counted a
+// failed check of its own.
+func (f *Fleet) checkInvariants(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.Context()), Patience)
+	defer cancel()
+	for _, e := range f.Entries {
+		var s entryState
+		if !e.Running() || f.get(ctx, "http://"+e.Admin+"/debug/state", &s) != nil {
+			continue
+		}
+		if n := s.Counters["invariant_failures"]; n > 0 {
+			t.Errorf("%s counted %d failed invariants", e.Name, n)
+		}
+	}
 }
 
 // rosterSettled checks that an entry knows a roster of the whole fleet and
@@ -292,6 +310,7 @@
 	}
 	f.callers.Wait()
 	f.awaitQuiet(t)
+	f.checkInvariants(t)
 	for _, broken := range f.Broken(t) {
 		t.Error(broken)
 	}
