--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -18,12 +18,13 @@
 SLOPE_LOAD=${SLOPE_LOAD:-0.5}
 FIRST_FLEET=${SLOPE_FIRST_FLEET:-60}
 OUT=${1:-$(mktemp -d)}
-TICKS=$(getconf CLK_TCK)
 mkdir -p "$OUT"
 
-# cpu_ms PID prints the processor time used so far in milliseconds.
+# cpu_ms PID prints the processor time used so far in milliseconds. It adds up
+# the threads' exact run times: the times in /proc/PID/stat are sampled at clock
+# ticks, at which processes that wake for timers are met too often.
 cpu_ms() {
-  awk -v ticks="$TICKS" '{ sub(/.*\) /, ""); print ($12 + $13) * 1000 / ticks }' "/proc/$1/stat"
+  cat /proc/"$1"/task/*/schedstat | awk '{ sum += $1 } END { print sum / 1e6 }'
 }
 
 rss_kb() {
