Split the entry's three largest files by their jobs

Change: cells.go (local cells), members.go (member lists), ownerlink.go (streams between entries), shutdown.go, state.go; declarations are moved as they were.

--- /dev/null
+++ b/internal/entry/cells.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// runFollow keeps the local cells in step with the document. It never waits
+// for the store, so that a change of the configuration takes effect at once.
+func (o *ownership) runFollow(ctx context.Context) {
+	o.loop(ctx, func(d *control.Document) { o.follow(ctx, d) })
+	for _, c := range o.Cells() {
+		c.Close()
+	}
+}
+
+// follow opens and closes local cells as the document says, and moves the own
+// ones on.
+func (o *ownership) follow(ctx context.Context, d *control.Document) {
+	revision, accepted := o.board.Accepted()
+	for i, c := range d.Cells {
+		n := uint32(i)
+		oc := o.owned(n)
+		mine := c.Owner == o.board.self
+		if oc != nil && (!mine || oc.cell.Generation() != c.Generation) {
+			o.close(n, oc, c.Owner)
+			oc = nil
+		}
+		if mine && oc == nil {
+			o.beginOpen(ctx, n, c.Generation, d)
+		}
+		if oc == nil {
+			continue
+		}
+		now := time.Now()
+		oc.cell.ApplyControl(d, now)
+		if accepted && revision >= d.Revision {
+			oc.cell.Accepted(now)
+		}
+	}
+}
+
+// beginOpen opens a cell beside the loop, since that takes calls to the store.
+func (o *ownership) beginOpen(ctx context.Context, n uint32, generation uint64, d *control.Document) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.opening[n] {
+		return
+	}
+	o.opening[n] = true
+	go func() {
+		if !o.open(ctx, n, generation, d) {
+			pause(ctx, retryPause)
+		}
+		o.mu.Lock()
+		delete(o.opening, n)
+		o.mu.Unlock()
+		o.board.Poke()
+	}()
+}
+
+func (o *ownership) owned(n uint32) *ownedCell {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cells[n]
+}
+
+// Cell returns the local cell with this number, nil if it is not owned here.
+func (o *ownership) Cell(n uint32) *cell.Cell {
+	if oc := o.owned(n); oc != nil {
+		return oc.cell
+	}
+	return nil
+}
+
+// Cells returns the local cells.
+func (o *ownership) Cells() []*cell.Cell {
+	var cells []*cell.Cell
+	for _, oc := range o.ownedCells() {
+		cells = append(cells, oc.cell)
+	}
+	return cells
+}
+
+// Counters returns what the local cells have counted, closed ones included.
+func (o *ownership) Counters() cell.Counters {
+	o.mu.Lock()
+	sum := o.past
+	o.mu.Unlock()
+	// A cell's lock is never taken under the ownership's: a cell that answers
+	// comes here through the relay.
+	for _, c := range o.Cells() {
+		sum.Add(c.State().Counters)
+	}
+	return sum
+}
+
+func (o *ownership) ownedCells() []*ownedCell {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Values(o.cells))
+}
+
+// close ends a local cell that belongs to another entry now.
+func (o *ownership) close(n uint32, oc *ownedCell, owner string) {
+	o.mu.Lock()
+	delete(o.cells, n)
+	o.lostTo[n] = owner
+	o.mu.Unlock()
+	oc.cell.Close()
+	counted := oc.cell.State().Counters
+	o.mu.Lock()
+	o.past.Add(counted)
+	o.mu.Unlock()
+	o.log.Info("closed a cell", zap.Uint32("cell", n), zap.Uint64("generation", oc.cell.Generation()))
+	o.board.Poke()
+}
+
+// open makes a local cell, and tells whether it did. It first writes the
+// member list under the new generation, so that the old owner can add no agent
+// any more.
+func (o *ownership) open(ctx context.Context, n uint32, generation uint64, d *control.Document) bool {
+	old, storeRevision, err := o.readMembers(ctx, n)
+	if err != nil {
+		o.log.Warn("member list not read", zap.Uint32("cell", n), zap.Error(err))
+		return false
+	}
+	if old.Generation > generation {
+		return false
+	}
+	now := time.Now()
+	oc := &ownedCell{
+		cell:          cell.New(o.cellConfig(n, generation), d, old, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now),
+		storeRevision: storeRevision,
+	}
+	if !o.storeMembers(ctx, oc) {
+		return false
+	}
+	o.mu.Lock()
+	o.cells[n] = oc
+	o.mu.Unlock()
+	o.agents.Adopt(oc.cell)
+	o.log.Info("opened a cell", zap.Uint32("cell", n), zap.Uint64("generation", generation))
+	return true
+}
+
+func (o *ownership) cellConfig(n uint32, generation uint64) cell.Config {
+	s := o.settings
+	limits := sched.DefaultConfig()
+	limits.MaxWaiting = s.MaxWaiting
+	return cell.Config{
+		Number:          n,
+		Generation:      generation,
+		Owner:           o.board.self,
+		IDRetention:     s.IDRetention.Std(),
+		AnswerRetention: s.AnswerRetention.Std(),
+		MaxAnswerBytes:  s.MaxAnswerBytes,
+		ClockSkew:       s.ClockSkew.Std(),
+		LostAfter:       s.LostAfter.Std(),
+		Freshness:       s.Freshness.Std(),
+		MaxPending:      maxPending,
+		Sched:           limits,
+		Fresh: func(now time.Time) bool {
+			return now.Sub(o.board.OwnerBasis(n, generation, now)) < s.Freshness.Std()
+		},
+	}
+}
+
+// maxPending bounds the submissions held by a cell that is not serving yet.
+const maxPending = 20000
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -6,14 +6,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/cell"
 	"github.com/pomelosill/pomelosill/internal/control"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
-	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
-	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/sched"
 )
@@ -70,12 +67,6 @@
 	link *ownerLink
 }
 
-// ownerLink is a stream to another entry.
-type ownerLink struct {
-	id  string
-	out *outbox.Outbox[*pb.RelayRequest]
-}
-
 func newRelay(b *board, client *http.Client, cf *confirms, c *counters, log *zap.Logger) *relay {
 	r := &relay{board: b, client: client, confirms: cf, counters: c, log: log, peers: map[string]*ownerLink{}}
 	for i := range r.shards {
@@ -293,88 +284,6 @@
 	}
 }
 
-// linkTo returns the stream to another entry, opening one if there is none.
-func (r *relay) linkTo(ctx context.Context, m control.Member) *ownerLink {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if l := r.peers[m.ID]; l != nil {
-		return l
-	}
-	l := &ownerLink{id: m.ID, out: outbox.New[*pb.RelayRequest]()}
-	r.peers[m.ID] = l
-	go r.runLink(context.WithoutCancel(ctx), l, m.Address)
-	return l
-}
-
-// runLink serves one stream until it breaks; what was sent on it goes out
-// again on another.
-func (r *relay) runLink(ctx context.Context, l *ownerLink, address string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	client := pomelosillv1connect.NewDispatchServiceClient(r.client, "http://"+address)
-	s := client.Relay(ctx)
-	go func() {
-		defer cancel()
-		r.writeLink(ctx, l, s)
-	}()
-	for {
-		res, err := s.Receive()
-		if err != nil {
-			break
-		}
-		for _, a := range res.GetAnswers() {
-			ref := ownerRef{id: l.id, generation: a.GetGeneration(), link: l}
-			if len(a.GetId()) == len(sched.Key{}) {
-				r.answered(sched.Key(a.GetId()), ref, a)
-			}
-		}
-	}
-	r.dropLink(l)
-	_ = s.CloseRequest()
-	_ = s.CloseResponse()
-}
-
-func (r *relay) writeLink(ctx context.Context, l *ownerLink, s *connect.BidiStreamForClient[pb.RelayRequest, pb.RelayResponse]) {
-	for {
-		reqs, ok := l.out.Take(ctx)
-		if !ok {
-			return
-		}
-		all := &pb.RelayRequest{}
-		for _, q := range reqs {
-			all.Submissions = append(all.Submissions, q.Submissions...)
-			all.Cancels = append(all.Cancels, q.Cancels...)
-		}
-		if s.Send(all) != nil {
-			return
-		}
-	}
-}
-
-// dropLink forgets a broken stream; the sweep sends its submissions again.
-func (r *relay) dropLink(l *ownerLink) {
-	l.out.Close()
-	r.mu.Lock()
-	if r.peers[l.id] == l {
-		delete(r.peers, l.id)
-	}
-	r.mu.Unlock()
-	for i := range r.shards {
-		sh := &r.shards[i]
-		sh.mu.Lock()
-		for _, j := range sh.jobs {
-			if j.sentTo.link == l {
-				j.sentTo = ownerRef{}
-			}
-			if c := j.copiesAt(l.id); c.waiting > 0 {
-				c.waiting = 0
-				c.lost = true
-			}
-		}
-		sh.mu.Unlock()
-	}
-}
-
 // InProgress counts the submissions that wait for an answer.
 func (r *relay) InProgress() int {
 	n := 0
@@ -386,57 +295,3 @@
 	}
 	return n
 }
-
-// Relay serves another entry's submissions to the cells owned here.
-func (e *Entry) Relay(ctx context.Context, s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) error {
-	out := outbox.New[*pb.Answer]()
-	defer out.Close()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() { cancel(e.readRelay(s, out)) }()
-	// Only the handler sends: a send after its end would panic.
-	writeAnswers(ctx, out, s)
-	return context.Cause(ctx)
-}
-
-// readRelay takes requests until the stream ends.
-func (e *Entry) readRelay(s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse], out *outbox.Outbox[*pb.Answer]) error {
-	for {
-		req, err := s.Receive()
-		if err != nil {
-			return err
-		}
-		for _, sub := range req.GetSubmissions() {
-			e.counters.relaysReceived.Add(1)
-			e.submitHere(sub, out)
-		}
-		for _, cn := range req.GetCancels() {
-			if c := e.ownership.Cell(cn.GetCell()); c != nil && len(cn.GetId()) == len(sched.Key{}) {
-				c.Cancel(sched.Key(cn.GetId()), time.Now())
-			}
-		}
-	}
-}
-
-func (e *Entry) submitHere(sub *pb.Submission, out *outbox.Outbox[*pb.Answer]) {
-	c := e.ownership.Cell(sub.GetCell())
-	if c == nil {
-		out.Put(&pb.Answer{Id: sub.GetId(), Code: uint32(result.NotOwner)})
-		return
-	}
-	c.Submit(sub, func(a *pb.Answer) {
-		e.confirms.Release(a, func(a *pb.Answer) { out.Put(a) })
-	}, time.Now())
-}
-
-func writeAnswers(ctx context.Context, out *outbox.Outbox[*pb.Answer], s *connect.BidiStream[pb.RelayRequest, pb.RelayResponse]) {
-	for {
-		answers, ok := out.Take(ctx)
-		if !ok {
-			return
-		}
-		if s.Send(&pb.RelayResponse{Answers: answers}) != nil {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/admin"
+	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/control"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+// State is the entry's state dump.
+type State struct {
+	ID            string            `json:"id"`
+	FailureDomain string            `json:"failure_domain"`
+	Uptime        string            `json:"uptime"`
+	Leaving       bool              `json:"leaving"`
+	BasisAgeMS    int64             `json:"basis_age_ms"`
+	Fresh         bool              `json:"fresh"`
+	Document      *control.Document `json:"document"`
+	Acks          map[string]uint64 `json:"acks"`
+	Cells         []cell.State      `json:"cells"`
+	InProgress    int               `json:"submissions_in_progress"`
+	Agents        []string          `json:"agents_attached"`
+	Counters      map[string]int64  `json:"counters"`
+	StoreCalls    store.Counts      `json:"store_calls"`
+	// Commands are the last audited commands given to this entry.
+	Commands []admin.Command `json:"commands"`
+}
+
+// State returns what the entry knows now.
+func (e *Entry) State() State {
+	now := time.Now()
+	age := now.Sub(e.board.Basis(now))
+	s := State{
+		ID:            e.id,
+		FailureDomain: e.settings.FailureDomain,
+		Uptime:        now.Sub(e.started).Round(time.Millisecond).String(),
+		Leaving:       e.board.Leaving(),
+		BasisAgeMS:    age.Milliseconds(),
+		Fresh:         age < e.settings.Freshness.Std(),
+		Document:      e.board.Doc(),
+		Acks:          e.board.Acks(),
+		InProgress:    e.relay.InProgress(),
+		Agents:        e.agents.Names(),
+		StoreCalls:    e.store.Counts(),
+		Commands:      e.admin.Commands(),
+	}
+	for _, c := range e.ownership.Cells() {
+		s.Cells = append(s.Cells, c.State())
+	}
+	s.Counters = e.countersNow()
+	return s
+}
+
+func (e *Entry) countersNow() map[string]int64 {
+	c := e.ownership.Counters()
+	return map[string]int64{
+		"jobs_received":       e.counters.jobsReceived.Load(),
+		"answers_sent":        e.counters.answersSent.Load(),
+		"relays_sent":         e.counters.relaysSent.Load(),
+		"relays_received":     e.counters.relaysReceived.Load(),
+		"late_answers":        e.counters.lateAnswers.Load(),
+		"heartbeats_received": e.counters.heartbeats.Load(),
+		"stamps_sent":         e.counters.stamps.Load(),
+		"starts_sent":         c.StartsSent,
+		"outcomes_received":   c.OutcomesReceived,
+		"refusals_received":   c.RefusalsReceived,
+		"duplicate_outcomes":  c.DuplicateOutcomes,
+		"cancels_sent":        c.CancelsSent,
+		"invariant_failures":  c.InvariantFailures,
+	}
+}
