--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -213,13 +213,13 @@
 	for _, j := range c.activeInOrder(func(j *job) bool { return !now.Before(j.deadline) }) {
 		c.stopJob(j, result.DeadlinePassed, "", now)
 		if now.After(j.deadline.Add(c.cfg.LostAfter)) {
-			c.giveUpRunning(j, now)
+			c.giveUpRunning(j)
 		}
 		c.settle(j, now)
 	}
 }
 
-func (c *Cell) giveUpRunning(j *job, _ time.Time) {
+func (c *Cell) giveUpRunning(j *job) {
 	for i := range j.tasks {
 		if j.tasks[i].state == running {
 			c.endTask(j, i, &pb.Outcome{Code: uint32(result.OutcomeUnknown), Detail: "no answer from the agent"})
