--- a/cmd/pomelosill/jobs.go
+++ b/cmd/pomelosill/jobs.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/pomelosill/pomelosill/internal/api"
+	"github.com/pomelosill/pomelosill/internal/client"
 	"github.com/pomelosill/pomelosill/internal/result"
 )
 
@@ -136,7 +137,8 @@
 	}
 }
 
-func runJob(ctx context.Context, c *cli.Command) error {
+// withJob calls do with a client and the submission id on the command line.
+func withJob(ctx context.Context, c *cli.Command, do func(ctx context.Context, conn *client.Client, id string) error) error {
 	id, err := oneArgument(c, "a submission id")
 	if err != nil {
 		return err
@@ -148,6 +150,16 @@
 	defer conn.Close()
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
+	return do(ctx, conn, id)
+}
+
+func runJob(ctx context.Context, c *cli.Command) error {
+	return withJob(ctx, c, func(ctx context.Context, conn *client.Client, id string) error {
+		return showJob(ctx, c, conn, id)
+	})
+}
+
+func showJob(ctx context.Context, c *cli.Command, conn *client.Client, id string) error {
 	status, err := conn.Job(ctx, id)
 	if err != nil {
 		return err
@@ -173,22 +185,13 @@
 }
 
 func runCancel(ctx context.Context, c *cli.Command) error {
-	id, err := oneArgument(c, "a submission id")
-	if err != nil {
-		return err
-	}
-	conn, err := newClient(c, "entry")
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
-	defer cancel()
-	if err := conn.Cancel(ctx, id); err != nil {
+	return withJob(ctx, c, func(ctx context.Context, conn *client.Client, id string) error {
+		if err := conn.Cancel(ctx, id); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(c.Root().Writer, "cancel sent")
 		return err
-	}
-	_, err = fmt.Fprintln(c.Root().Writer, "cancel sent")
-	return err
+	})
 }
 
 // showAnswer prints an answer and turns its code into the exit status.
