Decide the handover where ownership is decided

Cause: read as a newcomer, the entry's handover built its document from several takeovers and then set the revision back by hand; the operators' previews stood the same filter three times.

Change: control.HandOver makes one revision, with a test; a generic filter for the previews. Behaviour as before.

--- a/internal/admin/command.go
+++ b/internal/admin/command.go
@@ -99,14 +99,22 @@
 	return reply, false
 }
 
-func (h *Handler) previewEndpoints(ctx context.Context, field, name string) api.Reply {
-	rows, err := h.backend.Endpoints(ctx)
-	var touched []api.EndpointRow
+// matching returns the rows for which match is true.
+func matching[T any](rows []T, match func(T) bool) []T {
+	var found []T
 	for _, row := range rows {
-		if (field == "domain" && row.FailureDomain == name) || (field == "name" && row.Name == name) {
-			touched = append(touched, row)
+		if match(row) {
+			found = append(found, row)
 		}
 	}
+	return found
+}
+
+func (h *Handler) previewEndpoints(ctx context.Context, field, name string) api.Reply {
+	rows, err := h.backend.Endpoints(ctx)
+	touched := matching(rows, func(row api.EndpointRow) bool {
+		return (field == "domain" && row.FailureDomain == name) || (field == "name" && row.Name == name)
+	})
 	reply := tableReply(query.Inspect{Kind: query.Endpoints, Limit: query.DefaultLimit}, touched, err)
 	if err == nil {
 		reply.Detail = fmt.Sprintf("dry run, nothing changed; would touch %d attached endpoints", len(touched))
@@ -116,12 +124,7 @@
 
 func (h *Handler) previewTeam(ctx context.Context, name string) api.Reply {
 	rows, err := h.backend.Teams(ctx)
-	var present []api.TeamRow
-	for _, row := range rows {
-		if row.Name == name {
-			present = append(present, row)
-		}
-	}
+	present := matching(rows, func(row api.TeamRow) bool { return row.Name == name })
 	reply := tableReply(query.Inspect{Kind: query.Teams, Limit: query.DefaultLimit}, present, err)
 	if err == nil {
 		reply.Detail = "dry run, nothing changed; the team is new"
@@ -134,12 +137,7 @@
 
 func (h *Handler) previewEntry(ctx context.Context, id string) api.Reply {
 	rows, err := h.backend.Entries(ctx)
-	var touched []api.EntryRow
-	for _, row := range rows {
-		if row.ID == id {
-			touched = append(touched, row)
-		}
-	}
+	touched := matching(rows, func(row api.EntryRow) bool { return row.ID == id })
 	reply := tableReply(query.Inspect{Kind: query.Entries, Limit: query.DefaultLimit}, touched, err)
 	if err == nil {
 		reply.Detail = fmt.Sprintf("dry run, nothing changed; would remove %d entries", len(touched))
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -216,6 +216,24 @@
 	must.NotEq(t, "e0", deputy.ID)
 }
 
+func TestHandOverIsOneRevision(t *testing.T) {
+	d := &Document{Revision: 7, Roster: []Member{member(0), member(1), member(2)}, Cells: []Cell{
+		{Owner: "e0", Generation: 1, Deputy: "e1"},
+		{Owner: "e1", Generation: 2, Deputy: "e0"},
+		{Owner: "e0", Generation: 3, Deputy: "e2"},
+	}}
+	leaving := func(id string) bool { return id != "e0" }
+	n := HandOver(d, "e0", "op", leaving)
+	must.Eq(t, 8, n.Revision)
+	must.Eq(t, []Cell{
+		{Owner: "e1", Generation: 2, Deputy: "e2"},
+		{Owner: "e1", Generation: 2, Deputy: "e0"},
+		{Owner: "e2", Generation: 4, Deputy: "e1"},
+	}, n.Cells)
+	must.Nil(t, HandOver(n, "e0", "op", leaving))
+	must.Nil(t, HandOver(d, "e0", "op", none))
+}
+
 func TestSurplusEndsInBalance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := &Document{Cells: make([]Cell, rapid.IntRange(1, 60).Draw(t, "cells"))}
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -103,9 +103,35 @@
 func TakeOver(d *Document, cells []int, owner, operation string, alive func(id string) bool) *Document {
 	n := d.next(operation)
 	for _, i := range cells {
-		n.Cells[i].Owner = owner
-		n.Cells[i].Generation++
-		n.Cells[i].Deputy = DeputyFor(n, i, owner, alive)
+		n.assign(i, owner, alive)
+	}
+	return n
+}
+
+// assign gives a cell an owner under the next generation.
+func (d *Document) assign(cell int, owner string, alive func(id string) bool) {
+	c := &d.Cells[cell]
+	c.Owner = owner
+	c.Generation++
+	c.Deputy = DeputyFor(d, cell, owner, alive)
+}
+
+// HandOver returns the document with each of the owner's cells under its
+// candidate, or nil when there is none to hand over. The owner itself must not
+// count as alive.
+func HandOver(d *Document, owner, operation string, alive func(id string) bool) *Document {
+	n := d.next(operation)
+	changed := false
+	for i, c := range d.Cells {
+		to := Candidate(d, i, alive)
+		if c.Owner != owner || to == "" {
+			continue
+		}
+		n.assign(i, to, alive)
+		changed = true
+	}
+	if !changed {
+		return nil
 	}
 	return n
 }
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -176,20 +176,7 @@
 // a graceful shutdown.
 func (o *ownership) HandOver(ctx context.Context) error {
 	_, err := o.writer.Write(ctx, func(d *control.Document, op string) (*control.Document, error) {
-		next := d
-		for i, c := range d.Cells {
-			if c.Owner != o.board.self {
-				continue
-			}
-			if to := control.Candidate(d, i, o.alive); to != "" {
-				next = control.TakeOver(next, []int{i}, to, op, o.alive)
-				next.Revision = d.Revision + 1
-			}
-		}
-		if next == d {
-			return nil, nil
-		}
-		return next, nil
+		return control.HandOver(d, o.board.self, op, o.alive), nil
 	})
 	return err
 }
