Use one client for streams in entries and agents

Cause: the agent set the pings and the dial timeout of its client anew, with the values that process.NewStreamClient has had since. Change: one client; its dial timeout is the agent's 1 s (entries had 2 s, above the time limits of their calls).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -20,14 +19,8 @@
 	"github.com/pomelosill/pomelosill/internal/process"
 )
 
-const (
-	// expireInterval is the time between two sweeps of old records.
-	expireInterval = time.Second
-	// pingAfter is the silence of an entry's connection before a ping.
-	pingAfter = 2 * time.Second
-	// pingTimeout ends a connection whose ping is not answered.
-	pingTimeout = 2 * time.Second
-)
+// expireInterval is the time between two sweeps of old records.
+const expireInterval = time.Second
 
 // Agent is one agent.
 type Agent struct {
@@ -67,7 +60,7 @@
 		version:     version,
 		incarnation: uuid.NewString(),
 		log:         process.Prefixed(log, "agent"),
-		http:        newEntryClient(),
+		http:        process.NewStreamClient(),
 		epoch:       time.Now(),
 		endpoint:    newEndpoint(s),
 		counters:    &counters{},
@@ -117,17 +110,6 @@
 	}
 }
 
-// newEntryClient returns a client for entries that gives up a connection when
-// its peer answers no ping.
-func newEntryClient() *http.Client {
-	client := process.NewStreamClient()
-	if t, ok := client.Transport.(*http.Transport); ok {
-		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
-		t.DialContext = (&net.Dialer{Timeout: locateTimeout}).DialContext
-	}
-	return client
-}
-
 func (a *Agent) client(address string) pomelosillv1connect.DispatchServiceClient {
 	return pomelosillv1connect.NewDispatchServiceClient(a.http, "http://"+address,
 		connect.WithAcceptCompression("gzip", nil, nil))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -30,6 +30,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
 	// pingAfter is the silence on an HTTP/2 connection before a ping.
 	pingAfter = 2 * time.Second
 	// pingTimeout ends a connection whose ping is not answered, and with it
@@ -164,7 +166,7 @@
 func NewStreamClient() *http.Client {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	dialer := net.Dialer{Timeout: pingTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		Protocols:   &p,
 		DialContext: dialer.DialContext,
