--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,18 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d or until ctx ends; it returns false when ctx has ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/directory/register.go
@@ -0,0 +1,91 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+)
+
+const (
+	// recordTTL is how long a record outlives its process.
+	recordTTL = 20 * time.Second
+	// renewEvery is the time between two renewals of the record's lease.
+	renewEvery = 4 * time.Second
+	// callTimeout bounds a call to the store.
+	callTimeout = time.Second
+	// firstPause and longestPause bound the time between attempts that fail.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// Registrar keeps the record of one process in the store.
+type Registrar struct {
+	Store store.Store
+	Node  Node
+	Log   *zap.Logger
+}
+
+// Run keeps the record until ctx ends.
+func (r *Registrar) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		lease, err := r.register(ctx)
+		if err != nil {
+			r.Log.Warn("directory: record not written", zap.Error(err), zap.Duration("again_in", pause))
+			clock.Sleep(ctx, pause)
+			pause = min(2*pause, longestPause)
+			continue
+		}
+		r.Log.Info("directory: record written", zap.String("name", r.Node.Name), zap.String("address", r.Node.Address))
+		pause = firstPause
+		r.renew(ctx, lease)
+	}
+}
+
+// register writes the record under a new lease.
+func (r *Registrar) register(ctx context.Context) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+	defer cancel()
+	value, err := json.Marshal(r.Node)
+	if err != nil {
+		return 0, err
+	}
+	lease, err := r.Store.Grant(ctx, recordTTL)
+	if err != nil {
+		return 0, err
+	}
+	key := Prefix + r.Node.Name
+	_, err = r.Store.CompareAndSwap(ctx, key, 0, value, lease)
+	if result.CodeOf(err) != result.StoreConflict {
+		return lease, err
+	}
+	old, err := r.Store.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.Store.CompareAndSwap(ctx, key, old.Revision, value, lease)
+	return lease, err
+}
+
+// renew renews the lease until it has ended.
+func (r *Registrar) renew(ctx context.Context, lease store.LeaseID) {
+	for clock.Sleep(ctx, renewEvery) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := r.Store.KeepAlive(callCtx, lease)
+		cancel()
+		switch result.CodeOf(err) {
+		case result.OK:
+		case result.StoreLeaseExpired:
+			r.Log.Warn("directory: lease has ended", zap.Error(err))
+			return
+		default:
+			r.Log.Warn("directory: lease not renewed", zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/callers.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+const (
+	// defaultBodyBytes bounds a body where the configuration sets no limit.
+	defaultBodyBytes = 256 << 10
+	// defaultWait is how long a caller waits that doesn't say so.
+	defaultWait = 10 * time.Second
+	// comeBack is when a refused caller may try again.
+	comeBack = time.Second
+)
+
+// callers serves callers' requests.
+func (d *Dispatcher) callers(w http.ResponseWriter, r *http.Request) {
+	p := d.policy.State()
+	if p == nil {
+		d.refuse(w, r, result.Errorf(result.NoPolicy, "no configuration yet"))
+		return
+	}
+	route, found := p.Config.Match(hostOf(r), r.URL.Path)
+	if !found {
+		d.refuse(w, r, result.Errorf(result.NotFound, "no route for host %q and path %q in version %d", hostOf(r), r.URL.Path, p.Config.Version))
+		return
+	}
+	id := strings.TrimPrefix(r.URL.Path, route.Prefix)
+	switch {
+	case r.Method == http.MethodPost:
+		d.submit(w, r, route, p.Config.Limits, id)
+	case r.Method == http.MethodGet && id == "":
+		d.queueLength(w, route)
+	case r.Method == http.MethodDelete:
+		d.cancelJob(w, id)
+	case r.Method == http.MethodGet:
+		// Jobs are answered at their end and not kept.
+		w.WriteHeader(http.StatusGone)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func hostOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return host
+}
+
+// refuse answers a request that has not been taken in.
+func (d *Dispatcher) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	code := result.CodeOf(err)
+	d.metrics.refused(r.Context(), code)
+	d.log.Info("job: refused", zap.String("path", r.URL.Path), zap.Uint64("policy", d.policy.Revision()), zap.Error(err))
+	a := platform.Answer{Code: code}
+	if result.Describe(code).HTTP == http.StatusServiceUnavailable {
+		a.RetryAfter = comeBack
+	}
+	platform.WriteAnswer(w, a)
+}
+
+func readBody(r *http.Request, limits policy.Limits) ([]byte, error) {
+	limit := limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, result.Wrap(result.Malformed, err, "body")
+	}
+	if int64(len(body)) > limit {
+		return nil, result.Errorf(result.TooLarge, "more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+// submit takes a job in and answers when it has ended.
+func (d *Dispatcher) submit(w http.ResponseWriter, r *http.Request, route *policy.Route, limits policy.Limits, id string) {
+	body, err := readBody(r, limits)
+	if err != nil {
+		d.refuse(w, r, err)
+		return
+	}
+	spec, err := platform.DecodeJob(id, body)
+	if err != nil {
+		d.refuse(w, r, err)
+		return
+	}
+	now := clock.Boot()
+	wait := platform.Deadline(r)
+	if wait == 0 {
+		wait = defaultWait
+	}
+	j, err := d.admit(spec, route, now, now+wait)
+	if err != nil {
+		d.refuse(w, r, err)
+		return
+	}
+	select {
+	case a := <-j.answer:
+		// Others may wait for the same answer.
+		j.answer <- a
+		platform.WriteAnswer(w, a)
+		d.metrics.answered(r.Context(), a, clock.Boot()-now)
+	case <-r.Context().Done():
+		d.abandon(j)
+	}
+}
+
+// admit takes a job in, or finds the job with its id.
+func (d *Dispatcher) admit(spec *work.Job, route *policy.Route, now, until time.Duration) (*job, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j, found := d.jobs[spec.ID]; found {
+		d.log.Info("job: sent again while it runs", zap.String("job", spec.ID))
+		j.callers++
+		return j, nil
+	}
+	if d.refusing.Load() {
+		return nil, result.Errorf(result.ShuttingDown, "job %s", spec.ID)
+	}
+	j := newJob(spec, route, now, until)
+	j.callers = 1
+	if err := d.servable(j, now); err != nil {
+		return nil, err
+	}
+	d.jobs[spec.ID] = j
+	d.log.Info("job: taken in", zap.String("job", spec.ID), zap.String("route", route.Name),
+		zap.Int("tasks", spec.Tasks()), zap.Duration("objective", j.objective), zap.Duration("wait", until-now))
+	d.schedule(now)
+	return j, nil
+}
+
+// abandon drops a job whose callers have all left.
+func (d *Dispatcher) abandon(j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j.callers--
+	if j.callers > 0 || j.answered {
+		return
+	}
+	d.log.Info("job: callers left", zap.String("job", j.spec.ID), zap.Duration("age", clock.Boot()-j.arrived))
+	d.finish(j, platform.Answer{Code: result.CancelledAfterStart})
+}
+
+// queueLength answers how many of the route's jobs wait here.
+func (d *Dispatcher) queueLength(w http.ResponseWriter, route *policy.Route) {
+	d.mu.Lock()
+	n := 0
+	for _, j := range d.jobs {
+		if j.route.Name == route.Name && !j.mayHaveRun {
+			n++
+		}
+	}
+	d.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(platform.QueueLength{Waiting: n})
+}
+
+// cancelJob ends a job that runs here.
+func (d *Dispatcher) cancelJob(w http.ResponseWriter, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j, found := d.jobs[id]
+	if !found {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	d.log.Info("job: cancelled", zap.String("job", id))
+	code := result.Cancelled
+	if j.mayHaveRun {
+		code = result.CancelledAfterStart
+	}
+	d.finish(j, platform.Answer{Code: code})
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,235 @@
+// Package dispatch is the dispatcher's role on the platform: it takes callers'
+// jobs, places their tasks at runners, and answers when they have ended.
+//
+// Every dispatcher places its own jobs; there is no owner that could be lost.
+// A runner alone decides what starts at its endpoint, and stops the runs of a
+// dispatcher that it no longer hears, so that a job sent again through another
+// dispatcher never runs twice at once.
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/store"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+// tick is how often waiting jobs and silent links are looked at.
+const tick = 20 * time.Millisecond
+
+// Dispatcher is one dispatcher process.
+type Dispatcher struct {
+	settings    *Settings
+	log         *zap.Logger
+	debug       *process.Debug
+	metrics     *metrics
+	store       store.Store
+	policy      *policy.Board
+	book        *directory.Book
+	incarnation string
+	// closing is set from SIGTERM on, refusing near the end.
+	closing  atomic.Bool
+	refusing atomic.Bool
+
+	mu      sync.Mutex
+	jobs    map[string]*job
+	runners map[string]*runner
+	// base ends with the process.
+	base context.Context
+}
+
+// New returns a dispatcher with valid settings. Its error is that of setting
+// up metrics.
+func New(s *Settings, log *zap.Logger) (*Dispatcher, error) {
+	debug, err := process.NewDebug("pomelosill-dispatcher")
+	if err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{
+		settings:    s,
+		log:         log,
+		debug:       debug,
+		store:       platform.NewStore(s.Store),
+		policy:      policy.NewBoard(),
+		book:        directory.NewBook(),
+		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		jobs:        map[string]*job{},
+		runners:     map[string]*runner{},
+	}
+	d.metrics, err = newMetrics(debug.Meter)
+	return d, err
+}
+
+// Run serves until ctx ends, then finishes what it has taken in. Its error
+// has the code AddressInUse when an address can't be bound.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.base = base
+	servers, err := d.serve(ctx)
+	if err != nil {
+		return err
+	}
+	registrar := &directory.Registrar{
+		Store: d.store, Log: d.log,
+		Node: directory.Node{Name: d.settings.Name, Role: directory.Dispatcher, Address: d.settings.Peer},
+	}
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context){
+		registrar.Run,
+		func(ctx context.Context) { followOperators(ctx, d.store, d.policy, d.log) },
+		d.followDirectory,
+		d.dialAll,
+		d.watchJobs,
+	} {
+		running.Go(func() { run(base) })
+	}
+	d.log.Info("dispatcher: started", zap.String("name", d.settings.Name), zap.String("incarnation", d.incarnation),
+		zap.String("version", process.Version()))
+	<-ctx.Done()
+	d.shutDown(servers)
+	stop()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	running.Wait()
+	d.log.Info("dispatcher: stopped", zap.String("name", d.settings.Name))
+	return nil
+}
+
+// serve binds the addresses and serves them.
+func (d *Dispatcher) serve(ctx context.Context) ([]*http.Server, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc(platform.PathReady, d.readiness)
+	streams := http.NewServeMux()
+	streams.Handle(pomelosillv1connect.NewPeerServiceHandler(d, process.Uncompressed()))
+	pages := http.NewServeMux()
+	d.debug.Mount(pages, func() any { return d.State() })
+	var servers []*http.Server
+	for _, s := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{d.settings.Listen, http.HandlerFunc(d.callers)},
+		{d.settings.Ready, ready}, {d.settings.Peer, streams}, {d.settings.Metrics, pages},
+	} {
+		if s.address == "" {
+			continue
+		}
+		l, err := process.Listen(ctx, s.address)
+		if err != nil {
+			return nil, err
+		}
+		server := process.NewServer(s.handler)
+		servers = append(servers, server)
+		go d.serveOn(server, l)
+	}
+	return servers, nil
+}
+
+func (d *Dispatcher) serveOn(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		d.log.Error("dispatcher: server ended", zap.String("address", l.Addr().String()), zap.Error(err))
+	}
+}
+
+// readiness tells the balancer whether new connections should come here.
+func (d *Dispatcher) readiness(w http.ResponseWriter, _ *http.Request) {
+	if d.closing.Load() || d.policy.State() == nil || !d.anyRunner() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *Dispatcher) anyRunner() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Boot()
+	for _, r := range d.runners {
+		if r.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// State is the dispatcher's state dump.
+type State struct {
+	Name        string        `json:"name"`
+	Incarnation string        `json:"incarnation"`
+	Policy      uint64        `json:"policy_revision"`
+	Jobs        int           `json:"jobs"`
+	Runners     []RunnerState `json:"runners"`
+}
+
+// RunnerState is what the dispatcher knows of one runner.
+type RunnerState struct {
+	Name   string  `json:"name"`
+	Life   string  `json:"life"`
+	Usable bool    `json:"usable"`
+	Free   int64   `json:"free_cpu"`
+	Speed  float64 `json:"speed"`
+	Runs   int     `json:"runs"`
+}
+
+// State returns the present state for the state dump.
+func (d *Dispatcher) State() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Boot()
+	out := State{Name: d.settings.Name, Incarnation: d.incarnation, Policy: d.policy.Revision(), Jobs: len(d.jobs)}
+	for _, r := range d.runners {
+		out.Runners = append(out.Runners, RunnerState{
+			Name: r.node.Name, Life: r.state.GetLife(), Usable: r.usable(now),
+			Free: r.free().CPU, Speed: r.speed(), Runs: len(r.runs),
+		})
+	}
+	return out
+}
+
+const (
+	// quietAfter is how long a shutting down dispatcher takes requests as
+	// usual: the balancer needs some time to send new connections elsewhere.
+	quietAfter = 3 * time.Second
+	// graceMargin is the part of the grace that is left for the end itself.
+	graceMargin = 300 * time.Millisecond
+)
+
+// shutDown lets the balancer know, goes on serving for a while, and waits for
+// the jobs that were taken in.
+func (d *Dispatcher) shutDown(servers []*http.Server) {
+	began := time.Now()
+	d.closing.Store(true)
+	d.log.Info("dispatcher: shutting down", zap.Int("jobs", d.openJobs()))
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	quiet := min(quietAfter, d.settings.Grace.Std()/2)
+	time.Sleep(quiet)
+	d.refusing.Store(true)
+	for d.openJobs() > 0 && time.Since(began) < d.settings.Grace.Std()-graceMargin {
+		time.Sleep(tick)
+	}
+	// The last answers still have to leave.
+	time.Sleep(2 * tick)
+}
+
+func (d *Dispatcher) openJobs() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.jobs)
+}
--- /dev/null
+++ b/internal/dispatch/event.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"go.uber.org/zap"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+// handle takes over what became of a run. It is called with the lock held.
+func (d *Dispatcher) handle(r *runner, e *pb.RunEvent) {
+	run := work.Run{Task: e.GetRun().GetTask(), Attempt: e.GetRun().GetAttempt()}
+	t, found := r.runs[run]
+	if !found {
+		delete(r.stopping, run)
+		return
+	}
+	code := result.Code(e.GetCode())
+	if e.GetEnd() == pb.RunEnd_RUN_END_STALLED {
+		d.stalled(r, t)
+		return
+	}
+	delete(r.runs, run)
+	delete(r.stopping, run)
+	if e.GetEnd() != pb.RunEnd_RUN_END_REFUSED {
+		t.job.mayHaveRun = true
+	}
+	if t.job.answered {
+		return
+	}
+	switch e.GetEnd() {
+	case pb.RunEnd_RUN_END_DONE:
+		d.taskDone(t)
+	case pb.RunEnd_RUN_END_FAILED:
+		d.taskFailed(r, t)
+	case pb.RunEnd_RUN_END_REFUSED:
+		d.refused(r, t, code)
+	default:
+		d.lost(r, t, code)
+	}
+}
+
+func (d *Dispatcher) taskDone(t *task) {
+	j := t.job
+	t.state = taskDone
+	j.open[t.id.Step]--
+	if j.done() {
+		d.finish(j, platform.Answer{Code: result.OK})
+		return
+	}
+	if j.open[t.id.Step] == 0 {
+		j.unblock()
+	}
+}
+
+func (d *Dispatcher) taskFailed(r *runner, t *task) {
+	j := t.job
+	t.failures++
+	j.avoid[r.node.Name] = true
+	d.log.Info("task: failed", zap.String("task", t.name), zap.Uint64("attempt", t.attempt),
+		zap.String("runner", r.node.Name), zap.Int("failures", t.failures), zap.Int("max", j.route.MaxAttempts))
+	if t.failures >= max(j.route.MaxAttempts, 1) {
+		d.finish(j, platform.Answer{Code: result.OK, Failed: true})
+		return
+	}
+	t.state = taskQueued
+}
+
+func (d *Dispatcher) refused(r *runner, t *task, code result.Code) {
+	d.log.Info("task: start refused", zap.String("task", t.name), zap.Uint64("attempt", t.attempt),
+		zap.String("runner", r.node.Name), zap.Stringer("code", code), zap.Duration("after", r.heardAt-t.placedAt))
+	switch code {
+	case result.AlreadyStarted:
+		t.attempt += skipAttempts
+	case result.NoFreeSlot, result.StaleStamp:
+	default:
+		t.job.avoid[r.node.Name] = true
+	}
+	d.again(t)
+}
+
+func (d *Dispatcher) lost(r *runner, t *task, code result.Code) {
+	d.log.Info("task: run lost", zap.String("task", t.name), zap.Uint64("attempt", t.attempt),
+		zap.String("runner", r.node.Name), zap.Stringer("code", code), zap.Bool("moving", t.moving))
+	t.job.avoid[r.node.Name] = true
+	d.again(t)
+}
+
+// again queues a task for another run.
+func (d *Dispatcher) again(t *task) {
+	if t.attempt >= maxAttempts {
+		d.finish(t.job, platform.Answer{Code: result.StillRunning})
+		return
+	}
+	t.state = taskQueued
+}
+
+// stalled moves a run that stands still to another endpoint.
+func (d *Dispatcher) stalled(r *runner, t *task) {
+	if t.moving || t.job.answered {
+		return
+	}
+	t.moving = true
+	t.job.avoid[r.node.Name] = true
+	d.log.Info("task: stalled, to be moved", zap.String("task", t.name), zap.Uint64("attempt", t.attempt), zap.String("runner", r.node.Name))
+	d.stopRun(t)
+}
--- /dev/null
+++ b/internal/dispatch/peer.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+const (
+	// firstRedial and longestRedial bound the time between two attempts to
+	// open a stream.
+	firstRedial   = 50 * time.Millisecond
+	longestRedial = 400 * time.Millisecond
+	// dialLimit bounds the opening of a stream.
+	dialLimit = 700 * time.Millisecond
+	// gossipEvery is the time between two frames between dispatchers.
+	gossipEvery = 400 * time.Millisecond
+	// gossipSilent is the silence after which a stream between dispatchers
+	// is given up.
+	gossipSilent = 1500 * time.Millisecond
+)
+
+var errSilent = errors.New("the peer is silent")
+
+// firstCause is why ctx was cancelled, or err.
+func firstCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// newRunnerClient returns a client with a connection of its own: a connection
+// that has fallen silent must not be used again.
+func newRunnerClient(address string) (pomelosillv1connect.RunnerServiceClient, func()) {
+	c := process.NewStreamClient()
+	return pomelosillv1connect.NewRunnerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
+}
+
+func newPeerClient(address string) (pomelosillv1connect.PeerServiceClient, func()) {
+	c := process.NewStreamClient()
+	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
+}
+
+func policyFrame(s *policy.State) *pb.Policy { return platform.PolicyToWire(s) }
+
+// takePolicy takes over a policy that another process has sent.
+func (d *Dispatcher) takePolicy(p *pb.Policy) {
+	state, err := platform.PolicyFromWire(p)
+	if err != nil {
+		d.log.Warn("policy: refused", zap.Error(err))
+		return
+	}
+	if d.policy.Apply(state) {
+		d.log.Info("policy: in force, from another process", zap.Uint64("revision", state.Revision),
+			zap.Uint64("version", state.Config.Version), zap.Strings("evacuated", state.Evacuated))
+	}
+}
+
+// nodesPerWait and directoryWait are for the watch of the directory.
+const (
+	directoryWait    = 2 * time.Second
+	directoryTimeout = 500 * time.Millisecond
+	directoryPause   = 150 * time.Millisecond
+)
+
+// followDirectory keeps the book at what the store holds.
+func (d *Dispatcher) followDirectory(ctx context.Context) {
+	var at uint64
+	out := false
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, directoryWait+directoryTimeout)
+		c, err := d.store.Watch(callCtx, directory.Prefix, at, directoryWait)
+		cancel()
+		if err != nil {
+			if result.CodeOf(err) == result.StoreCompacted {
+				at = 0
+			}
+			if !out {
+				d.log.Warn("directory: can't be read", zap.Error(err))
+			}
+			out = true
+			clock.Sleep(ctx, directoryPause)
+			continue
+		}
+		if out {
+			d.log.Info("directory: read again", zap.Uint64("revision", c.Revision))
+		}
+		out = false
+		for _, bad := range d.book.Apply(c, at == 0, time.Now()) {
+			d.log.Warn("directory: bad record", zap.Error(bad))
+		}
+		at = c.Revision
+	}
+}
+
+// dialAll keeps a stream to every node of the book.
+func (d *Dispatcher) dialAll(ctx context.Context) {
+	dialled := map[directory.Node]context.CancelFunc{}
+	for ctx.Err() == nil {
+		changed := d.book.Changed()
+		wanted := map[directory.Node]bool{}
+		for _, n := range append(d.book.Nodes(directory.Runner), d.book.Nodes(directory.Dispatcher)...) {
+			n.Revision = 0
+			wanted[n] = true
+			if _, found := dialled[n]; found || n.Name == d.settings.Name {
+				continue
+			}
+			linkCtx, cancel := context.WithCancel(ctx)
+			dialled[n] = cancel
+			if n.Role == directory.Runner {
+				go d.linkRunner(linkCtx, n)
+			} else {
+				go d.linkPeer(linkCtx, n)
+			}
+		}
+		for n, cancel := range dialled {
+			if !wanted[n] {
+				cancel()
+				delete(dialled, n)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// linkPeer keeps a stream to another dispatcher until ctx ends.
+func (d *Dispatcher) linkPeer(ctx context.Context, n directory.Node) {
+	for ctx.Err() == nil {
+		err := d.runGossip(ctx, n)
+		d.log.Debug("gossip: stream ended", zap.String("peer", n.Name), zap.Error(err))
+		clock.Sleep(ctx, longestRedial)
+	}
+}
+
+func (d *Dispatcher) runGossip(ctx context.Context, n directory.Node) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	client, closeClient := newPeerClient(n.Address)
+	defer closeClient()
+	st := client.Gossip(ctx)
+	g := &gossip{d: d, send: st.Send, receive: st.Receive}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		cancel(g.write(ctx))
+		_ = st.CloseRequest()
+	}()
+	cancel(g.read(ctx, cancel))
+	<-written
+	_ = st.CloseResponse()
+	return context.Cause(ctx)
+}
+
+// Gossip implements the PeerService.
+func (d *Dispatcher) Gossip(ctx context.Context, st *connect.BidiStream[pb.GossipFrame, pb.GossipFrame]) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	g := &gossip{d: d, send: st.Send, receive: st.Receive}
+	go func() { cancel(g.read(ctx, cancel)) }()
+	return g.write(ctx)
+}
+
+// gossip is one stream between two dispatchers; both sides do the same.
+type gossip struct {
+	d       *Dispatcher
+	send    func(*pb.GossipFrame) error
+	receive func() (*pb.GossipFrame, error)
+	// peerRevision is the policy that the peer is known to have.
+	peerRevision revision
+}
+
+func (g *gossip) write(ctx context.Context) error {
+	for {
+		changed := g.d.policy.Changed()
+		if err := g.send(g.frame()); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(gossipEvery):
+		}
+	}
+}
+
+func (g *gossip) frame() *pb.GossipFrame {
+	f := &pb.GossipFrame{Dispatcher: g.d.settings.Name, PolicyRevision: g.d.policy.Revision()}
+	if s := g.d.policy.State(); s != nil && g.peerRevision.raise(s.Revision) {
+		f.Policy = policyFrame(s)
+	}
+	for _, role := range []directory.Role{directory.Runner, directory.Dispatcher} {
+		for _, n := range g.d.book.Nodes(role) {
+			f.Nodes = append(f.Nodes, &pb.Node{Name: n.Name, Role: string(n.Role), Address: n.Address, Revision: n.Revision})
+		}
+	}
+	return f
+}
+
+func (g *gossip) read(ctx context.Context, cancel context.CancelCauseFunc) error {
+	watchdog := time.AfterFunc(gossipSilent, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	for {
+		f, err := g.receive()
+		if err != nil {
+			return firstCause(ctx, err)
+		}
+		watchdog.Reset(gossipSilent)
+		g.peerRevision.raise(f.GetPolicyRevision())
+		if p := f.GetPolicy(); p != nil {
+			g.d.takePolicy(p)
+		}
+		var nodes []directory.Node
+		for _, n := range f.GetNodes() {
+			nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
+		}
+		g.d.book.Learn(nodes)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/runner.go
@@ -0,0 +1,359 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"connectrpc.com/connect"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/outbox"
+	"github.com/pomelosill/pomelosill/internal/place"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/work"
+)
+
+const (
+	// beatEvery is the time between two heartbeats on a stream.
+	beatEvery = 100 * time.Millisecond
+	// quietLimit is the silence after which a runner gets no more work.
+	quietLimit = 220 * time.Millisecond
+	// silentLimit is the silence after which a stream is given up.
+	silentLimit = 400 * time.Millisecond
+	// runnerLease is how long a runner lets runs go on without word from
+	// their dispatcher: runner.dispatcherLease.
+	runnerLease = 600 * time.Millisecond
+	// stopMargin is the time that stopping the runs may take after that.
+	stopMargin = 250 * time.Millisecond
+	// leaseSlack is how much longer than asked an endpoint's lease may last.
+	leaseSlack = 1.05
+)
+
+// runner is one runner as the dispatcher knows it. It belongs to the
+// dispatcher's lock.
+type runner struct {
+	node directory.Node
+	// incarnation is that of the runner's process, empty before the first
+	// stream.
+	incarnation string
+	state       *pb.RunnerState
+	// out is the outbox of the present stream, nil while there is none.
+	out *outbox.Outbox[*pb.DispatcherFrame]
+	// inherited is set while the runs were ordered from an earlier process of
+	// the runner, which may not have been stopped yet.
+	inherited bool
+	// heardAt is when the last frame came.
+	heardAt time.Duration
+	// echo is the runner's clock in its last heartbeat, echoedAt when that
+	// was received: the runner's lease counts from then at the latest.
+	echo     int64
+	echoedAt time.Duration
+	runs     map[work.Run]*task
+	// stopping are runs of which a stop was asked, also of answered jobs.
+	stopping map[work.Run]bool
+	// pending are orders that the runner's state does not count yet.
+	pending  map[uint64]work.Resources
+	numbers  uint64
+	revision uint64
+}
+
+func newRunner(n directory.Node) *runner {
+	return &runner{
+		node: n, runs: map[work.Run]*task{}, stopping: map[work.Run]bool{},
+		pending: map[uint64]work.Resources{}, state: &pb.RunnerState{},
+	}
+}
+
+// usable tells whether the runner may get work.
+func (r *runner) usable(now time.Duration) bool {
+	return r.out != nil && r.state.GetReady() && now-r.heardAt < quietLimit
+}
+
+// reserve takes room for an order until the runner's state counts it, and
+// numbers it.
+func (r *runner) reserve(need work.Resources) uint64 {
+	r.numbers++
+	r.pending[r.numbers] = need
+	return r.numbers
+}
+
+func (r *runner) capacity() work.Resources {
+	return work.Resources{
+		CPU: int64(r.state.GetCapacityCpu()), MemoryMB: int64(r.state.GetCapacityMemory()), GPUs: int64(r.state.GetCapacityGpus()),
+	}
+}
+
+// free is the room that is left, as far as the dispatcher knows.
+func (r *runner) free() work.Resources {
+	free := r.capacity().Minus(work.Resources{
+		CPU: int64(r.state.GetUsedCpu()), MemoryMB: int64(r.state.GetUsedMemory()), GPUs: int64(r.state.GetUsedGpus()),
+	})
+	for _, need := range r.pending {
+		free = free.Minus(need)
+	}
+	return free
+}
+
+const percent = 100.0
+
+func (r *runner) speed() float64 { return float64(r.state.GetSpeedPercent()) / percent }
+
+func (r *runner) endpoint() place.Endpoint {
+	return place.Endpoint{
+		Name: r.node.Name, Service: r.state.GetService(), Domain: r.state.GetFailureDomain(), Labels: r.state.GetLabels(),
+		Free: r.free(), Capacity: r.capacity(), Speed: r.speed(), Healthy: r.state.GetHealthy(),
+	}
+}
+
+// linkRunner keeps a stream to a runner until ctx ends.
+func (d *Dispatcher) linkRunner(ctx context.Context, n directory.Node) {
+	d.mu.Lock()
+	r := d.runners[n.Name]
+	if r == nil {
+		r = newRunner(n)
+		d.runners[n.Name] = r
+	}
+	r.node = n
+	d.mu.Unlock()
+	pause := firstRedial
+	for ctx.Err() == nil {
+		began := clock.Boot()
+		err := d.runLink(ctx, r, n.Address)
+		if clock.Boot()-began > time.Second {
+			pause = firstRedial
+		}
+		d.log.Info("link: runner disconnected", zap.String("runner", n.Name), zap.Error(err), zap.Duration("again_in", pause))
+		clock.Sleep(ctx, pause)
+		pause = min(2*pause, longestRedial)
+	}
+}
+
+// runLink serves one stream.
+func (d *Dispatcher) runLink(ctx context.Context, r *runner, address string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	client, closeClient := newRunnerClient(address)
+	defer closeClient()
+	st := client.Link(ctx)
+	if err := st.Send(&pb.DispatcherFrame{Dispatcher: d.settings.Name, Incarnation: d.incarnation}); err != nil {
+		return err
+	}
+	watchdog := time.AfterFunc(dialLimit, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	first, err := st.Receive()
+	if err != nil {
+		return firstCause(ctx, err)
+	}
+	out := d.connected(r, first)
+	defer d.disconnected(r, out)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		cancel(d.sendRunner(ctx, r, out, st))
+		_ = st.CloseRequest()
+	}()
+	for {
+		watchdog.Reset(silentLimit)
+		f, err := st.Receive()
+		if err != nil {
+			cancel(err)
+			break
+		}
+		d.received(r, out, f)
+	}
+	<-written
+	_ = st.CloseResponse()
+	return context.Cause(ctx)
+}
+
+// connected reconciles the runs with what the runner knows.
+func (d *Dispatcher) connected(r *runner, first *pb.RunnerFrame) *outbox.Outbox[*pb.DispatcherFrame] {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Boot()
+	d.log.Info("link: runner connected", zap.String("runner", r.node.Name), zap.String("incarnation", first.GetIncarnation()), zap.Int("runs", len(r.runs)))
+	if r.incarnation == first.GetIncarnation() {
+		d.reconcile(r, first.GetHeld())
+	} else {
+		// The runs of the process before may go on until the new one has
+		// stopped them; its first ready state says so.
+		r.state = &pb.RunnerState{}
+		r.inherited = true
+	}
+	r.incarnation = first.GetIncarnation()
+	r.out = outbox.New[*pb.DispatcherFrame]()
+	r.pending, r.numbers, r.revision = map[uint64]work.Resources{}, 0, 0
+	d.takeBeat(r, first, now)
+	for run := range r.stopping {
+		r.out.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: run.Task, Attempt: run.Attempt}}})
+	}
+	return r.out
+}
+
+// reconcile queues tasks again whose runs the runner doesn't know.
+func (d *Dispatcher) reconcile(r *runner, held []*pb.RunRef) {
+	known := map[work.Run]bool{}
+	for _, h := range held {
+		known[work.Run{Task: h.GetTask(), Attempt: h.GetAttempt()}] = true
+	}
+	for run := range r.stopping {
+		if !known[run] {
+			delete(r.stopping, run)
+		}
+	}
+	for run := range r.runs {
+		if !known[run] {
+			d.handle(r, lostRun(run))
+		}
+	}
+}
+
+func (d *Dispatcher) disconnected(r *runner, out *outbox.Outbox[*pb.DispatcherFrame]) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out.Close()
+	if r.out == out {
+		r.out = nil
+	}
+}
+
+// received takes a frame over.
+func (d *Dispatcher) received(r *runner, out *outbox.Outbox[*pb.DispatcherFrame], f *pb.RunnerFrame) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.out != out {
+		return
+	}
+	now := clock.Boot()
+	d.takeBeat(r, f, now)
+	if p := f.GetPolicy(); p != nil {
+		d.takePolicy(p)
+	}
+	for _, e := range f.GetEvents() {
+		d.handle(r, e)
+	}
+	if s := f.GetState(); s != nil {
+		d.takeState(r, s)
+	}
+	if len(f.GetEvents()) > 0 || f.GetState() != nil {
+		d.schedule(now)
+	}
+}
+
+func (d *Dispatcher) takeBeat(r *runner, f *pb.RunnerFrame, now time.Duration) {
+	r.heardAt = now
+	if b := f.GetBeat(); b != nil {
+		r.echo, r.echoedAt = b.GetSentNs(), now
+		r.revision = b.GetPolicyRevision()
+	}
+}
+
+// takeState takes the endpoint's state over. The first ready state of a new
+// runner process says that it has stopped what its predecessor started.
+func (d *Dispatcher) takeState(r *runner, s *pb.RunnerState) {
+	for n := range r.pending {
+		if n <= s.GetHandled() {
+			delete(r.pending, n)
+		}
+	}
+	before := r.state
+	r.state = s
+	if before.GetReady() != s.GetReady() || before.GetHealthy() != s.GetHealthy() {
+		d.log.Info("runner: state", zap.String("runner", r.node.Name), zap.Bool("ready", s.GetReady()), zap.Bool("healthy", s.GetHealthy()),
+			zap.String("life", s.GetLife()), zap.Float64("speed", r.speed()))
+	}
+	if !s.GetReady() || !r.inherited {
+		return
+	}
+	r.inherited = false
+	for run := range r.runs {
+		d.handle(r, lostRun(run))
+	}
+}
+
+func lostRun(run work.Run) *pb.RunEvent {
+	return &pb.RunEvent{
+		Run: &pb.RunRef{Task: run.Task, Attempt: run.Attempt},
+		End: pb.RunEnd_RUN_END_LOST, Code: uint32(result.EndpointGone),
+	}
+}
+
+// checkRunner gives up the runs at a runner that has been out of reach for so
+// long that they have surely been stopped.
+func (d *Dispatcher) checkRunner(r *runner, now time.Duration) {
+	if r.out != nil || len(r.runs) == 0 || now < r.echoedAt+d.goneAfter() {
+		return
+	}
+	d.log.Info("link: runner out of reach, runs given up", zap.String("runner", r.node.Name), zap.Int("runs", len(r.runs)),
+		zap.Duration("silent", now-r.echoedAt))
+	for run := range r.runs {
+		d.handle(r, lostRun(run))
+	}
+}
+
+// goneAfter is the time after the last echoed heartbeat after which a runner
+// has stopped the runs, or its endpoint's lease has run out.
+func (d *Dispatcher) goneAfter() time.Duration {
+	lease := time.Duration(leaseSlack * float64(d.settings.LeaseMax.Std()))
+	return runnerLease + lease + stopMargin
+}
+
+// sendRunner is the stream's only writer after the first frame.
+func (d *Dispatcher) sendRunner(ctx context.Context, r *runner, out *outbox.Outbox[*pb.DispatcherFrame],
+	st *connect.BidiStreamForClient[pb.DispatcherFrame, pb.RunnerFrame]) error {
+	beats := time.NewTicker(beatEvery)
+	defer beats.Stop()
+	out.Put(d.beatFor(r))
+	for {
+		items, closed := out.TakeNow()
+		if len(items) > 0 {
+			if err := st.Send(mergeFrames(items)); err != nil {
+				return err
+			}
+			continue
+		}
+		if closed {
+			return errSilent
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-out.Ready():
+		case <-beats.C:
+			out.Put(d.beatFor(r))
+		case <-d.policy.Changed():
+			out.Put(d.beatFor(r))
+		}
+	}
+}
+
+// beatFor is a heartbeat, with the policy if the runner's is older.
+func (d *Dispatcher) beatFor(r *runner) *pb.DispatcherFrame {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: r.echo, PolicyRevision: d.policy.Revision()}}
+	if s := d.policy.State(); s != nil && s.Revision > r.revision {
+		r.revision = s.Revision
+		f.Policy = policyFrame(s)
+	}
+	return f
+}
+
+func mergeFrames(items []*pb.DispatcherFrame) *pb.DispatcherFrame {
+	f := items[0]
+	for _, it := range items[1:] {
+		if it.GetBeat() != nil {
+			f.Beat = it.GetBeat()
+		}
+		if it.GetPolicy() != nil {
+			f.Policy = it.GetPolicy()
+		}
+		f.Starts = append(f.Starts, it.GetStarts()...)
+		f.Stops = append(f.Stops, it.GetStops()...)
+	}
+	return f
+}
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -51,7 +51,7 @@
 // false when the outbox is closed and empty, or ctx has ended.
 func (o *Outbox[T]) Take(ctx context.Context) ([]T, bool) {
 	for {
-		items, closed := o.takeNow()
+		items, closed := o.TakeNow()
 		if len(items) > 0 {
 			return items, true
 		}
@@ -66,7 +66,19 @@
 	}
 }
 
-func (o *Outbox[T]) takeNow() ([]T, bool) {
+// Ready gets a token when something was queued or the writer was woken.
+func (o *Outbox[T]) Ready() <-chan struct{} { return o.ready }
+
+// Wake wakes the writer without an item.
+func (o *Outbox[T]) Wake() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.wake()
+}
+
+// TakeNow returns all that is queued without waiting, and whether the outbox
+// is closed.
+func (o *Outbox[T]) TakeNow() ([]T, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	items := o.items
--- /dev/null
+++ b/internal/policy/edit.go
@@ -0,0 +1,18 @@
+package policy
+
+import "slices"
+
+// With returns a copy of the state with a failure domain taken out of service
+// or back.
+func (s *State) With(domain string, out bool) *State {
+	next := *s
+	next.Evacuated = slices.Clone(s.Evacuated)
+	i, found := slices.BinarySearch(next.Evacuated, domain)
+	switch {
+	case out && !found:
+		next.Evacuated = slices.Insert(next.Evacuated, i, domain)
+	case !out && found:
+		next.Evacuated = slices.Delete(next.Evacuated, i, i+1)
+	}
+	return &next
+}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -51,6 +51,8 @@
 	Overloaded      Code = 116
 	// EntryUnreachable is given by clients, never by an entry.
 	EntryUnreachable Code = 117
+	NoPolicy         Code = 118
+	NoEndpoint       Code = 119
 
 	TaskFailed          Code = 201
 	OutcomeUnknown      Code = 202
@@ -59,6 +61,8 @@
 	AnswerExpired       Code = 205
 	IDConflict          Code = 206
 	EndpointUnreachable Code = 207
+	EndpointGone        Code = 208
+	StillRunning        Code = 209
 
 	CommandRefused     Code = 301
 	CommandConflict    Code = 302
@@ -87,6 +91,7 @@
 	AlreadyStarted  Code = 605
 	NoFreeSlot      Code = 606
 	NotOwner        Code = 607
+	StaleFence      Code = 608
 	Internal        Code = 699
 )
 
@@ -125,6 +130,8 @@
 	{NotFound, "NotFound", "Nothing is known under this name.", EffectNone, true, http.StatusNotFound},
 	{Overloaded, "Overloaded", "The job cannot be done before its deadline under the present load.", EffectNotRun, true, http.StatusServiceUnavailable},
 	{EntryUnreachable, "EntryUnreachable", "No entry could be reached; nothing was sent.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{NoPolicy, "NoPolicy", "The process has no configuration yet.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{NoEndpoint, "NoEndpoint", "No endpoint of the service takes tasks now.", EffectNotRun, true, http.StatusServiceUnavailable},
 
 	{TaskFailed, "TaskFailed", "A task ran and failed.", EffectMayHaveRun, false, http.StatusBadGateway},
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown; nothing is started again.", EffectMayHaveRun, false, http.StatusBadGateway},
@@ -133,6 +140,8 @@
 	{AnswerExpired, "AnswerExpired", "The job has ended and its answer is no longer held.", EffectMayHaveRun, false, http.StatusGone},
 	{IDConflict, "IDConflict", "The submission id belongs to another job.", EffectMayHaveRun, false, http.StatusConflict},
 	{EndpointUnreachable, "EndpointUnreachable", "The endpoint refused the connection; the task did not start.", EffectNotRun, true, http.StatusBadGateway},
+	{EndpointGone, "EndpointGone", "The endpoint's process has been replaced; what ran there is lost.", EffectMayHaveRun, true, http.StatusBadGateway},
+	{StillRunning, "StillRunning", "The job was given up after a task had started; it may be sent again.", EffectMayHaveRun, true, http.StatusGatewayTimeout},
 
 	{CommandRefused, "CommandRefused", "The command was refused.", EffectNone, false, http.StatusUnprocessableEntity},
 	{CommandConflict, "CommandConflict", "Another command came first.", EffectNone, true, http.StatusConflict},
@@ -161,6 +170,7 @@
 	{AlreadyStarted, "AlreadyStarted", "The task has been started before.", EffectMayHaveRun, false, http.StatusConflict},
 	{NoFreeSlot, "NoFreeSlot", "The endpoint has no free slot.", EffectNotRun, true, http.StatusConflict},
 	{NotOwner, "NotOwner", "The entry does not own the cell.", EffectNotRun, true, http.StatusMisdirectedRequest},
+	{StaleFence, "StaleFence", "The endpoint has seen a higher fencing token.", EffectNotRun, true, http.StatusConflict},
 	{Internal, "Internal", "An internal check failed.", EffectMayHaveRun, false, http.StatusInternalServerError},
 }
 
--- /dev/null
+++ b/internal/runner/metrics.go
@@ -0,0 +1,40 @@
+package runner
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/pomelosill/pomelosill/internal/work"
+)
+
+// counters are the runner's metrics.
+type counters struct {
+	starts   metric.Int64Counter
+	stops    metric.Int64Counter
+	refusals metric.Int64Counter
+	ends     metric.Int64Counter
+}
+
+func newCounters(m metric.Meter) (*counters, error) {
+	c := &counters{}
+	for _, i := range []struct {
+		counter *metric.Int64Counter
+		name    string
+	}{
+		{&c.starts, "runner_starts"}, {&c.stops, "runner_stops"},
+		{&c.refusals, "runner_refusals"}, {&c.ends, "runner_ends"},
+	} {
+		made, err := m.Int64Counter(i.name)
+		if err != nil {
+			return nil, err
+		}
+		*i.counter = made
+	}
+	return c, nil
+}
+
+func (c *counters) ended(ctx context.Context, end work.End) {
+	c.ends.Add(ctx, 1, metric.WithAttributes(attribute.String("end", end.String())))
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,222 @@
+// Package runner is the process beside each endpoint on the platform. It
+// takes the endpoint's heartbeats, renews the lease of what runs there, and
+// is the only one that orders starts: it alone decides whether there is room,
+// whether the policy allows a start, and what has surely ended.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+// tick is how often leases, waiting orders and stalled runs are looked at.
+const tick = 25 * time.Millisecond
+
+// Runner is one runner process.
+type Runner struct {
+	settings    *Settings
+	log         *zap.Logger
+	debug       *process.Debug
+	counters    *counters
+	policy      *policy.Board
+	incarnation string
+
+	mu sync.Mutex
+	// session is the current life of the endpoint, nil before its first
+	// heartbeat.
+	session *session
+	links   map[string]*link
+	waiting []*order
+	leaving bool
+	// fence is the fencing token of the next session.
+	fence int64
+	// base ends with the process.
+	base context.Context
+}
+
+// New returns a runner with valid settings. Its error is that of setting up
+// metrics.
+func New(s *Settings, log *zap.Logger) (*Runner, error) {
+	debug, err := process.NewDebug("pomelosill-runner")
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now().UnixMilli()
+	r := &Runner{
+		settings:    s,
+		log:         log,
+		debug:       debug,
+		policy:      policy.NewBoard(),
+		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		links:       map[string]*link{},
+		fence:       started,
+	}
+	r.counters, err = newCounters(debug.Meter)
+	return r, err
+}
+
+// Run serves until ctx ends, then lets running tasks end. Its error has the
+// code AddressInUse when an address can't be bound.
+func (r *Runner) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.Background())
+	defer stop()
+	r.base = base
+	servers, err := r.serve(ctx)
+	if err != nil {
+		return err
+	}
+	var running sync.WaitGroup
+	registrar := &directory.Registrar{
+		Store: platform.NewStore(r.settings.Store), Log: r.log,
+		Node: directory.Node{Name: r.settings.Name, Role: directory.Runner, Address: r.settings.Link},
+	}
+	running.Go(func() { registrar.Run(base) })
+	running.Go(func() { r.watchRuns(base) })
+	r.log.Info("runner: started", zap.String("name", r.settings.Name), zap.String("incarnation", r.incarnation),
+		zap.String("version", process.Version()))
+	<-ctx.Done()
+	r.drain()
+	stop()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	running.Wait()
+	r.log.Info("runner: stopped", zap.String("name", r.settings.Name))
+	return nil
+}
+
+// serve binds the addresses and serves them.
+func (r *Runner) serve(ctx context.Context) ([]*http.Server, error) {
+	heartbeats := http.NewServeMux()
+	heartbeats.HandleFunc(platform.PathHeartbeat, r.heartbeat)
+	heartbeats.HandleFunc(platform.PathLeave, r.leave)
+	streams := http.NewServeMux()
+	streams.Handle(pomelosillv1connect.NewRunnerServiceHandler(r, process.Uncompressed()))
+	pages := http.NewServeMux()
+	r.debug.Mount(pages, func() any { return r.State() })
+	var servers []*http.Server
+	for _, s := range []struct {
+		address string
+		handler http.Handler
+	}{{r.settings.Listen, heartbeats}, {r.settings.Link, streams}, {r.settings.Metrics, pages}} {
+		if s.address == "" {
+			continue
+		}
+		l, err := process.Listen(ctx, s.address)
+		if err != nil {
+			return nil, err
+		}
+		server := process.NewServer(s.handler)
+		servers = append(servers, server)
+		go r.serveOn(server, l)
+	}
+	return servers, nil
+}
+
+func (r *Runner) serveOn(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		r.log.Error("runner: server ended", zap.String("address", l.Addr().String()), zap.Error(err))
+	}
+}
+
+// drainMargin is the part of the grace that is left for the end itself.
+const drainMargin = 400 * time.Millisecond
+
+// drain starts nothing more and waits until nothing runs, for as long as the
+// grace allows.
+func (r *Runner) drain() {
+	r.mu.Lock()
+	r.leaving = true
+	r.refuseWaiting()
+	r.publish()
+	r.mu.Unlock()
+	r.log.Info("runner: leaving", zap.Int("running", r.running()))
+	end := time.Now().Add(r.settings.Grace.Std() - drainMargin)
+	for r.running() > 0 && time.Now().Before(end) {
+		time.Sleep(tick)
+	}
+	// The last events still have to reach the dispatchers.
+	time.Sleep(2 * tick)
+}
+
+func (r *Runner) running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.session == nil {
+		return 0
+	}
+	return r.session.account.Runs()
+}
+
+// watchRuns looks at everything that time changes.
+func (r *Runner) watchRuns(ctx context.Context) {
+	for clock.Sleep(ctx, tick) {
+		r.mu.Lock()
+		r.checkAll()
+		r.mu.Unlock()
+	}
+}
+
+// checkAll is called with the lock held.
+func (r *Runner) checkAll() {
+	now := clock.Boot()
+	for _, l := range r.links {
+		r.checkLink(l, now)
+	}
+	r.startWaiting(now)
+	if s := r.session; s != nil {
+		r.checkStalled(s, now)
+		r.stopStrangers(s)
+		r.checkLease(s, now)
+	}
+	r.publish()
+}
+
+// State is the runner's state dump.
+type State struct {
+	Name        string         `json:"name"`
+	Incarnation string         `json:"incarnation"`
+	Leaving     bool           `json:"leaving"`
+	Policy      uint64         `json:"policy_revision"`
+	Life        string         `json:"life"`
+	Capacity    work.Resources `json:"capacity"`
+	Used        work.Resources `json:"used"`
+	Runs        int            `json:"runs"`
+	Waiting     int            `json:"waiting"`
+	Speed       float64        `json:"speed"`
+	Links       []string       `json:"links"`
+}
+
+// State returns the present state for the state dump.
+func (r *Runner) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := State{
+		Name: r.settings.Name, Incarnation: r.incarnation, Leaving: r.leaving,
+		Policy: r.policy.Revision(), Waiting: len(r.waiting),
+	}
+	for name, l := range r.links {
+		out.Links = append(out.Links, fmt.Sprintf("%s/%s", name, l.incarnation))
+	}
+	if s := r.session; s != nil {
+		out.Life = s.endpoint.Life()
+		out.Capacity, out.Used = s.account.Capacity(), s.account.Used()
+		out.Runs, out.Speed = s.account.Runs(), s.account.Speed()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/runner/session.go
@@ -0,0 +1,252 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/room"
+	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+const (
+	// leaseShare is the part of the longest lease that is asked for: what
+	// remains is the time in which a lost endpoint is known to have stopped.
+	leaseShare = 0.8
+	// renewWait is how long the endpoint may wait for an end before it
+	// answers a renewal.
+	renewWait = 100 * time.Millisecond
+	// renewTimeout is the time for the answer beside renewWait.
+	renewTimeout = 120 * time.Millisecond
+	// renewPause is the pause after a renewal that failed.
+	renewPause = 20 * time.Millisecond
+	// orderTimeout is the time for the answer to a start or a stop.
+	orderTimeout = 80 * time.Millisecond
+	// reachable is how old the last answer of the endpoint may be for a
+	// start to be ordered.
+	reachable = 300 * time.Millisecond
+	// clockError is how much slower the endpoint's clock may run.
+	clockError = 1.02
+	// lapseMargin is added to the time after which a lease has surely run
+	// out.
+	lapseMargin = 30 * time.Millisecond
+	// fenceStep is added to a fencing token that the endpoint holds to be
+	// too low.
+	fenceStep = 60_000
+)
+
+// session is one life of the endpoint. Its fields belong to the runner's lock.
+type session struct {
+	endpoint *work.Endpoint
+	client   *platform.Endpoint
+	account  *room.Account
+	health   *room.Health
+	fence    int64
+	cancel   context.CancelFunc
+	// clockMS is the endpoint's clock at clockAt.
+	clockMS int64
+	clockAt time.Duration
+	// answeredAt is when the endpoint last answered, zero before.
+	answeredAt time.Duration
+	// leaseEnd is the latest end of the lease that was asked for, in the
+	// endpoint's milliseconds.
+	leaseEnd int64
+	// lost is set while the endpoint is out of reach and its lease has run
+	// out.
+	lost bool
+}
+
+// beginSession starts the session of a new life and ends the one before.
+func (r *Runner) beginSession(ep *work.Endpoint) {
+	now := clock.Boot()
+	if r.session != nil {
+		r.endSession(r.session, now, "replaced")
+	}
+	ctx, cancel := context.WithCancel(r.base)
+	r.fence++
+	s := &session{
+		endpoint: ep,
+		client:   platform.NewEndpoint(ep.Address, ep.ID),
+		account:  room.New(ep.Capacity),
+		health:   room.NewHealth(),
+		fence:    r.fence,
+		cancel:   cancel,
+		clockMS:  ep.Clock,
+		clockAt:  now,
+	}
+	r.session = s
+	r.log.Info("endpoint: announced", zap.String("life", ep.Life()), zap.String("address", ep.Address),
+		zap.String("service", ep.Service), zap.Int64("cpu", ep.Capacity.CPU), zap.Int64("fence", s.fence))
+	go r.renewLoop(ctx, s)
+}
+
+// endSession gives up a session whose process is gone.
+func (r *Runner) endSession(s *session, now time.Duration, why string) {
+	s.cancel()
+	s.client.Close()
+	r.log.Info("endpoint: session ended", zap.String("life", s.endpoint.Life()), zap.String("reason", why),
+		zap.Int("lost", s.account.Runs()))
+	r.lose(s, now, result.EndpointGone)
+}
+
+// lose reports every run of the session as lost.
+func (r *Runner) lose(s *session, now time.Duration, code result.Code) {
+	for _, g := range s.account.Clear(now) {
+		r.report(g, code)
+	}
+	s.account.Reopen()
+}
+
+// renewLoop keeps the lease alive and takes over what the endpoint lists.
+func (r *Runner) renewLoop(ctx context.Context, s *session) {
+	for ctx.Err() == nil {
+		asked := clock.Boot()
+		callCtx, cancel := context.WithTimeout(ctx, renewWait+renewTimeout)
+		look, err := s.client.Renew(callCtx, r.renewal(s, asked))
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		r.mu.Lock()
+		r.renewed(s, look, err, asked)
+		r.mu.Unlock()
+		if err != nil && !clock.Sleep(ctx, renewPause) {
+			return
+		}
+	}
+}
+
+func (r *Runner) renewal(s *session, now time.Duration) work.Renewal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait := renewWait
+	if !s.account.Open() {
+		wait = 0
+	}
+	return work.Renewal{LeaseEnd: r.nextLeaseEnd(s, now), Fence: s.fence, Seen: s.account.Seen(), Wait: wait}
+}
+
+// nextLeaseEnd is the lease's end to ask for. While the endpoint does not
+// answer the lease is not prolonged, so that it runs out at a known time.
+func (r *Runner) nextLeaseEnd(s *session, now time.Duration) int64 {
+	if s.leaseEnd != 0 && now-s.answeredAt > reachable {
+		return s.leaseEnd
+	}
+	lease := time.Duration(leaseShare * float64(r.settings.LeaseMax.Std()))
+	end := s.clockMS + (now - s.clockAt + lease).Milliseconds()
+	s.leaseEnd = max(end, s.leaseEnd)
+	return s.leaseEnd
+}
+
+// renewed takes over the answer to a renewal. It is called with the lock held.
+func (r *Runner) renewed(s *session, look work.Look, err error, asked time.Duration) {
+	if r.session != s {
+		return
+	}
+	now := clock.Boot()
+	switch result.CodeOf(err) {
+	case result.OK:
+		r.looked(s, look, asked, now)
+	case result.StaleFence:
+		s.fence += fenceStep
+		r.fence = max(r.fence, s.fence)
+		r.log.Warn("endpoint: fencing token too low", zap.Int64("next", s.fence))
+	case result.EndpointUnreachable, result.EndpointGone:
+		if !s.lost {
+			s.lost = true
+			r.log.Warn("endpoint: process gone", zap.String("life", s.endpoint.Life()), zap.Error(err))
+			r.lose(s, now, result.EndpointGone)
+		}
+	default:
+		r.log.Debug("endpoint: no answer", zap.String("life", s.endpoint.Life()), zap.Error(err))
+	}
+	r.publish()
+}
+
+func (r *Runner) looked(s *session, look work.Look, asked, now time.Duration) {
+	if look.Born != 0 && s.endpoint.Born != 0 && look.Born != s.endpoint.Born {
+		if !s.lost {
+			s.lost = true
+			r.log.Warn("endpoint: another life answers", zap.String("life", s.endpoint.Life()), zap.Int64("born", look.Born))
+			r.lose(s, now, result.EndpointGone)
+		}
+		return
+	}
+	if s.lost {
+		// Orders from before could still be carried out; a higher token
+		// makes the endpoint refuse them. The next answer counts.
+		s.lost = false
+		r.fence = max(r.fence, s.fence) + 1
+		s.fence = r.fence
+		s.answeredAt, s.clockMS, s.clockAt = now, look.Clock, now
+		r.log.Info("endpoint: reached again", zap.String("life", s.endpoint.Life()), zap.Int64("fence", s.fence))
+		return
+	}
+	s.answeredAt, s.clockMS, s.clockAt = now, look.Clock, now
+	for _, g := range s.account.Look(look, asked, now) {
+		r.judge(s, g, now)
+		r.report(g, result.OK)
+	}
+	r.startWaiting(now)
+}
+
+// judge lets the endpoint's health follow from how a run ended.
+func (r *Runner) judge(s *session, g room.Gone, now time.Duration) {
+	switch g.End {
+	case work.EndDone:
+		s.health.Done()
+	case work.EndFailed:
+		task, _ := work.ParseTask(g.Entry.Run.Task)
+		if s.health.Failed(task.Job, now) {
+			r.log.Warn("endpoint: suspected after failures", zap.String("life", s.endpoint.Life()))
+		}
+	}
+}
+
+// checkLease gives up the runs of an endpoint that is out of reach once its
+// lease has surely run out.
+func (r *Runner) checkLease(s *session, now time.Duration) {
+	if s.lost || s.answeredAt == 0 || now-s.answeredAt < reachable {
+		return
+	}
+	left := time.Duration(float64(s.leaseEnd-s.clockMS)*clockError) * time.Millisecond
+	if now < s.clockAt+left+lapseMargin {
+		return
+	}
+	s.lost = true
+	r.log.Warn("endpoint: out of reach, lease lapsed", zap.String("life", s.endpoint.Life()),
+		zap.Duration("silent", now-s.answeredAt), zap.Int("lost", s.account.Runs()))
+	r.lose(s, now, result.EndpointUnreachable)
+}
+
+// checkStalled reports runs that stand still and rests the endpoint if it is
+// the cause.
+func (r *Runner) checkStalled(s *session, now time.Duration) {
+	if s.account.Runs() > 0 && s.health.Slow(s.account.Speed(), now) {
+		r.log.Warn("endpoint: suspected, too slow", zap.String("life", s.endpoint.Life()),
+			zap.Float64("speed", s.account.Speed()), zap.Int("running", s.account.Runs()))
+	}
+	if s.account.Runs() == 0 && !s.health.Resting(now) && s.health.MaxRuns() > 0 && s.account.Speed() < 0.5 {
+		s.account.Decay()
+	}
+	for _, run := range s.account.Stalled(now) {
+		e, _ := s.account.Get(run)
+		r.log.Info("run: stalled", zap.String("task", run.Task), zap.Uint64("attempt", run.Attempt),
+			zap.Duration("age", now-e.SentAt), zap.Duration("estimate", e.Estimate))
+		r.tell(e.Owner, runEvent(run, endStalled, result.OK, now-e.SentAt))
+	}
+}
+
+// stopStrangers stops runs that an earlier process of this runner ordered.
+func (r *Runner) stopStrangers(s *session) {
+	if s.lost {
+		return
+	}
+	for _, run := range s.account.Strangers() {
+		go r.orderStop(s, run)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,3 +82,14 @@
 	}
 	return &result.Error{Code: e.Code, Detail: place + ": " + e.Detail, Err: e.Err}
 }
+
+// Check reads path into a new value of like's type and validates it.
+func Check(path string, like Settings) error {
+	fresh, ok := reflect.New(reflect.TypeOf(like).Elem()).Interface().(Settings)
+	if !ok {
+		return result.Errorf(result.Internal, "%T can't be made", like)
+	}
+	// Fields that the file leaves out keep their present values.
+	reflect.ValueOf(fresh).Elem().Set(reflect.ValueOf(like).Elem())
+	return Load(path, fresh)
+}
