Turn the excess away at once and finish what has begun

Change: jobs that have begun come first; a job that the backlog would make late is refused at its arrival; nothing is spent on late answers while another job can still be in time (internal/place/order.go).

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -52,9 +52,6 @@
 	tasks     [][]*task
 	// open counts tasks that are not done, by step.
 	open []int
-	// ordered is set once a run was ordered; a refusal then can't say that
-	// nothing ran unless every run was refused.
-	ordered bool
 	// mayHaveRun is set once a run has, or may have, begun.
 	mayHaveRun bool
 	avoid      map[string]bool
@@ -167,7 +164,7 @@
 func (j *job) urgency() *place.Urgency {
 	return &place.Urgency{
 		Arrived: j.arrived, Objective: j.objective, Left: j.left(),
-		Priority: j.route.Priority, Started: j.mayHaveRun,
+		Begun: j.mayHaveRun || len(j.placed()) > 0,
 	}
 }
 
@@ -196,6 +193,16 @@
 	return false
 }
 
+// waitingWork is the work of the tasks that look for room.
+func (j *job) waitingWork() place.Work {
+	var sum place.Work
+	for s := range j.spec.Steps {
+		step := &j.spec.Steps[s]
+		sum += place.WorkOf(step.Need.CPU, step.Estimate, len(j.queued(s)))
+	}
+	return sum
+}
+
 // done tells whether every task has ended well.
 func (j *job) done() bool {
 	for _, n := range j.open {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/place"
 	"github.com/pomelosill/pomelosill/internal/result"
@@ -22,7 +23,7 @@
 	// skipAttempts is added to the attempt of a task whose run was not newer
 	// than one that the endpoint knows from before.
 	skipAttempts = 8
-	// maxLeft bounds the number of callers' jobs that may wait here.
+	// maxJobs bounds the number of callers' jobs that may wait here.
 	maxJobs = 5000
 )
 
@@ -32,16 +33,44 @@
 		return result.Errorf(result.QueueFull, "%d jobs wait", len(d.jobs))
 	}
 	endpoints, _ := d.endpoints(now)
-	any := false
 	for s := range j.spec.Steps {
 		w := j.wish(s, 1)
 		possible := slices.ContainsFunc(endpoints, func(e place.Endpoint) bool { return w.Possible(&e) })
-		any = any || possible
 		if !possible {
 			return result.Errorf(result.NoEndpoint, "no endpoint for step %d of job %s among %d", s, j.spec.ID, len(endpoints))
 		}
 	}
-	return nil
+	return d.inTime(j, endpoints, now)
+}
+
+// inTime refuses a job that would have to wait for longer than its objective
+// allows.
+func (d *Dispatcher) inTime(j *job, endpoints []place.Endpoint, now time.Duration) error {
+	u := j.urgency()
+	b := place.Backlog{PerSecond: d.share(endpoints)}
+	for _, other := range d.jobs {
+		if !other.waits() {
+			continue
+		}
+		if o := other.urgency(); !o.Late(now) && place.Compare(o, u, now) <= 0 {
+			b.Ahead += other.waitingWork()
+		}
+	}
+	if place.Admit(u, b, now) {
+		return nil
+	}
+	return result.Errorf(result.Overloaded, "job %s: %s of work wait ahead, its slack is %s", j.spec.ID, b.Wait(), u.Slack(now))
+}
+
+// share is the work that this dispatcher can begin in a second: its part of
+// what the endpoints do.
+func (d *Dispatcher) share(endpoints []place.Endpoint) place.Work {
+	var all place.Work
+	for i := range endpoints {
+		e := &endpoints[i]
+		all += place.Work(float64(e.Capacity.CPU) * min(e.Speed, 1))
+	}
+	return all / place.Work(max(1, len(d.book.Nodes(directory.Dispatcher))))
 }
 
 // endpoints lists the endpoints that may get work, with their runners.
@@ -127,7 +156,6 @@
 		})
 		r.runs[t.run()] = t
 	}
-	j.ordered = true
 	d.metrics.orders.Add(d.base, int64(len(tasks)))
 	d.log.Info("job: tasks placed", zap.String("job", j.spec.ID), zap.String("runner", r.node.Name), zap.Int("tasks", len(tasks)),
 		zap.Uint64("attempt", tasks[0].attempt), zap.Duration("age", now-j.arrived), zap.Float64("speed", r.speed()))
@@ -152,7 +180,8 @@
 
 // checkJob gives up a job that can't be answered in time any more.
 func (d *Dispatcher) checkJob(j *job, now time.Duration) {
-	if now < j.until && !j.urgency().Hopeless(now) {
+	u := j.urgency()
+	if now < j.until && !u.Hopeless(now) && (!u.Late(now) || !d.othersInTime(now)) {
 		return
 	}
 	a := platform.Answer{Code: result.Overloaded, RetryAfter: comeBack}
@@ -164,6 +193,16 @@
 	d.finish(j, a)
 }
 
+// othersInTime tells whether a job waits that can still be answered in time.
+func (d *Dispatcher) othersInTime(now time.Duration) bool {
+	for _, j := range d.jobs {
+		if j.waits() && j.urgency().Slack(now) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // finish answers a job and stops what still runs of it.
 func (d *Dispatcher) finish(j *job, a platform.Answer) {
 	if j.answered {
--- /dev/null
+++ b/internal/place/order.go
@@ -0,0 +1,103 @@
+package place
+
+import (
+	"cmp"
+	"time"
+)
+
+// lateFactor times the objective is the age from which an answer is worth
+// nothing to the caller.
+const lateFactor = 3
+
+// Urgency is what orders jobs.
+type Urgency struct {
+	// Arrived is when the job came, Objective how soon it should be answered.
+	Arrived   time.Duration
+	Objective time.Duration
+	// Left is the time that the longest chain of its open tasks takes.
+	Left time.Duration
+	// Begun is set once a task of the job has been placed.
+	Begun bool
+}
+
+// Slack is how long the job can still wait and meet its objective.
+func (u *Urgency) Slack(now time.Duration) time.Duration {
+	return u.Arrived + u.Objective - now - u.Left
+}
+
+// Hopeless tells whether not even a late answer can be given any more.
+func (u *Urgency) Hopeless(now time.Duration) bool {
+	return now+u.Left > u.Arrived+lateFactor*u.Objective
+}
+
+// Classes of jobs, the most urgent first. Under overload the work that has
+// begun is finished before more is begun, and nothing is spent on late
+// answers while another job can still be answered in time.
+const (
+	classBegun = iota
+	classWaiting
+	classBegunLate
+	classLate
+)
+
+func (u *Urgency) class(now time.Duration) int {
+	late := u.Slack(now) < 0
+	switch {
+	case u.Begun && !late:
+		return classBegun
+	case !late:
+		return classWaiting
+	case u.Begun:
+		return classBegunLate
+	}
+	return classLate
+}
+
+// Late tells whether the job can't meet its objective and has not begun.
+func (u *Urgency) Late(now time.Duration) bool { return u.class(now) == classLate }
+
+// Compare orders jobs for the next free room: by class, and in it the job
+// with the least slack ahead.
+func Compare(a, b *Urgency, now time.Duration) int {
+	return cmp.Or(
+		cmp.Compare(a.class(now), b.class(now)),
+		cmp.Compare(a.Slack(now), b.Slack(now)),
+	)
+}
+
+// Work is an amount of work: thousandths of a core times time.
+type Work float64
+
+// WorkOf is the work of tasks that take cpu thousandths of a core each.
+func WorkOf(cpu int64, each time.Duration, tasks int) Work {
+	return Work(float64(cpu) * each.Seconds() * float64(tasks))
+}
+
+// Backlog is the work that waits, and how fast it goes down.
+type Backlog struct {
+	// Ahead is the work that waits and is not less urgent.
+	Ahead Work
+	// PerSecond is the work that can be begun in a second.
+	PerSecond Work
+}
+
+// Wait is how long it takes until the work ahead has begun.
+func (b Backlog) Wait() time.Duration {
+	if b.Ahead <= 0 {
+		return 0
+	}
+	if b.PerSecond <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(b.Ahead) / float64(b.PerSecond) * float64(time.Second))
+}
+
+// waitShare is the share of a job's slack that the backlog may take up.
+const waitShare = 0.6
+
+// Admit tells whether a job that has just come can still be answered in time
+// behind the backlog. Under overload this turns the excess away at once; those
+// that are let in are answered in time.
+func Admit(u *Urgency, b Backlog, now time.Duration) bool {
+	return float64(b.Wait()) <= waitShare*float64(max(u.Slack(now), 0))
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/pomelosill/pomelosill/internal/work"
 )
@@ -25,50 +24,6 @@
 	Healthy bool
 }
 
-// lateFactor times the objective is the age from which an answer is worth
-// nothing to the caller.
-const lateFactor = 3
-
-// Urgency is what orders jobs.
-type Urgency struct {
-	// Arrived is when the job came, Objective how soon it should be answered.
-	Arrived   time.Duration
-	Objective time.Duration
-	// Left is the time that the longest chain of its open tasks takes.
-	Left     time.Duration
-	Priority int
-	// Started is set once a task of the job runs or has run.
-	Started bool
-}
-
-// Slack is how long the job can still wait and meet its objective.
-func (u *Urgency) Slack(now time.Duration) time.Duration {
-	return u.Arrived + u.Objective - now - u.Left
-}
-
-// Hopeless tells whether not even a late answer can be given any more.
-func (u *Urgency) Hopeless(now time.Duration) bool {
-	return now+u.Left > u.Arrived+lateFactor*u.Objective
-}
-
-// Compare orders jobs for the next free room: those that can meet their
-// objective come first, the one with the least slack ahead; then those that
-// will be late, the one that came last ahead, as it is the least late.
-func Compare(a, b *Urgency, now time.Duration) int {
-	slackA, slackB := a.Slack(now), b.Slack(now)
-	lateA, lateB := slackA < 0, slackB < 0
-	switch {
-	case lateA != lateB:
-		if lateA {
-			return 1
-		}
-		return -1
-	case lateA:
-		return cmp.Compare(slackB, slackA)
-	}
-	return cmp.Compare(slackA, slackB)
-}
-
 // Wish is a group of equal tasks that look for room.
 type Wish struct {
 	Service string
