--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 
 const (
 	// patience is how long an order may wait for room at its runner.
-	patience = 25 * time.Millisecond
+	patience = 150 * time.Millisecond
 	// maxAttempts bounds the runs of one task.
 	maxAttempts = 40
 	// skipAttempts is added to the attempt of a task whose run was not newer
@@ -47,13 +48,16 @@
 // allows.
 func (d *Dispatcher) inTime(j *job, endpoints []place.Endpoint, now time.Duration) error {
 	u := j.urgency()
-	b := place.Backlog{PerSecond: d.share(endpoints)}
+	all := d.throughput(endpoints)
+	b := place.Backlog{PerSecond: all, Ahead: d.waitingAtRunners()}
+	// The other dispatchers' queues are taken to be as long as this one's.
+	dispatchers := place.Work(max(1, len(d.book.Nodes(directory.Dispatcher))))
 	for _, other := range d.jobs {
 		if !other.waits() {
 			continue
 		}
-		if o := other.urgency(); !o.Late(now) && place.Compare(o, u, now) <= 0 {
-			b.Ahead += other.waitingWork()
+		if !other.urgency().Late(now) {
+			b.Ahead += other.waitingWork() * dispatchers
 		}
 	}
 	if place.Admit(u, b, now) {
@@ -62,15 +66,23 @@
 	return result.Errorf(result.Overloaded, "job %s: %s of work wait ahead, its slack is %s", j.spec.ID, b.Wait(), u.Slack(now))
 }
 
-// share is the work that this dispatcher can begin in a second: its part of
-// what the endpoints do.
-func (d *Dispatcher) share(endpoints []place.Endpoint) place.Work {
+// throughput is the work that all endpoints do in a second.
+func (d *Dispatcher) throughput(endpoints []place.Endpoint) place.Work {
 	var all place.Work
 	for i := range endpoints {
 		e := &endpoints[i]
 		all += place.Work(float64(e.Capacity.CPU) * min(e.Speed, 1))
 	}
-	return all / place.Work(max(1, len(d.book.Nodes(directory.Dispatcher))))
+	return all
+}
+
+// waitingAtRunners is the work that all dispatchers have waiting at runners.
+func (d *Dispatcher) waitingAtRunners() place.Work {
+	var all place.Work
+	for _, r := range d.runners {
+		all += place.WorkOf(int64(r.state.GetWaitingWork()), time.Millisecond, 1)
+	}
+	return all
 }
 
 // endpoints lists the endpoints that may get work, with their runners.
@@ -105,11 +117,9 @@
 			if len(queued) == 0 {
 				continue
 			}
-			for _, pick := range place.Choose(j.wish(s, len(queued)), endpoints) {
-				e := &endpoints[pick.At]
+			for _, pick := range place.Choose(j.wish(s, len(queued)), endpoints, rand.IntN) {
 				d.order(runners[pick.At], queued[:pick.Count], now)
 				queued = queued[pick.Count:]
-				e.Free = e.Free.Minus(j.spec.Steps[s].Need.Times(pick.Count))
 			}
 		}
 	}
@@ -139,6 +149,7 @@
 func (d *Dispatcher) order(r *runner, tasks []*task, now time.Duration) {
 	frame := &pb.DispatcherFrame{}
 	j := tasks[0].job
+	slack := j.urgency().Slack(now)
 	for _, t := range tasks {
 		t.attempt++
 		t.state, t.runner, t.placedAt, t.moving = taskPlaced, r.node.Name, now, false
@@ -153,6 +164,7 @@
 			EstimateUs: step.Estimate.Microseconds(),
 			PatienceUs: patience.Microseconds(),
 			Number:     r.reserve(step.Need),
+			SlackUs:    slack.Microseconds(),
 		})
 		r.runs[t.run()] = t
 	}
--- a/internal/place/order.go
+++ b/internal/place/order.go
@@ -92,12 +92,18 @@
 	return time.Duration(float64(b.Ahead) / float64(b.PerSecond) * float64(time.Second))
 }
 
-// waitShare is the share of a job's slack that the backlog may take up.
-const waitShare = 0.6
+const (
+	// waitShare is the share of a job's slack that the backlog may take up.
+	waitShare = 0.6
+	// maxWait is the longest backlog in front of any job: with a longer one
+	// the jobs with little slack would bear all of the overload.
+	maxWait = 55 * time.Millisecond
+)
 
 // Admit tells whether a job that has just come can still be answered in time
 // behind the backlog. Under overload this turns the excess away at once; those
 // that are let in are answered in time.
 func Admit(u *Urgency, b Backlog, now time.Duration) bool {
-	return float64(b.Wait()) <= waitShare*float64(max(u.Slack(now), 0))
+	limit := time.Duration(waitShare * float64(max(u.Slack(now), 0)))
+	return b.Wait() <= min(limit, maxWait)
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -24,6 +24,22 @@
 	Healthy bool
 }
 
+// queueShare is the part of an endpoint's capacity for which orders may wait
+// at its runner: what ends there makes room for them at once, and the runner
+// knows the urgency of all dispatchers' orders.
+const queueShare = 0.5
+
+// Take reserves room.
+func (e *Endpoint) Take(r work.Resources) { e.Free = e.Free.Minus(r) }
+
+// queueRoom is the share of the capacity that is left for waiting orders.
+func (e *Endpoint) queueRoom() float64 {
+	if e.Capacity.CPU <= 0 {
+		return 0
+	}
+	return queueShare + float64(e.Free.CPU)/float64(e.Capacity.CPU)
+}
+
 // Wish is a group of equal tasks that look for room.
 type Wish struct {
 	Service string
@@ -94,11 +110,78 @@
 // trialTasks is how many tasks an endpoint gets that has to prove itself.
 const trialTasks = 1
 
-// Choose picks endpoints for as many of the tasks as fit. The tasks of a job
-// stay together: each endpoint that fails takes a whole job with it, so the
-// fewer endpoints a job needs, the fewer jobs fail.
-func Choose(w *Wish, endpoints []Endpoint) []Pick {
-	type option struct{ at, fit, tier int }
+// Choose picks endpoints for as many of the tasks as fit now, and lets the
+// others wait at runners. shuffle gives a random number below its argument.
+// It reserves the room in endpoints.
+func Choose(w *Wish, endpoints []Endpoint, shuffle func(n int) int) []Pick {
+	rest := *w
+	picks := choose(&rest, endpoints, shuffle)
+	for _, p := range picks {
+		rest.Count -= p.Count
+		endpoints[p.At].Take(w.Need.Times(p.Count))
+	}
+	for rest.Count > 0 {
+		at := rest.shortestQueue(endpoints)
+		if at < 0 {
+			break
+		}
+		rest.Count--
+		endpoints[at].Take(w.Need)
+		picks = add(picks, at)
+	}
+	return picks
+}
+
+// add adds one task to the picks.
+func add(picks []Pick, at int) []Pick {
+	for i := range picks {
+		if picks[i].At == at {
+			picks[i].Count++
+			return picks
+		}
+	}
+	return append(picks, Pick{At: at, Count: 1})
+}
+
+// shortestQueue is the endpoint with the most room for waiting orders, -1 if
+// there is none.
+func (w *Wish) shortestQueue(endpoints []Endpoint) int {
+	best := -1
+	for i := range endpoints {
+		e := &endpoints[i]
+		if w.tier(e) > tierSlow || w.tier(e) == tierTrial || !w.Need.Fits(e.Capacity) || w.MaxPerEndpoint > 0 {
+			continue
+		}
+		if e.queueRoom() > 0 && (best < 0 || e.queueRoom() > endpoints[best].queueRoom()) {
+			best = i
+		}
+	}
+	return best
+}
+
+// option is an endpoint that could take tasks.
+type option struct{ at, fit, tier int }
+
+// choose fills the endpoints one after the other. The tasks of a job stay
+// together: each endpoint that fails takes a whole job with it, so the fewer
+// endpoints a job needs, the fewer jobs fail. Among equals the choice is
+// random, as other dispatchers choose at the same moment.
+func choose(w *Wish, endpoints []Endpoint, shuffle func(n int) int) []Pick {
+	options := w.options(endpoints)
+	left := w.Count
+	var picks []Pick
+	for left > 0 && len(options) > 0 {
+		i := best(options, left, shuffle)
+		o := options[i]
+		n := min(left, o.fit)
+		picks = append(picks, Pick{At: o.at, Count: n})
+		left -= n
+		options = slices.Delete(options, i, i+1)
+	}
+	return picks
+}
+
+func (w *Wish) options(endpoints []Endpoint) []option {
 	var options []option
 	for i := range endpoints {
 		e := &endpoints[i]
@@ -111,23 +194,34 @@
 			options = append(options, option{at: i, fit: fit, tier: tier})
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		ea, eb := &endpoints[a.at], &endpoints[b.at]
-		return cmp.Or(
-			cmp.Compare(a.tier, b.tier),
-			-cmp.Compare(a.fit, b.fit),
-			-cmp.Compare(ea.Free.CPU, eb.Free.CPU),
-		)
-	})
-	left := w.Count
-	var picks []Pick
-	for _, o := range options {
-		if left == 0 {
-			break
+	return options
+}
+
+// best picks one of the options of the best tier: any that takes all of the
+// tasks, else the one that takes most.
+func best(options []option, count int, shuffle func(n int) int) int {
+	var equal []int
+	for i, o := range options {
+		switch c := compare(o, options[first(equal, i)], count); {
+		case c < 0:
+			equal = []int{i}
+		case c == 0:
+			equal = append(equal, i)
 		}
-		n := min(left, o.fit)
-		picks = append(picks, Pick{At: o.at, Count: n})
-		left -= n
 	}
-	return picks
+	return equal[shuffle(len(equal))]
+}
+
+func first(of []int, otherwise int) int {
+	if len(of) == 0 {
+		return otherwise
+	}
+	return of[0]
+}
+
+func compare(a, b option, count int) int {
+	return cmp.Or(
+		cmp.Compare(a.tier, b.tier),
+		-cmp.Compare(min(a.fit, count), min(b.fit, count)),
+	)
 }
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -69,6 +69,9 @@
 	runs     map[work.Run]*Entry
 	// strangers are runs that are listed but were not ordered by this runner.
 	strangers map[work.Run]bool
+	// removed holds when a run gave its room back, for answers that were
+	// overtaken and still list it.
+	removed map[work.Run]time.Duration
 	// surveyed is set once the endpoint has listed its runs.
 	surveyed bool
 	// seen is the number of the last end that was taken note of.
@@ -76,12 +79,12 @@
 	speed speed
 }
 
-// stopTime is how long a stop may take at the endpoint, with a margin.
-const stopTime = 60 * time.Millisecond
+// removedMemory is how long a run that gave its room back is remembered.
+const removedMemory = 2 * time.Second
 
 // New returns the account of a life that has listed nothing yet.
 func New(capacity work.Resources) *Account {
-	return &Account{capacity: capacity, runs: map[work.Run]*Entry{}, strangers: map[work.Run]bool{}, speed: newSpeed()}
+	return &Account{capacity: capacity, runs: map[work.Run]*Entry{}, strangers: map[work.Run]bool{}, removed: map[work.Run]time.Duration{}, speed: newSpeed()}
 }
 
 // Capacity returns what the endpoint has.
@@ -159,9 +162,9 @@
 }
 
 // Refused frees the room of a run whose start was refused.
-func (a *Account) Refused(r work.Run) {
+func (a *Account) Refused(r work.Run, now time.Duration) {
 	if e, found := a.runs[r]; found {
-		a.remove(e)
+		a.remove(e, now)
 	}
 }
 
@@ -196,9 +199,19 @@
 	e.StopAcked, e.StopAckedAt = true, now
 }
 
-func (a *Account) remove(e *Entry) {
+func (a *Account) remove(e *Entry, now time.Duration) {
 	delete(a.runs, e.Run)
 	a.used = a.used.Minus(e.Need)
+	a.removed[e.Run] = now
+}
+
+// forget drops what is remembered of runs that went long ago.
+func (a *Account) forget(now time.Duration) {
+	for r, at := range a.removed {
+		if now-at > removedMemory {
+			delete(a.removed, r)
+		}
+	}
 }
 
 // Look takes over what the endpoint lists. asked is when the call left. It
@@ -212,7 +225,7 @@
 		a.seen = end.Number
 		delete(a.strangers, end.Run)
 		if e, found := a.runs[end.Run]; found {
-			a.remove(e)
+			a.remove(e, now)
 			if end.End == work.EndDone {
 				a.speed.ended(e, now)
 			}
@@ -222,6 +235,7 @@
 	listed := a.list(look.Running, asked, now)
 	gone = append(gone, a.missing(listed, asked, now)...)
 	a.surveyed = true
+	a.forget(now)
 	return gone
 }
 
@@ -232,7 +246,9 @@
 		listed[l.Run] = true
 		e, found := a.runs[l.Run]
 		if !found {
-			a.strangers[l.Run] = true
+			if at, known := a.removed[l.Run]; !known || at < asked {
+				a.strangers[l.Run] = true
+			}
 			continue
 		}
 		if e.State == Doubtful {
@@ -251,7 +267,8 @@
 
 // missing removes the runs that must have ended or can't appear any more:
 // those that were accepted, or whose stop was acknowledged, before the call
-// left and that are not listed.
+// left and that are not listed. An endpoint that has acknowledged a stop
+// refuses the run's start if that arrives later.
 func (a *Account) missing(listed map[work.Run]bool, asked, now time.Duration) []Gone {
 	var gone []Gone
 	for r, e := range a.runs {
@@ -259,9 +276,9 @@
 			continue
 		}
 		accepted := e.AcceptedAt > 0 && e.AcceptedAt < asked
-		stopped := e.StopAcked && e.StopAckedAt+stopTime < asked
+		stopped := e.StopAcked && e.StopAckedAt < asked
 		if accepted || stopped {
-			a.remove(e)
+			a.remove(e, now)
 			gone = append(gone, Gone{Entry: *e, Took: now - e.SentAt})
 		}
 	}
--- a/internal/room/speed.go
+++ b/internal/room/speed.go
@@ -14,9 +14,11 @@
 	// startAllowance is the time after a start order in which no progress is
 	// expected.
 	startAllowance = 60 * time.Millisecond
-	// stallSlow is how many times over its estimate a run may be before it
-	// is held to stand still.
-	stallSlow = 3.0
+	// slowSpeed is the speed below which runs are moved if they would be
+	// done earlier elsewhere.
+	slowSpeed = 0.4
+	// moveCost is the time that a move takes beside the work itself.
+	moveCost = 30 * time.Millisecond
 	// stallAfter is the time without any progress after which a run is held
 	// to stand still.
 	stallAfter = 250 * time.Millisecond
@@ -81,21 +83,30 @@
 // was slow or failing is tried again.
 func (a *Account) Decay() { a.speed = newSpeed() }
 
-// Stalled returns the runs that stand still or are so slow that they should
-// be done elsewhere, each once.
+// Stalled returns the runs that stand still, or would be done earlier if they
+// began again elsewhere, each once.
 func (a *Account) Stalled(now time.Duration) []work.Run {
 	var all []work.Run
 	for r, e := range a.runs {
-		if e.Stalled || e.State != Running {
+		if e.Stalled || e.State != Running || now-e.SentAt < startAllowance {
 			continue
 		}
-		age := now - e.SentAt
-		still := now-e.movedAt > stallAfter && age > stallAfter
-		slow := age > startAllowance && float64(age) > stallSlow*float64(e.Estimate) && e.percent < 90
-		if still || (slow && a.Speed() < 1/stallSlow) {
+		still := now-e.movedAt > stallAfter
+		if still || a.betterElsewhere(e) {
 			e.Stalled = true
 			all = append(all, r)
 		}
 	}
 	return all
 }
+
+// betterElsewhere tells whether a run at a slow endpoint would be done earlier
+// if it began again at a sound one.
+func (a *Account) betterElsewhere(e *Entry) bool {
+	speed := a.Speed()
+	if speed >= slowSpeed {
+		return false
+	}
+	left := (1 - e.percent/100) * e.Estimate.Seconds() / max(speed, 0.01)
+	return left > (e.Estimate + moveCost).Seconds()
+}
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -24,6 +25,8 @@
 	estimate time.Duration
 	// until is when the order gives up waiting for room.
 	until time.Duration
+	// due is when it has to start to be in time.
+	due time.Duration
 }
 
 func newOrder(owner string, o *pb.RunOrder, now time.Duration) *order {
@@ -35,9 +38,23 @@
 		need:     work.Resources{CPU: int64(o.GetCpuMilli()), MemoryMB: int64(o.GetMemoryMb()), GPUs: int64(o.GetGpus())},
 		estimate: time.Duration(o.GetEstimateUs()) * time.Microsecond,
 		until:    now + time.Duration(o.GetPatienceUs())*time.Microsecond,
+		due:      now + time.Duration(o.GetSlackUs())*time.Microsecond,
 	}
 }
 
+// compare puts orders that can still be in time first, and among them the one
+// that is due first.
+func (o *order) compare(p *order, now time.Duration) int {
+	late, otherLate := o.due < now, p.due < now
+	if late != otherLate {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(o.due, p.due)
+}
+
 // allowed tells whether the policy and the endpoint's state allow the order.
 func (r *Runner) allowed(o *order) result.Code {
 	p := r.policy.State()
@@ -80,7 +97,7 @@
 		r.refuse(o, code)
 		return
 	}
-	if r.hasRoom(o, now) {
+	if len(r.waiting) == 0 && r.hasRoom(o, now) {
 		r.begin(o, now)
 		return
 	}
@@ -89,6 +106,7 @@
 		return
 	}
 	r.waiting = append(r.waiting, o)
+	r.startWaiting(now)
 }
 
 // begin takes room for the order and sends it to the endpoint.
@@ -110,7 +128,7 @@
 	if len(r.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(r.waiting, func(a, b *order) int { return int(a.until - b.until) })
+	slices.SortStableFunc(r.waiting, func(a, b *order) int { return a.compare(b, now) })
 	var kept []*order
 	waiting := r.waiting
 	r.waiting = nil
@@ -188,32 +206,25 @@
 			task, _ := work.ParseTask(o.run.Task)
 			s.health.Failed(task.Job, now)
 		}
-		s.account.Refused(o.run)
+		s.account.Refused(o.run, now)
 		r.tell(o.owner, runEvent(o.run, endRefused, code, 0))
 		r.startWaiting(now)
 	}
 	r.publish()
 }
 
-// resolveWait is the time for a renewal to list a run whose start got no
-// answer.
-const resolveWait = 2 * renewWait
-
-// resolve waits for a renewal to list a run without an answer; otherwise it
-// stops the run, so that it can't appear later.
+// resolve finds out what became of a start without an answer: a run that the
+// endpoint lists goes on, any other is stopped, so that it can't appear later.
 func (r *Runner) resolve(s *session, run work.Run) {
-	if !clock.Sleep(r.base, resolveWait) {
-		return
-	}
+	r.lookNow(s)
 	r.mu.Lock()
 	e, found := s.account.Get(run)
-	if !found || e.State != room.Doubtful {
-		r.mu.Unlock()
-		return
-	}
-	s.account.Stop(run)
+	doubtful := found && e.State == room.Doubtful && s.account.Stop(run)
 	r.mu.Unlock()
-	r.orderStop(s, run)
+	if doubtful {
+		r.orderStop(s, run)
+		r.lookNow(s)
+	}
 }
 
 // orderStop orders a stop until it is acknowledged or the run is gone.
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -16,7 +16,7 @@
 const (
 	// leaseShare is the part of the longest lease that is asked for: what
 	// remains is the time in which a lost endpoint is known to have stopped.
-	leaseShare = 0.8
+	leaseShare = 0.5
 	// renewWait is how long the endpoint may wait for an end before it
 	// answers a renewal.
 	renewWait = 100 * time.Millisecond
@@ -25,7 +25,7 @@
 	// renewPause is the pause after a renewal that failed.
 	renewPause = 20 * time.Millisecond
 	// orderTimeout is the time for the answer to a start or a stop.
-	orderTimeout = 80 * time.Millisecond
+	orderTimeout = 40 * time.Millisecond
 	// reachable is how old the last answer of the endpoint may be for a
 	// start to be ordered.
 	reachable = 300 * time.Millisecond
@@ -120,6 +120,19 @@
 	}
 }
 
+// lookNow asks the endpoint for its runs beside the renewals.
+func (r *Runner) lookNow(s *session) {
+	asked := clock.Boot()
+	renewal := r.renewal(s, asked)
+	renewal.Wait = 0
+	ctx, cancel := context.WithTimeout(r.base, orderTimeout)
+	look, err := s.client.Look(ctx, renewal)
+	cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renewed(s, look, err, asked)
+}
+
 func (r *Runner) renewal(s *session, now time.Duration) work.Renewal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
