--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -46,8 +46,9 @@
 	// percent and percentAt are the last progress that was listed.
 	percent   float64
 	percentAt time.Duration
-	// movedAt is when progress was last seen.
-	movedAt time.Duration
+	// stillFrom and stillTo are the first and the last look that showed no
+	// progress since the one before; zero while there is progress.
+	stillFrom, stillTo time.Duration
 	// Stalled is set once the run was reported as standing still.
 	Stalled bool
 }
@@ -126,7 +127,7 @@
 	if _, found := a.runs[e.Run]; found {
 		return false
 	}
-	e.State, e.SentAt, e.movedAt, e.percentAt = Sent, now, now, now
+	e.State, e.SentAt, e.percentAt = Sent, now, now
 	a.runs[e.Run] = &e
 	a.used = a.used.Plus(e.Need)
 	return true
--- a/internal/room/speed.go
+++ b/internal/room/speed.go
@@ -19,9 +19,9 @@
 	slowSpeed = 0.4
 	// moveCost is the time that a move takes beside the work itself.
 	moveCost = 30 * time.Millisecond
-	// stallAfter is the time without any progress after which a run is held
-	// to stand still.
-	stallAfter = 250 * time.Millisecond
+	// stallAfter is the time between looks without any progress after which a
+	// run is held to stand still.
+	stallAfter = 180 * time.Millisecond
 )
 
 // speed estimates how fast an endpoint works against the estimates: the work
@@ -58,9 +58,7 @@
 
 // progress notes what share of a run is done.
 func (s *speed) progress(e *Entry, percent float64, now time.Duration) {
-	if percent > e.percent {
-		e.movedAt = now
-	}
+	e.still(percent <= e.percent, now)
 	interval := now - e.percentAt
 	if interval < minInterval || now-e.SentAt < startAllowance {
 		return
@@ -70,6 +68,19 @@
 	e.percent, e.percentAt = percent, now
 }
 
+// still notes whether a look showed progress. A time without any look says
+// nothing about the run.
+func (e *Entry) still(is bool, now time.Duration) {
+	switch {
+	case !is:
+		e.stillFrom, e.stillTo = 0, 0
+	case e.stillFrom == 0:
+		e.stillFrom, e.stillTo = now, now
+	default:
+		e.stillTo = now
+	}
+}
+
 // ended notes that a run is done.
 func (s *speed) ended(e *Entry, now time.Duration) {
 	left := time.Duration((100 - e.percent) / 100 * float64(e.Estimate))
@@ -91,8 +102,7 @@
 		if e.Stalled || e.State != Running || now-e.SentAt < startAllowance {
 			continue
 		}
-		still := now-e.movedAt > stallAfter
-		if still || a.betterElsewhere(e) {
+		if e.stillTo-e.stillFrom > stallAfter || a.betterElsewhere(e) {
 			e.Stalled = true
 			all = append(all, r)
 		}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -20,10 +20,10 @@
 	// renewWait is how long the endpoint may wait for an end before it
 	// answers a renewal.
 	renewWait = 100 * time.Millisecond
-	// renewTimeout is the time for the answer beside renewWait.
-	renewTimeout = 120 * time.Millisecond
-	// renewPause is the pause after a renewal that failed.
-	renewPause = 20 * time.Millisecond
+	// renewTimeout is the time for the answer beside the wait.
+	renewTimeout = 50 * time.Millisecond
+	// renewPause is the pause after a call that failed.
+	renewPause = 10 * time.Millisecond
 	// orderTimeout is the time for the answer to a start or a stop.
 	orderTimeout = 40 * time.Millisecond
 	// reachable is how old the last answer of the endpoint may be for a
@@ -103,10 +103,11 @@
 
 // renewLoop keeps the lease alive and takes over what the endpoint lists.
 func (r *Runner) renewLoop(ctx context.Context, s *session) {
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		asked := clock.Boot()
-		callCtx, cancel := context.WithTimeout(ctx, renewWait+renewTimeout)
-		look, err := s.client.Renew(callCtx, r.renewal(s, asked))
+		callCtx, cancel := context.WithTimeout(ctx, wait+renewTimeout)
+		look, err := s.client.Renew(callCtx, r.renewal(s, asked, wait))
 		cancel()
 		if ctx.Err() != nil {
 			return
@@ -114,8 +115,11 @@
 		r.mu.Lock()
 		r.renewed(s, look, err, asked)
 		r.mu.Unlock()
-		if err != nil && !clock.Sleep(ctx, renewPause) {
-			return
+		// After a renewal that failed the next must not wait: the lease runs.
+		wait = renewWait
+		if err != nil {
+			wait = 0
+			clock.Sleep(ctx, renewPause)
 		}
 	}
 }
@@ -123,8 +127,7 @@
 // lookNow asks the endpoint for its runs beside the renewals.
 func (r *Runner) lookNow(s *session) {
 	asked := clock.Boot()
-	renewal := r.renewal(s, asked)
-	renewal.Wait = 0
+	renewal := r.renewal(s, asked, 0)
 	ctx, cancel := context.WithTimeout(r.base, orderTimeout)
 	look, err := s.client.Look(ctx, renewal)
 	cancel()
@@ -133,10 +136,9 @@
 	r.renewed(s, look, err, asked)
 }
 
-func (r *Runner) renewal(s *session, now time.Duration) work.Renewal {
+func (r *Runner) renewal(s *session, now, wait time.Duration) work.Renewal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	wait := renewWait
 	if !s.account.Open() {
 		wait = 0
 	}
