--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -97,12 +97,17 @@
 	t.state = taskQueued
 }
 
+// maxMoves bounds how often a task is moved: one that is slow everywhere takes
+// longer by itself.
+const maxMoves = 2
+
 // stalled moves a run that stands still to another endpoint.
 func (d *Dispatcher) stalled(r *runner, t *task) {
-	if t.moving || t.job.answered {
+	if t.moving || t.job.answered || t.moves >= maxMoves {
 		return
 	}
 	t.moving = true
+	t.moves++
 	t.job.avoid[r.node.Name] = true
 	d.log.Info("task: stalled, to be moved", zap.String("task", t.name), zap.Uint64("attempt", t.attempt), zap.String("runner", r.node.Name))
 	d.stopRun(t)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -37,6 +37,8 @@
 	failures int
 	// moving is set while the run is being stopped to start elsewhere.
 	moving bool
+	// moves counts the runs that were stopped to start elsewhere.
+	moves int
 }
 
 func (t *task) run() work.Run { return work.Run{Task: t.name, Attempt: t.attempt} }
--- a/internal/dispatch/operators.go
+++ b/internal/dispatch/operators.go
@@ -77,10 +77,13 @@
 	if all {
 		f.state = &policy.State{}
 	}
-	f.at = c.Revision
 	if !all && len(c.Entries)+len(c.Deleted) == 0 {
+		// The revision of an answer without changes is not trusted: a watch
+		// may have missed what was written meanwhile. Asking again from the
+		// last change costs the same.
 		return nil
 	}
+	f.at = c.Revision
 	f.apply(c)
 	return nil
 }
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -102,7 +102,9 @@
 		for _, bad := range d.book.Apply(c, at == 0, time.Now()) {
 			d.log.Warn("directory: bad record", zap.Error(bad))
 		}
-		at = c.Revision
+		if at == 0 || len(c.Entries)+len(c.Deleted) > 0 {
+			at = c.Revision
+		}
 	}
 }
 
--- a/internal/room/health.go
+++ b/internal/room/health.go
@@ -49,14 +49,9 @@
 	return h.suspect(now)
 }
 
-// Slow notes the endpoint's speed while it has work. It returns true when the
-// endpoint becomes suspected by it.
-func (h *Health) Slow(speed float64, now time.Duration) bool {
-	if speed >= suspectSpeed {
-		return false
-	}
-	return h.suspect(now)
-}
+// Slow notes that the endpoint is slow. It returns true when the endpoint
+// becomes suspected by it.
+func (h *Health) Slow(now time.Duration) bool { return h.suspect(now) }
 
 func (h *Health) suspect(now time.Duration) bool {
 	if h.Resting(now) {
--- a/internal/room/speed.go
+++ b/internal/room/speed.go
@@ -1,14 +1,15 @@
 package room
 
 import (
+	"math"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/work"
 )
 
 const (
-	// speedMemory is the work time after which an older sample counts half.
-	speedMemory = 600 * time.Millisecond
+	// speedMemory is the time in which the weight of a sample falls to 1/e.
+	speedMemory = 150 * time.Millisecond
 	// minInterval is the least time between two samples of one run.
 	minInterval = 40 * time.Millisecond
 	// startAllowance is the time after a start order in which no progress is
@@ -25,27 +26,30 @@
 )
 
 // speed estimates how fast an endpoint works against the estimates: the work
-// that its runs got done over the time they took.
+// that its runs got done over the time they took, both fading with time.
 type speed struct {
-	// done and took are decaying sums of work at speed 1 and of time.
 	done, took float64
+	// at is when the sums were last brought up to date.
+	at time.Duration
 }
 
-// priorSpeed is the weight of speed 1 before the first samples.
-const priorSpeed = 0.3
+// priorSpeed is the weight of speed 1 before the first samples, in seconds.
+const priorSpeed = 0.05
 
 func newSpeed() speed {
 	return speed{done: priorSpeed, took: priorSpeed}
 }
 
 // add takes a sample over.
-func (s *speed) add(work, took time.Duration) {
+func (s *speed) add(work, took, now time.Duration) {
+	if now > s.at {
+		fade := math.Exp(-float64(now-s.at) / float64(speedMemory))
+		s.done *= fade
+		s.took *= fade
+		s.at = now
+	}
 	s.done += work.Seconds()
 	s.took += took.Seconds()
-	if limit := speedMemory.Seconds() * 2; s.took > limit {
-		s.done *= limit / s.took
-		s.took = limit
-	}
 }
 
 // value is the endpoint's speed; 1 is that of the estimates.
@@ -64,7 +68,7 @@
 		return
 	}
 	done := time.Duration((percent - e.percent) / 100 * float64(e.Estimate))
-	s.add(max(done, 0), interval)
+	s.add(max(done, 0), interval, now)
 	e.percent, e.percentAt = percent, now
 }
 
@@ -84,12 +88,29 @@
 // ended notes that a run is done.
 func (s *speed) ended(e *Entry, now time.Duration) {
 	left := time.Duration((100 - e.percent) / 100 * float64(e.Estimate))
-	s.add(left, now-e.percentAt)
+	s.add(left, now-e.percentAt, now)
 }
 
 // Speed is the endpoint's speed against the estimates.
 func (a *Account) Speed() float64 { return a.speed.value() }
 
+// slowJobs is how many jobs must have runs at an endpoint for it to be held
+// to be slow: a single one may take longer by itself.
+const slowJobs = 2
+
+// Slow tells whether the endpoint works far slower than the estimates say.
+func (a *Account) Slow() bool {
+	if a.Speed() >= suspectSpeed {
+		return false
+	}
+	jobs := map[string]bool{}
+	for r := range a.runs {
+		task, _ := work.ParseTask(r.Task)
+		jobs[task.Job] = true
+	}
+	return len(jobs) >= slowJobs
+}
+
 // Decay lets old evidence fade while nothing runs, so that an endpoint that
 // was slow or failing is tried again.
 func (a *Account) Decay() { a.speed = newSpeed() }
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -241,7 +241,7 @@
 // checkStalled reports runs that stand still and rests the endpoint if it is
 // the cause.
 func (r *Runner) checkStalled(s *session, now time.Duration) {
-	if s.account.Runs() > 0 && s.health.Slow(s.account.Speed(), now) {
+	if s.account.Slow() && s.health.Slow(now) {
 		r.log.Warn("endpoint: suspected, too slow", zap.String("life", s.endpoint.Life()),
 			zap.Float64("speed", s.account.Speed()), zap.Int("running", s.account.Runs()))
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -84,19 +84,30 @@
 		answer(w, refuse(result.Malformed, err.Error()))
 		return
 	}
-	if _, ok := s.faults.hit(Unavailable, client, k); ok {
+	resp, served := s.Do(r.Context(), client, k, req)
+	if !served {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	answer(w, resp)
+}
+
+// Do executes one call of a client under the faults in force. It returns false
+// for a call that is refused without an effect, and panics with
+// http.ErrAbortHandler where the connection is to be cut.
+func (s *Server) Do(ctx context.Context, client string, k wire.Kind, req wire.Request) (resp wire.Response, served bool) {
+	if _, ok := s.faults.hit(Unavailable, client, k); ok {
+		return wire.Response{}, false
+	}
 	s.outage(client, k)
 	if f, ok := s.faults.hit(Delay, client, k); ok {
 		s.sleep(f.delay())
 	}
-	resp := s.execute(r.Context(), client, k, req)
+	resp = s.execute(ctx, client, k, req)
 	if _, ok := s.faults.hit(LoseAnswers, client, k); ok {
 		cut()
 	}
-	answer(w, resp)
+	return resp, true
 }
 
 // outage cuts the call when an outage hits it.
