--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -17,9 +17,7 @@
 
 func need(cpu int64) work.Resources { return work.Resources{CPU: cpu, MemoryMB: 10} }
 
-func run(name string, attempt uint64) work.Run {
-	return work.Run{Task: name + ".0.0.0", Attempt: attempt}
-}
+func run(name string) work.Run { return work.Run{Task: name + ".0.0.0", Attempt: 1} }
 
 // surveyed is an account whose endpoint has listed nothing.
 func surveyed() *Account {
@@ -44,24 +42,24 @@
 func TestNothingFitsBeforeTheSurvey(t *testing.T) {
 	a := New(big)
 	must.False(t, a.Fits(need(1)))
-	a.Look(listed(run("old", 1)), 1*ms, 2*ms)
+	a.Look(listed(run("old")), 1*ms, 2*ms)
 	must.False(t, a.Fits(need(1)), must.Sprint("a run of unknown size is there"))
-	must.Eq(t, []work.Run{run("old", 1)}, a.Strangers())
+	must.Eq(t, []work.Run{run("old")}, a.Strangers())
 	a.Look(work.Look{}, 3*ms, 4*ms)
 	must.True(t, a.Fits(need(1)))
 }
 
 func TestRoomIsTakenUntilTheEndIsListed(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 6000, 10*ms)
+	add(t, a, run("a"), 6000, 10*ms)
 	must.False(t, a.Fits(need(6000)))
-	a.Accepted(run("a", 1), 11*ms)
-	must.True(t, a.Stop(run("a", 1)))
-	a.StopAcked(run("a", 1), 20*ms)
+	a.Accepted(run("a"), 11*ms)
+	must.True(t, a.Stop(run("a")))
+	a.StopAcked(run("a"), 20*ms)
 	must.False(t, a.Fits(need(6000)), must.Sprint("what is being stopped still counts"))
-	a.Look(listed(run("a", 1)), 21*ms, 22*ms)
+	a.Look(listed(run("a")), 21*ms, 22*ms)
 	must.False(t, a.Fits(need(6000)))
-	gone := a.Look(work.Look{Ended: []work.Ended{{Number: 1, Run: run("a", 1), End: work.EndStopped}}}, 40*ms, 41*ms)
+	gone := a.Look(work.Look{Ended: []work.Ended{{Number: 1, Run: run("a"), End: work.EndStopped}}}, 40*ms, 41*ms)
 	must.Len(t, 1, gone)
 	must.Eq(t, work.EndStopped, gone[0].End)
 	must.True(t, a.Fits(need(6000)))
@@ -72,14 +70,14 @@
 // after a stop of it was acknowledged, and a look that left later.
 func TestUnansweredStartKeepsItsRoom(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 6000, 10*ms)
-	must.True(t, a.Unanswered(run("a", 1)))
+	add(t, a, run("a"), 6000, 10*ms)
+	must.True(t, a.Unanswered(run("a")))
 	a.Look(work.Look{}, 60*ms, 61*ms)
 	must.False(t, a.Fits(need(6000)), must.Sprint("the start may still be carried out"))
-	must.True(t, a.Stop(run("a", 1)))
+	must.True(t, a.Stop(run("a")))
 	a.Look(work.Look{}, 70*ms, 90*ms)
 	must.False(t, a.Fits(need(6000)), must.Sprint("the stop was not acknowledged"))
-	a.StopAcked(run("a", 1), 80*ms)
+	a.StopAcked(run("a"), 80*ms)
 	a.Look(work.Look{}, 75*ms, 95*ms)
 	must.False(t, a.Fits(need(6000)), must.Sprint("this look left before the acknowledgement"))
 	gone := a.Look(work.Look{}, 81*ms, 96*ms)
@@ -91,10 +89,10 @@
 // The answer of a start may be lost though the run goes on.
 func TestListedRunIsNotDoubtful(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 6000, 10*ms)
-	a.Unanswered(run("a", 1))
-	a.Look(listed(run("a", 1)), 60*ms, 61*ms)
-	e, found := a.Get(run("a", 1))
+	add(t, a, run("a"), 6000, 10*ms)
+	a.Unanswered(run("a"))
+	a.Look(listed(run("a")), 60*ms, 61*ms)
+	e, found := a.Get(run("a"))
 	must.True(t, found)
 	must.Eq(t, Running, e.State)
 }
@@ -103,27 +101,27 @@
 // count as a run of unknown origin.
 func TestOvertakenLookListsNoStranger(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 1000, 10*ms)
-	a.Accepted(run("a", 1), 11*ms)
-	a.Look(work.Look{Ended: []work.Ended{{Number: 1, Run: run("a", 1), End: work.EndDone}}}, 50*ms, 52*ms)
-	a.Look(listed(run("a", 1)), 40*ms, 53*ms)
+	add(t, a, run("a"), 1000, 10*ms)
+	a.Accepted(run("a"), 11*ms)
+	a.Look(work.Look{Ended: []work.Ended{{Number: 1, Run: run("a"), End: work.EndDone}}}, 50*ms, 52*ms)
+	a.Look(listed(run("a")), 40*ms, 53*ms)
 	must.True(t, a.Open())
-	a.Look(listed(run("a", 1)), 60*ms, 61*ms)
+	a.Look(listed(run("a")), 60*ms, 61*ms)
 	must.False(t, a.Open(), must.Sprint("it appeared again after its end"))
 }
 
 func TestEndsAreTakenOnce(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 1000, 10*ms)
-	ended := work.Look{Ended: []work.Ended{{Number: 1, Run: run("a", 1), End: work.EndDone}}}
+	add(t, a, run("a"), 1000, 10*ms)
+	ended := work.Look{Ended: []work.Ended{{Number: 1, Run: run("a"), End: work.EndDone}}}
 	must.Len(t, 1, a.Look(ended, 20*ms, 21*ms))
 	must.Len(t, 0, a.Look(ended, 30*ms, 31*ms))
 }
 
 func TestAcceptedRunThatIsNotListedIsGone(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 1000, 10*ms)
-	a.Accepted(run("a", 1), 30*ms)
+	add(t, a, run("a"), 1000, 10*ms)
+	a.Accepted(run("a"), 30*ms)
 	must.Len(t, 0, a.Look(work.Look{}, 20*ms, 31*ms), must.Sprint("the look left before the start was accepted"))
 	must.Len(t, 1, a.Look(work.Look{}, 40*ms, 41*ms))
 }
@@ -132,23 +130,23 @@
 // taken to stand still.
 func TestSilenceIsNotAStall(t *testing.T) {
 	a := surveyed()
-	must.True(t, a.Add(Entry{Run: run("a", 1), Need: need(1000), Estimate: time.Second}, 0))
-	a.Accepted(run("a", 1), 1*ms)
-	a.Look(work.Look{Running: []work.Listed{{Run: run("a", 1), Percent: 10}}}, 99*ms, 100*ms)
+	must.True(t, a.Add(Entry{Run: run("a"), Need: need(1000), Estimate: time.Second}, 0))
+	a.Accepted(run("a"), 1*ms)
+	a.Look(work.Look{Running: []work.Listed{{Run: run("a"), Percent: 10}}}, 99*ms, 100*ms)
 	must.SliceEmpty(t, a.Stalled(100*ms))
 	must.SliceEmpty(t, a.Stalled(700*ms), must.Sprint("no look in 600 ms says nothing of the run"))
-	a.Look(work.Look{Running: []work.Listed{{Run: run("a", 1), Percent: 70}}}, 700*ms, 701*ms)
+	a.Look(work.Look{Running: []work.Listed{{Run: run("a"), Percent: 70}}}, 700*ms, 701*ms)
 	must.SliceEmpty(t, a.Stalled(701*ms))
 }
 
 func TestRunWithoutProgressIsStalledOnce(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 1000, 0)
-	a.Accepted(run("a", 1), 1*ms)
+	add(t, a, run("a"), 1000, 0)
+	a.Accepted(run("a"), 1*ms)
 	for at := 50 * ms; at <= 350*ms; at += 50 * ms {
-		a.Look(work.Look{Running: []work.Listed{{Run: run("a", 1), Percent: 10}}}, at-ms, at)
+		a.Look(work.Look{Running: []work.Listed{{Run: run("a"), Percent: 10}}}, at-ms, at)
 	}
-	must.Eq(t, []work.Run{run("a", 1)}, a.Stalled(350*ms))
+	must.Eq(t, []work.Run{run("a")}, a.Stalled(350*ms))
 	must.SliceEmpty(t, a.Stalled(400*ms))
 }
 
@@ -157,7 +155,7 @@
 func TestSlowEndpointGivesRunsUp(t *testing.T) {
 	const slowFrom, slowBy = 250 * ms, 6
 	a := surveyed()
-	long, short := run("long", 1), run("short", 1)
+	long, short := run("long"), run("short")
 	estimates := map[work.Run]time.Duration{long: 900 * ms, short: 300 * ms}
 	for r, estimate := range estimates {
 		must.True(t, a.Add(Entry{Run: r, Need: need(100), Estimate: estimate}, 0))
@@ -185,7 +183,7 @@
 
 func TestClearedRoomNeedsASurvey(t *testing.T) {
 	a := surveyed()
-	add(t, a, run("a", 1), 1000, 10*ms)
+	add(t, a, run("a"), 1000, 10*ms)
 	must.Len(t, 1, a.Clear(20*ms))
 	a.Reopen()
 	must.False(t, a.Fits(need(1)))
@@ -203,7 +201,7 @@
 			now += ms
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
-				r := run(fmt.Sprint("t", i), 1)
+				r := run(fmt.Sprint("t", i))
 				if a.Fits(need(1000)) && a.Add(Entry{Run: r, Need: need(1000)}, now) {
 					known = append(known, r)
 				}
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -146,15 +146,16 @@
 	mute   bool
 }
 
-// dial opens a stream, sends the policy and keeps heartbeats going.
-func (h *host) dial(name, incarnation string) *dispatcher {
+// dial opens the stream of a life of the dispatcher "d", sends the policy and
+// keeps heartbeats going.
+func (h *host) dial(incarnation string) *dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.t.Cleanup(cancel)
 	c := process.NewStreamClient()
 	h.t.Cleanup(c.CloseIdleConnections)
 	d := &dispatcher{t: h.t, cancel: cancel, events: map[string]*pb.RunEvent{}}
 	d.stream = pomelosillv1connect.NewRunnerServiceClient(c, "http://"+h.link).Link(ctx)
-	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: name, Incarnation: incarnation}))
+	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: incarnation}))
 	first, err := d.stream.Receive()
 	must.NoError(h.t, err)
 	d.held = first.GetHeld()
@@ -258,7 +259,7 @@
 
 func TestRunIsStartedAndReported(t *testing.T) {
 	h := newHost(t, 50*time.Millisecond, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	d.ends(d.order("a", 1, 0), done)
 	h.sound()
@@ -267,7 +268,7 @@
 // Room for two: the third order waits, the fourth has no time to.
 func TestOrdersWaitForRoom(t *testing.T) {
 	h := newHost(t, 150*time.Millisecond, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	first, second := d.order("a", 1, 0), d.order("b", 1, 0)
 	third, fourth := d.order("c", 1, time.Second), d.order("e", 1, 0)
@@ -299,7 +300,7 @@
 			return platformtest.None
 		}
 	})
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	for i := range 30 {
 		job := "j" + strconv.Itoa(i)
@@ -319,7 +320,7 @@
 // their jobs through another.
 func TestSilentDispatchersRunsAreStopped(t *testing.T) {
 	h := newHost(t, time.Hour, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	d.order("a", 1, 0)
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
@@ -335,7 +336,7 @@
 // nothing.
 func TestLateHeartbeatProlongsNothing(t *testing.T) {
 	h := newHost(t, time.Hour, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	d.order("a", 1, 0)
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
@@ -353,25 +354,25 @@
 
 func TestRestartedDispatchersRunsAreStopped(t *testing.T) {
 	h := newHost(t, time.Hour, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	d.order("a", 1, 0)
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
 	d.cancel()
-	h.dial("d", "2")
+	h.dial("2")
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 0 }))
 }
 
 // A connection that breaks loses no event and no run.
 func TestReconnectedDispatcherGetsItsEvents(t *testing.T) {
 	h := newHost(t, 200*time.Millisecond, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	run := d.order("a", 1, 0)
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
 	d.cancel()
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 0 }))
-	again := h.dial("d", "1")
+	again := h.dial("1")
 	must.Len(t, 1, again.held)
 	again.ends(run, done)
 }
@@ -380,7 +381,7 @@
 // only then.
 func TestRestartedRunnerTakesOver(t *testing.T) {
 	h := newHost(t, 400*time.Millisecond, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	d.order("a", 1, 0)
 	d.order("b", 1, 0)
@@ -389,7 +390,7 @@
 	h.endpoint.Stall(true)
 	h.kill()
 	h.start()
-	again := h.dial("d", "1")
+	again := h.dial("1")
 	again.ready()
 	must.Eq(t, 0, h.endpoint.Running())
 	h.endpoint.Stall(false)
@@ -399,7 +400,7 @@
 
 func TestRefusals(t *testing.T) {
 	h := newHost(t, time.Hour, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	d.tell(&pb.DispatcherFrame{Policy: &pb.Policy{Revision: 2, Config: []byte(config), Evacuated: []string{domain}}})
 	must.Eq(t, uint32(result.OutOfService), d.ends(d.order("a", 1, 0), refused).GetCode())
@@ -416,7 +417,7 @@
 // A heartbeat from before, delivered late, must not bring the endpoint back.
 func TestOldHeartbeatChangesNothing(t *testing.T) {
 	h := newHost(t, time.Hour, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	old := h.endpoint.Heartbeat(h.sequence, "ready")
 	h.beat("draining")
@@ -432,7 +433,7 @@
 // The end of the endpoint's process ends its runs.
 func TestCrashedEndpointsRunsAreLost(t *testing.T) {
 	h := newHost(t, time.Hour, nil)
-	d := h.dial("d", "1")
+	d := h.dial("1")
 	d.ready()
 	run := d.order("a", 1, 0)
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
