Send an unanswered start again; leave a lone long job where it is

Change: the endpoint takes the same start twice for one, so it is sent again after 18 ms; moving for slowness takes two jobs' evidence; a link is reported when it is lost, not at each redial.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,6 +60,8 @@
 	pending  map[uint64]work.Resources
 	numbers  uint64
 	revision uint64
+	// connections counts the streams that were opened.
+	connections atomic.Int64
 }
 
 func newRunner(n directory.Node) *runner {
@@ -121,12 +124,12 @@
 	d.mu.Unlock()
 	pause := firstRedial
 	for ctx.Err() == nil {
-		began := clock.Boot()
+		before := r.connections.Load()
 		err := d.runLink(ctx, r, n.Address)
-		if clock.Boot()-began > time.Second {
+		if r.connections.Load() > before {
 			pause = firstRedial
+			d.log.Warn("link: runner disconnected", zap.String("runner", n.Name), zap.Error(err))
 		}
-		d.log.Info("link: runner disconnected", zap.String("runner", n.Name), zap.Error(err), zap.Duration("again_in", pause))
 		clock.Sleep(ctx, pause)
 		pause = min(2*pause, longestRedial)
 	}
@@ -185,6 +188,7 @@
 		r.inherited = true
 	}
 	r.incarnation = first.GetIncarnation()
+	r.connections.Add(1)
 	r.out = outbox.New[*pb.DispatcherFrame]()
 	r.pending, r.numbers, r.revision = map[uint64]work.Resources{}, 0, 0
 	d.takeBeat(r, first, now)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -13,10 +13,10 @@
 
 func first0(int) int { return 0 }
 
-func endpoint(name string, free, capacity int64) Endpoint {
+func endpoint(name string, free int64) Endpoint {
 	return Endpoint{
 		Name: name, Service: "s", Speed: 1, Healthy: true,
-		Free: work.Resources{CPU: free}, Capacity: work.Resources{CPU: capacity},
+		Free: work.Resources{CPU: free}, Capacity: work.Resources{CPU: replayRoom * replayTasks},
 	}
 }
 
@@ -34,11 +34,11 @@
 }
 
 func TestChoose(t *testing.T) {
-	slow := endpoint("slow", 9000, 10_000)
+	slow := endpoint("slow", 9000)
 	slow.Speed = 0.3
-	trial := endpoint("trial", 9000, 10_000)
+	trial := endpoint("trial", 9000)
 	trial.Healthy = false
-	other := endpoint("other", 9000, 10_000)
+	other := endpoint("other", 9000)
 	other.Service = "another"
 	cases := []struct {
 		name      string
@@ -46,19 +46,19 @@
 		endpoints []Endpoint
 		want      map[string]int
 	}{
-		{"a job stays together", wish(4), []Endpoint{endpoint("a", 2000, 10_000), endpoint("b", 4000, 10_000)}, map[string]int{"b": 4}},
-		{"the rest goes to the next", wish(6), []Endpoint{endpoint("a", 2000, 10_000), endpoint("b", 4000, 10_000)}, map[string]int{"a": 2, "b": 4}},
+		{"a job stays together", wish(4), []Endpoint{endpoint("a", 2000), endpoint("b", 4000)}, map[string]int{"b": 4}},
+		{"the rest goes to the next", wish(6), []Endpoint{endpoint("a", 2000), endpoint("b", 4000)}, map[string]int{"a": 2, "b": 4}},
 		{"another service gets nothing", wish(1), []Endpoint{other}, map[string]int{}},
-		{"slow ones come last", wish(2), []Endpoint{slow, endpoint("a", 1000, 10_000)}, map[string]int{"a": 1, "slow": 1}},
-		{"one task proves an endpoint", wish(2), []Endpoint{trial, endpoint("a", 0, 10_000)}, map[string]int{"trial": 1, "a": 1}},
-		{"what doesn't fit waits where the queue is shortest", wish(3), []Endpoint{endpoint("a", -2000, 10_000), endpoint("b", 0, 10_000)}, map[string]int{"b": 2, "a": 1}},
-		{"queues are bounded", wish(30), []Endpoint{endpoint("a", 0, 10_000)}, map[string]int{"a": 5}},
-		{"what can't fit doesn't wait", &Wish{Service: "s", Need: work.Resources{CPU: 20_000}, Count: 1}, []Endpoint{endpoint("a", 0, 10_000)}, map[string]int{}},
+		{"slow ones come last", wish(2), []Endpoint{slow, endpoint("a", 1000)}, map[string]int{"a": 1, "slow": 1}},
+		{"one task proves an endpoint", wish(2), []Endpoint{trial, endpoint("a", 0)}, map[string]int{"trial": 1, "a": 1}},
+		{"what doesn't fit waits where the queue is shortest", wish(3), []Endpoint{endpoint("a", -2000), endpoint("b", 0)}, map[string]int{"b": 2, "a": 1}},
+		{"queues are bounded", wish(30), []Endpoint{endpoint("a", 0)}, map[string]int{"a": 5}},
+		{"what can't fit doesn't wait", &Wish{Service: "s", Need: work.Resources{CPU: 20_000}, Count: 1}, []Endpoint{endpoint("a", 0)}, map[string]int{}},
 		{"avoided ones come last", &Wish{Service: "s", Need: work.Resources{CPU: 1000}, Count: 1, Avoid: map[string]bool{"a": true}},
-			[]Endpoint{endpoint("a", 9000, 10_000), endpoint("b", 1000, 10_000)}, map[string]int{"b": 1}},
+			[]Endpoint{endpoint("a", 9000), endpoint("b", 1000)}, map[string]int{"b": 1}},
 		{"a bound per endpoint", &Wish{Service: "s", Need: work.Resources{CPU: 1000}, Count: 4, MaxPerEndpoint: 2, Present: map[string]int{"a": 1}},
-			[]Endpoint{endpoint("a", 9000, 10_000), endpoint("b", 9000, 10_000)}, map[string]int{"a": 1, "b": 2}},
-		{"a label", &Wish{Service: "s", Need: work.Resources{CPU: 1000}, Count: 1, Label: "x"}, []Endpoint{endpoint("a", 9000, 10_000)}, map[string]int{}},
+			[]Endpoint{endpoint("a", 9000), endpoint("b", 9000)}, map[string]int{"a": 1, "b": 2}},
+		{"a label", &Wish{Service: "s", Need: work.Resources{CPU: 1000}, Count: 1, Label: "x"}, []Endpoint{endpoint("a", 9000)}, map[string]int{}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/place/replay_test.go
+++ b/internal/place/replay_test.go
@@ -88,7 +88,7 @@
 		order: Compare, admit: Admit,
 	}
 	for range replayEndpoints {
-		r.endpoints = append(r.endpoints, endpoint("e", replayRoom*replayTasks, replayRoom*replayTasks))
+		r.endpoints = append(r.endpoints, endpoint("e", replayRoom*replayTasks))
 	}
 	return r
 }
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -177,10 +177,30 @@
 		}
 		stalled = append(stalled, a.Stalled(at)...)
 	}
-	must.Less(t, slowSpeed, a.Speed())
+	must.Less(t, suspectSpeed, a.Speed())
 	must.Eq(t, []work.Run{long}, stalled)
 }
 
+// A lone job that takes longer than its estimate says nothing of the endpoint.
+func TestLoneLongJobIsNotMoved(t *testing.T) {
+	a := surveyed()
+	for i := range 4 {
+		r := work.Run{Task: work.Task{Job: "lone", Index: i}.String(), Attempt: 1}
+		must.True(t, a.Add(Entry{Run: r, Need: need(100), Estimate: 300 * ms}, 0))
+		a.Accepted(r, 1*ms)
+	}
+	for at := 50 * ms; at <= 500*ms; at += 50 * ms {
+		var l work.Look
+		for i := range 4 {
+			r := work.Run{Task: work.Task{Job: "lone", Index: i}.String(), Attempt: 1}
+			l.Running = append(l.Running, work.Listed{Run: r, Percent: at.Seconds() / 1.2 * 100})
+		}
+		a.Look(l, at-ms, at)
+		must.SliceEmpty(t, a.Stalled(at))
+	}
+	must.Less(t, suspectSpeed, a.Speed())
+}
+
 func TestClearedRoomNeedsASurvey(t *testing.T) {
 	a := surveyed()
 	add(t, a, run("a"), 1000, 10*ms)
--- a/internal/room/speed.go
+++ b/internal/room/speed.go
@@ -15,9 +15,6 @@
 	// startAllowance is the time after a start order in which no progress is
 	// expected.
 	startAllowance = 60 * time.Millisecond
-	// slowSpeed is the speed below which runs are moved if they would be
-	// done earlier elsewhere.
-	slowSpeed = 0.4
 	// moveCost is the time that a move takes beside the work itself.
 	moveCost = 30 * time.Millisecond
 	// stallAfter is the time between looks without any progress after which a
@@ -119,11 +116,12 @@
 // began again elsewhere, each once.
 func (a *Account) Stalled(now time.Duration) []work.Run {
 	var all []work.Run
+	slow := a.Slow()
 	for r, e := range a.runs {
 		if e.Stalled || e.State != Running || now-e.SentAt < startAllowance {
 			continue
 		}
-		if e.stillTo-e.stillFrom > stallAfter || a.betterElsewhere(e) {
+		if e.stillTo-e.stillFrom > stallAfter || (slow && a.betterElsewhere(e)) {
 			e.Stalled = true
 			all = append(all, r)
 		}
@@ -131,13 +129,12 @@
 	return all
 }
 
+// leastSpeed bounds the time that is foreseen for a run.
+const leastSpeed = 0.01
+
 // betterElsewhere tells whether a run at a slow endpoint would be done earlier
 // if it began again at a sound one.
 func (a *Account) betterElsewhere(e *Entry) bool {
-	speed := a.Speed()
-	if speed >= slowSpeed {
-		return false
-	}
-	left := (1 - e.percent/100) * e.Estimate.Seconds() / max(speed, 0.01)
+	left := (1 - e.percent/100) * e.Estimate.Seconds() / max(a.Speed(), leastSpeed)
 	return left > (e.Estimate + moveCost).Seconds()
 }
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -177,9 +177,7 @@
 
 // orderStart sends a start and takes its answer over.
 func (r *Runner) orderStart(s *session, o *order, start work.Start) {
-	ctx, cancel := context.WithTimeout(r.base, orderTimeout)
-	err := s.client.Start(ctx, start)
-	cancel()
+	err := r.sendStart(s, start)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.session != s {
@@ -191,7 +189,6 @@
 	case result.OK:
 		s.account.Accepted(o.run, now)
 	case result.OutcomeUnknown, result.EndpointUnreachable, result.EndpointGone:
-		r.log.Info("order: start without an answer", zap.String("task", o.run.Task), zap.Error(err))
 		if s.account.Unanswered(o.run) {
 			go r.resolve(s, o.run)
 		}
@@ -213,6 +210,23 @@
 	r.publish()
 }
 
+// sendStart sends a start until it is answered. The endpoint takes a run that
+// is there already, or has been there, for what it is: sending it again starts
+// nothing twice.
+func (r *Runner) sendStart(s *session, start work.Start) error {
+	var err error
+	for range startTries {
+		ctx, cancel := context.WithTimeout(r.base, startTimeout)
+		err = s.client.Start(ctx, start)
+		cancel()
+		if result.CodeOf(err) != result.OutcomeUnknown {
+			return err
+		}
+		r.log.Info("order: start without an answer", zap.String("task", start.Run.Task), zap.Uint64("attempt", start.Run.Attempt), zap.Error(err))
+	}
+	return err
+}
+
 // resolve finds out what became of a start without an answer: a run that the
 // endpoint lists goes on, any other is stopped, so that it can't appear later.
 func (r *Runner) resolve(s *session, run work.Run) {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -24,8 +24,12 @@
 	renewTimeout = 50 * time.Millisecond
 	// renewPause is the pause after a call that failed.
 	renewPause = 10 * time.Millisecond
-	// orderTimeout is the time for the answer to a start or a stop.
-	orderTimeout = 40 * time.Millisecond
+	// startTimeout is the time for the answer to a start, startTries how often
+	// it is sent.
+	startTimeout = 18 * time.Millisecond
+	startTries   = 3
+	// orderTimeout is the time for the answer to a stop or a look.
+	orderTimeout = 30 * time.Millisecond
 	// reachable is how old the last answer of the endpoint may be for a
 	// start to be ordered.
 	reachable = 300 * time.Millisecond
