Share the times that dispatchers and runners agree on; judge slowness by job

Cause: a dispatcher waited 1.9 s for the runs of a lost runner though the endpoint's lease had been halved; an endpoint with few jobs was suspected because one of them took longer than its estimate.

Errors of silent peers have a code and no stack in the log.

--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
@@ -32,7 +31,7 @@
 	gossipSilent = 1500 * time.Millisecond
 )
 
-var errSilent = errors.New("the peer is silent")
+var errSilent = result.Errorf(result.PeerSilent, "no frame in time")
 
 // firstCause is why ctx was cancelled, or err.
 func firstCause(ctx context.Context, err error) error {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -12,6 +12,7 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/place"
 	"github.com/pomelosill/pomelosill/internal/result"
@@ -25,13 +26,6 @@
 	quietLimit = 220 * time.Millisecond
 	// silentLimit is the silence after which a stream is given up.
 	silentLimit = 400 * time.Millisecond
-	// runnerLease is how long a runner lets runs go on without word from
-	// their dispatcher: runner.dispatcherLease.
-	runnerLease = 600 * time.Millisecond
-	// stopMargin is the time that stopping the runs may take after that.
-	stopMargin = 250 * time.Millisecond
-	// leaseSlack is how much longer than asked an endpoint's lease may last.
-	leaseSlack = 1.05
 )
 
 // runner is one runner as the dispatcher knows it. It belongs to the
@@ -289,7 +283,7 @@
 // checkRunner gives up the runs at a runner that has been out of reach for so
 // long that they have surely been stopped.
 func (d *Dispatcher) checkRunner(r *runner, now time.Duration) {
-	if r.out != nil || len(r.runs) == 0 || now < r.echoedAt+d.goneAfter() {
+	if r.out != nil || len(r.runs) == 0 || now < r.echoedAt+lease.Lost(d.settings.LeaseMax.Std()) {
 		return
 	}
 	d.log.Info("link: runner out of reach, runs given up", zap.String("runner", r.node.Name), zap.Int("runs", len(r.runs)),
@@ -299,13 +293,6 @@
 	}
 }
 
-// goneAfter is the time after the last echoed heartbeat after which a runner
-// has stopped the runs, or its endpoint's lease has run out.
-func (d *Dispatcher) goneAfter() time.Duration {
-	lease := time.Duration(leaseSlack * float64(d.settings.LeaseMax.Std()))
-	return runnerLease + lease + stopMargin
-}
-
 // sendRunner is the stream's only writer after the first frame.
 func (d *Dispatcher) sendRunner(ctx context.Context, r *runner, out *outbox.Outbox[*pb.DispatcherFrame],
 	st *connect.BidiStreamForClient[pb.DispatcherFrame, pb.RunnerFrame]) error {
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -92,6 +92,7 @@
 	NoFreeSlot      Code = 606
 	NotOwner        Code = 607
 	StaleFence      Code = 608
+	PeerSilent      Code = 609
 	Internal        Code = 699
 )
 
@@ -171,6 +172,7 @@
 	{NoFreeSlot, "NoFreeSlot", "The endpoint has no free slot.", EffectNotRun, true, http.StatusConflict},
 	{NotOwner, "NotOwner", "The entry does not own the cell.", EffectNotRun, true, http.StatusMisdirectedRequest},
 	{StaleFence, "StaleFence", "The endpoint has seen a higher fencing token.", EffectNotRun, true, http.StatusConflict},
+	{PeerSilent, "PeerSilent", "The other process sends nothing.", EffectNone, true, http.StatusServiceUnavailable},
 	{Internal, "Internal", "An internal check failed.", EffectMayHaveRun, false, http.StatusInternalServerError},
 }
 
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -46,6 +46,9 @@
 	// percent and percentAt are the last progress that was listed.
 	percent   float64
 	percentAt time.Duration
+	// rate is how fast the run gets on against its estimate, once sampled.
+	rate    float64
+	sampled bool
 	// stillFrom and stillTo are the first and the last look that showed no
 	// progress since the one before; zero while there is progress.
 	stillFrom, stillTo time.Duration
--- a/internal/room/speed.go
+++ b/internal/room/speed.go
@@ -66,9 +66,22 @@
 	}
 	done := time.Duration((percent - e.percent) / 100 * float64(e.Estimate))
 	s.add(max(done, 0), interval, now)
+	e.sample(max(done, 0).Seconds() / interval.Seconds())
 	e.percent, e.percentAt = percent, now
 }
 
+// rateWeight is the weight of the newest sample in a run's own rate.
+const rateWeight = 0.5
+
+// sample notes how fast the run got on since the look before.
+func (e *Entry) sample(rate float64) {
+	if !e.sampled {
+		e.rate, e.sampled = rate, true
+		return
+	}
+	e.rate += rateWeight * (rate - e.rate)
+}
+
 // still notes whether a look showed progress. A time without any look says
 // nothing about the run.
 func (e *Entry) still(is bool, now time.Duration) {
@@ -91,21 +104,36 @@
 // Speed is the endpoint's speed against the estimates.
 func (a *Account) Speed() float64 { return a.speed.value() }
 
-// slowJobs is how many jobs must have runs at an endpoint for it to be held
-// to be slow: a single one may take longer by itself.
-const slowJobs = 2
+const (
+	// slowJobs is how many jobs must be slow at an endpoint for it to be held
+	// to be slow: a single one may take longer by itself.
+	slowJobs = 2
+	// slowShare is the least share of the jobs there that must be slow.
+	slowShare = 0.7
+)
 
-// Slow tells whether the endpoint works far slower than the estimates say.
+// Slow tells whether the endpoint works far slower than the estimates say, by
+// the jobs that run there one by one.
 func (a *Account) Slow() bool {
 	if a.Speed() >= suspectSpeed {
 		return false
 	}
-	jobs := map[string]bool{}
-	for r := range a.runs {
+	slow := map[string]bool{}
+	for r, e := range a.runs {
+		if !e.sampled {
+			continue
+		}
 		task, _ := work.ParseTask(r.Task)
-		jobs[task.Job] = true
+		before, known := slow[task.Job]
+		slow[task.Job] = e.rate < suspectSpeed && (before || !known)
+	}
+	n := 0
+	for _, is := range slow {
+		if is {
+			n++
+		}
 	}
-	return len(jobs) >= slowJobs
+	return n >= slowJobs && float64(n) >= slowShare*float64(len(slow))
 }
 
 // Decay lets old evidence fade while nothing runs, so that an endpoint that
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/work"
@@ -18,9 +19,6 @@
 const (
 	// beatEvery is the time between two heartbeats on a stream.
 	beatEvery = 100 * time.Millisecond
-	// dispatcherLease is how long a dispatcher's runs go on without word
-	// from it. Dispatchers rely on it: see dispatch.runnerLease.
-	dispatcherLease = 600 * time.Millisecond
 	// forgetAfter is how long events are kept for a dispatcher that is away.
 	forgetAfter = 5 * time.Second
 	// stateGap is the least time between two states on one stream.
@@ -104,7 +102,7 @@
 	l.out = outbox.New[*pb.RunnerFrame]()
 	l.cancel, l.ended = cancel, ended
 	l.handled, l.lapsed, l.revision = 0, false, 0
-	l.leaseEnd = clock.Boot() + dispatcherLease
+	l.leaseEnd = clock.Boot() + lease.Dispatcher
 	l.out.Put(&pb.RunnerFrame{
 		Runner: r.settings.Name, Incarnation: r.incarnation,
 		Held: r.held(l.owner()), Beat: r.beat(),
@@ -179,7 +177,7 @@
 	now := clock.Boot()
 	if b := f.GetBeat(); b != nil {
 		if b.GetEchoNs() > 0 {
-			l.leaseEnd = max(l.leaseEnd, time.Duration(b.GetEchoNs())+dispatcherLease)
+			l.leaseEnd = max(l.leaseEnd, time.Duration(b.GetEchoNs())+lease.Dispatcher)
 		}
 		l.revision = max(l.revision, b.GetPolicyRevision())
 		r.tellPolicy(l)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/room"
 	"github.com/pomelosill/pomelosill/internal/work"
@@ -14,9 +15,6 @@
 )
 
 const (
-	// leaseShare is the part of the longest lease that is asked for: what
-	// remains is the time in which a lost endpoint is known to have stopped.
-	leaseShare = 0.5
 	// renewWait is how long the endpoint may wait for an end before it
 	// answers a renewal.
 	renewWait = 100 * time.Millisecond
@@ -26,15 +24,13 @@
 	renewPause = 10 * time.Millisecond
 	// startTimeout is the time for the answer to a start, startTries how often
 	// it is sent.
-	startTimeout = 18 * time.Millisecond
+	startTimeout = 25 * time.Millisecond
 	startTries   = 3
 	// orderTimeout is the time for the answer to a stop or a look.
 	orderTimeout = 30 * time.Millisecond
 	// reachable is how old the last answer of the endpoint may be for a
 	// start to be ordered.
 	reachable = 300 * time.Millisecond
-	// clockError is how much slower the endpoint's clock may run.
-	clockError = 1.02
 	// lapseMargin is added to the time after which a lease has surely run
 	// out.
 	lapseMargin = 30 * time.Millisecond
@@ -155,8 +151,7 @@
 	if s.leaseEnd != 0 && now-s.answeredAt > reachable {
 		return s.leaseEnd
 	}
-	lease := time.Duration(leaseShare * float64(r.settings.LeaseMax.Std()))
-	end := s.clockMS + (now - s.clockAt + lease).Milliseconds()
+	end := s.clockMS + (now - s.clockAt + lease.Endpoint(r.settings.LeaseMax.Std())).Milliseconds()
 	s.leaseEnd = max(end, s.leaseEnd)
 	return s.leaseEnd
 }
@@ -232,8 +227,8 @@
 	if s.lost || s.answeredAt == 0 || now-s.answeredAt < reachable {
 		return
 	}
-	left := time.Duration(float64(s.leaseEnd-s.clockMS)*clockError) * time.Millisecond
-	if now < s.clockAt+left+lapseMargin {
+	left := time.Duration(s.leaseEnd-s.clockMS) * time.Millisecond
+	if now < s.clockAt+lease.Lapse(left)+lapseMargin {
 		return
 	}
 	s.lost = true
