--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -13,7 +13,7 @@
 // jobSecondsBounds are the buckets of the answering time in seconds.
 var jobSecondsBounds = []float64{0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 60}
 
-// metrics are the entry's instruments. docs/OPERATING.md says what to do
+// metrics are the entry's instruments. docs/OPERATIONS.md says what to do
 // about each.
 type metrics struct {
 	jobSeconds metric.Float64Histogram
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -15,7 +15,7 @@
 )
 
 // TestEveryMetricIsOnTheOperatorsPage compares what an entry serves with what
-// docs/OPERATING.md explains, both ways.
+// docs/OPERATIONS.md explains, both ways.
 func TestEveryMetricIsOnTheOperatorsPage(t *testing.T) {
 	debug, err := process.NewDebug("pomelosill-entry")
 	must.NoError(t, err)
@@ -30,7 +30,7 @@
 	debug.Mount(mux, func() any { return nil })
 	w := httptest.NewRecorder()
 	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	must.NoError(t, err)
 
 	name := regexp.MustCompile(`pomelosill_entry_[a-z_]+`)
