Soak the real programs under random faults from outside

Dispatchers and runners as processes, stand-ins of store and endpoints, loopback proxies that delay, reset, silence and cut one way; kills, pauses, SIGTERM, SIGHUP; a store that is away, slow, loses answers; endpoints that are reborn, stall, answer late.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,7 +83,7 @@
 	var running sync.WaitGroup
 	registrar := &directory.Registrar{
 		Store: platform.NewStore(r.settings.Store), Log: r.log,
-		Node: directory.Node{Name: r.settings.Name, Role: directory.Runner, Address: r.settings.Link},
+		Node: directory.Node{Name: r.settings.Name, Role: directory.Runner, Address: r.settings.address()},
 	}
 	running.Go(func() { registrar.Run(base) })
 	running.Go(func() { r.watchRuns(base) })
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -316,6 +316,32 @@
 	h.sound()
 }
 
+// A start that is carried out late must find no room that was given away
+// meanwhile: it is stopped before its room is free.
+func TestLateStartTakesNoRoom(t *testing.T) {
+	h := newHost(t, time.Hour, func(e *platformtest.Endpoint) {
+		e.Fault = func(c platformtest.Call) platformtest.Fault {
+			if c.Kind == "start" && strings.HasPrefix(c.Run.Task, "late") {
+				return platformtest.Late
+			}
+			return platformtest.None
+		}
+	})
+	d := h.dial("1")
+	d.ready()
+	first, second := d.order("late1", 1, 0), d.order("late2", 1, 0)
+	for _, run := range []*pb.RunRef{first, second} {
+		must.True(t, eventually(func() bool { return d.event(run) != nil }))
+		must.NotEq(t, done, d.event(run).GetEnd())
+	}
+	d.order("c", 1, time.Second)
+	d.order("e", 1, time.Second)
+	must.True(t, eventually(func() bool { return h.endpoint.Running() == 2 }))
+	time.Sleep(2 * platformtest.LateBy)
+	must.Eq(t, 0, h.judge.Starts("late1")+h.judge.Starts("late2"))
+	h.sound()
+}
+
 // The runs of a dispatcher that falls silent are stopped: its callers may send
 // their jobs through another.
 func TestSilentDispatchersRunsAreStopped(t *testing.T) {
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -16,6 +16,8 @@
 	Listen string `json:"listen"`
 	// Link takes the dispatchers' streams.
 	Link string `json:"link"`
+	// Advertise is where dispatchers dial, if that is not Link.
+	Advertise string `json:"advertise"`
 	// Metrics serves metrics and the state dump.
 	Metrics string `json:"metrics"`
 	// Store is the address of the platform's store.
@@ -37,6 +39,14 @@
 	}
 }
 
+// address is where dispatchers dial the runner.
+func (s *Settings) address() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Link
+}
+
 // minLease is the shortest lease that can be renewed in time.
 const minLease = 300 * time.Millisecond
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -146,9 +146,9 @@
 }
 
 func (f *Fleet) addPlatform(t *testing.T) {
-	addr := freeAddress(t)
+	addr := FreeAddress(t)
 	f.Platform = &Platform{
-		Process: newProcess(f.dir, "platform", "pomelosill-standin", "platform", "--listen", addr),
+		Process: NewProcess(f.dir, "platform", "pomelosill-standin", "platform", "--listen", addr),
 		URL:     "http://" + addr,
 	}
 	f.store = store.NewHTTP(f.Platform.URL, f.client, store.WithClientID("test"))
@@ -156,7 +156,7 @@
 
 func (f *Fleet) addEntry(t *testing.T, i int, domain string, cells int) {
 	name := fmt.Sprintf("entry-%d", i+1)
-	e := &Entry{Callers: freeAddress(t), Peer: freeAddress(t), Admin: freeAddress(t), Domain: domain}
+	e := &Entry{Callers: FreeAddress(t), Peer: FreeAddress(t), Admin: FreeAddress(t), Domain: domain}
 	path := writeSettings(t, f.dir, name, entrySettings{
 		Listen:        e.Callers,
 		Peer:          e.Peer,
@@ -168,14 +168,14 @@
 		DrainTimeout:  "30s",
 		LogLevel:      "debug",
 	})
-	e.Process = newProcess(f.dir, name, "pomelosill-entry", "--settings", path)
+	e.Process = NewProcess(f.dir, name, "pomelosill-entry", "--settings", path)
 	f.Entries = append(f.Entries, e)
 }
 
 func (f *Fleet) addEndpoint(t *testing.T, name, domain string, slots int) {
-	addr := freeAddress(t)
-	e := &Endpoint{URL: "http://" + addr, Debug: freeAddress(t), Domain: domain, journal: filepath.Join(f.dir, name+".starts")}
-	e.Process = newProcess(f.dir, name, "pomelosill-standin",
+	addr := FreeAddress(t)
+	e := &Endpoint{URL: "http://" + addr, Debug: FreeAddress(t), Domain: domain, journal: filepath.Join(f.dir, name+".starts")}
+	e.Process = NewProcess(f.dir, name, "pomelosill-standin",
 		"endpoint", "--listen", addr, "--slots", fmt.Sprint(slots), "--name", name, "--journal", e.journal)
 	path := writeSettings(t, f.dir, name+"-agent", agentSettings{
 		Endpoint:      name,
@@ -186,7 +186,7 @@
 		Entries:       f.peers(),
 		LogLevel:      "debug",
 	})
-	e.Agent = newProcess(f.dir, name+"-agent", "pomelosill-agent", "--settings", path)
+	e.Agent = NewProcess(f.dir, name+"-agent", "pomelosill-agent", "--settings", path)
 	f.Endpoints = append(f.Endpoints, e)
 }
 
@@ -324,7 +324,7 @@
 		return
 	}
 	for _, p := range f.processes() {
-		p.printLog(t)
+		p.PrintLog(t)
 	}
 }
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestFreeAddressesDiffer(t *testing.T) {
-	a, b := freeAddress(t), freeAddress(t)
+	a, b := FreeAddress(t), FreeAddress(t)
 	must.NotEq(t, a, b)
 	l, err := net.Listen("tcp", a)
 	must.NoError(t, err)
--- a/test/fleet/port.go
+++ b/test/fleet/port.go
@@ -26,9 +26,9 @@
 	return fmt.Sprintf("127.%d.%d.1", 1+(pid>>8)%250, pid%256)
 }
 
-// freeAddress returns an address that can be bound now and that this process
+// FreeAddress returns an address that can be bound now and that this process
 // gives out once.
-func freeAddress(t *testing.T) string {
+func FreeAddress(t *testing.T) string {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -27,8 +27,8 @@
 	exited chan struct{}
 }
 
-// newProcess prepares a program; its log goes to a file in dir.
-func newProcess(dir, name, program string, args ...string) *Process {
+// NewProcess prepares a program; its log goes to a file in dir.
+func NewProcess(dir, name, program string, args ...string) *Process {
 	return &Process{
 		Name: name,
 		args: append([]string{filepath.Join(binaries, program)}, args...),
@@ -71,6 +71,9 @@
 // Term asks the process to shut down gracefully, and does not wait.
 func (p *Process) Term() { p.signal(syscall.SIGTERM) }
 
+// HangUp tells the process that its settings file has changed.
+func (p *Process) HangUp() { p.signal(syscall.SIGHUP) }
+
 // Running tells whether the process has not ended.
 func (p *Process) Running() bool {
 	p.mu.Lock()
@@ -129,8 +132,8 @@
 	}
 }
 
-// printLog prints the end of the log of a failed test.
-func (p *Process) printLog(t *testing.T) {
+// PrintLog prints the end of the log of a failed test.
+func (p *Process) PrintLog(t *testing.T) {
 	text := p.Log()
 	if len(text) > logTail {
 		text = "... " + text[len(text)-logTail:]
--- /dev/null
+++ b/test/soak/proxy.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to the connections through it.
+type mode int
+
+// The modes.
+const (
+	// pass forwards everything.
+	pass mode = iota
+	// slow forwards everything late.
+	slow
+	// silent forwards nothing, in either direction, and closes nothing.
+	silent
+	// oneWay forwards only what the server sends.
+	oneWay
+)
+
+const (
+	slowBy     = 40 * time.Millisecond
+	dialLimit  = time.Second
+	bufferSize = 32 << 10
+)
+
+// proxy is a loopback proxy in front of one server.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+}
+
+func (p *proxy) current() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// reset closes every connection.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) add(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = true
+}
+
+func (p *proxy) drop(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	_ = c.Close()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	p.add(c)
+	defer p.drop(c)
+	s, err := net.DialTimeout("tcp", p.target, dialLimit)
+	if err != nil {
+		return
+	}
+	p.add(s)
+	defer p.drop(s)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(s, c, false) })
+	both.Go(func() { p.copy(c, s, true) })
+	both.Wait()
+}
+
+// copy forwards one direction; what a silent proxy has read is lost for good.
+func (p *proxy) copy(to, from net.Conn, fromServer bool) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, bufferSize)
+	muted := false
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		m := p.current()
+		muted = muted || m == silent || (m == oneWay && !fromServer)
+		if muted {
+			continue
+		}
+		if m == slow {
+			time.Sleep(slowBy)
+		}
+		if _, err := to.Write(buffer[:n]); err != nil && err != io.ErrShortWrite {
+			return
+		}
+	}
+}
