--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -132,7 +131,7 @@
 		if m == slow {
 			time.Sleep(slowBy)
 		}
-		if _, err := to.Write(buffer[:n]); err != nil && err != io.ErrShortWrite {
+		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
