--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -21,8 +21,9 @@
 	beatEvery = 100 * time.Millisecond
 	// forgetAfter is how long events are kept for a dispatcher that is away.
 	forgetAfter = 5 * time.Second
-	// stateGap is the least time between two states on one stream.
-	stateGap = 3 * time.Millisecond
+	// stateGapPerLink times the number of dispatchers is the least time between
+	// two states on one stream.
+	stateGapPerLink = 1200 * time.Microsecond
 )
 
 // stream is one connection of a dispatcher.
@@ -292,38 +293,35 @@
 	return &pb.RunnerBeat{SentNs: int64(clock.Boot()), PolicyRevision: r.policy.Revision()}
 }
 
-// send is the stream's only writer.
+// send is the stream's only writer. Events leave at once, and take the newest
+// state with them; a state alone waits for stateGap after the last frame.
 func (r *Runner) send(ctx context.Context, l *link, out *outbox.Outbox[*pb.RunnerFrame], st *stream) {
 	beats := time.NewTicker(beatEvery)
 	defer beats.Stop()
 	for {
-		frame := r.gather(l, out)
+		frame, wait := r.gather(l, out)
 		if frame != nil {
 			if err := st.Send(frame); err != nil {
 				r.keep(l, frame)
 				return
 			}
+			continue
 		}
+		gap := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-			return
 		case <-out.Ready():
-			if !clock.Sleep(ctx, r.gap(l)) {
-				return
-			}
+		case <-gap.C:
 		case <-beats.C:
 			out.Put(&pb.RunnerFrame{Beat: r.beat()})
 		}
+		gap.Stop()
+		if ctx.Err() != nil {
+			return
+		}
 	}
 }
 
-// gap is how long the next state has to wait.
-func (r *Runner) gap(l *link) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return min(stateGap, max(0, l.sentAt+stateGap-clock.Boot()))
-}
-
 // keep holds events back that could not be sent.
 func (r *Runner) keep(l *link, f *pb.RunnerFrame) {
 	r.mu.Lock()
@@ -331,13 +329,23 @@
 	l.kept = append(l.kept, f.GetEvents()...)
 }
 
+// idle is how long a writer sleeps that has nothing to send.
+const idle = time.Minute
+
 // gather merges all that waits into one frame, with the state if it changed.
-func (r *Runner) gather(l *link, out *outbox.Outbox[*pb.RunnerFrame]) *pb.RunnerFrame {
+// Without a frame it returns how long the next one has to wait.
+func (r *Runner) gather(l *link, out *outbox.Outbox[*pb.RunnerFrame]) (*pb.RunnerFrame, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := clock.Boot()
 	items, _ := out.TakeNow()
-	if len(items) == 0 && !l.dirty {
-		return nil
+	if len(items) == 0 {
+		if !l.dirty {
+			return nil, idle
+		}
+		if wait := l.sentAt + r.stateGap() - now; wait > 0 {
+			return nil, wait
+		}
 	}
 	f := &pb.RunnerFrame{}
 	for _, it := range items {
@@ -347,8 +355,14 @@
 		l.dirty = false
 		f.State = r.state(l)
 	}
-	l.sentAt = clock.Boot()
-	return f
+	l.sentAt = now
+	return f, 0
+}
+
+// stateGap is the least time between two states on one stream: with more
+// dispatchers each gets fewer, so that what all of them read stays the same.
+func (r *Runner) stateGap() time.Duration {
+	return stateGapPerLink * time.Duration(len(r.links))
 }
 
 func merge(f, it *pb.RunnerFrame) {
