Drop frames of replaced streams; let heartbeats ride along

At 12 dispatchers and 70 runners states and heartbeats were 75,000 frames a second.

Change: only the present stream's frames count; heartbeats go with other frames; dispatchers say how often they want a state that comes alone.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -322,11 +322,20 @@
 	}
 }
 
+// statesPerSecond is how many states that come alone a dispatcher wants to
+// read from all runners together.
+const statesPerSecond = 2500
+
+// stateGap is the time between two such states of one runner.
+func (d *Dispatcher) stateGap() time.Duration {
+	return time.Duration(len(d.runners)) * time.Second / statesPerSecond
+}
+
 // beatFor is a heartbeat, with the policy if the runner's is older.
 func (d *Dispatcher) beatFor(r *runner) *pb.DispatcherFrame {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: r.echo, PolicyRevision: d.policy.Revision()}}
+	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: r.echo, PolicyRevision: d.policy.Revision(), StateGapUs: d.stateGap().Microseconds()}}
 	if s := d.policy.State(); s != nil && s.Revision > r.revision {
 		r.revision = s.Revision
 		f.Policy = policyFrame(s)
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -21,21 +21,21 @@
 	beatEvery = 100 * time.Millisecond
 	// forgetAfter is how long events are kept for a dispatcher that is away.
 	forgetAfter = 5 * time.Second
-	// stateGapPerLink times the number of dispatchers is the least time between
-	// two states on one stream.
-	stateGapPerLink = 1200 * time.Microsecond
 )
 
 // stream is one connection of a dispatcher.
 type stream = connect.BidiStream[pb.DispatcherFrame, pb.RunnerFrame]
 
+// frames are what waits to be sent on a stream.
+type frames = outbox.Outbox[*pb.RunnerFrame]
+
 // link is what the runner holds for one dispatcher. It belongs to the
 // runner's lock.
 type link struct {
 	name        string
 	incarnation string
 	// out is the outbox of the present stream, nil while there is none.
-	out    *outbox.Outbox[*pb.RunnerFrame]
+	out    *frames
 	cancel context.CancelFunc
 	// ended is closed when the present stream's handler has returned.
 	ended chan struct{}
@@ -49,6 +49,10 @@
 	// dirty is set while a newer state than the last one sent is known.
 	dirty  bool
 	sentAt time.Duration
+	// beatAt is when the last heartbeat was sent.
+	beatAt time.Duration
+	// stateGap is the least time between two states that go alone.
+	stateGap time.Duration
 	// revision is the newest policy that the dispatcher said it has.
 	revision uint64
 }
@@ -64,11 +68,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l, ended := r.attach(first, cancel)
+	l, out, ended := r.attach(first, cancel)
 	defer close(ended)
-	out := l.out
 	r.log.Info("link: dispatcher connected", zap.String("dispatcher", l.name), zap.String("incarnation", l.incarnation))
-	go r.receive(ctx, cancel, l, st)
+	go r.receive(ctx, cancel, l, out, st)
 	r.send(ctx, l, out, st)
 	r.detach(l, out)
 	r.log.Info("link: dispatcher disconnected", zap.String("dispatcher", l.name))
@@ -77,7 +80,7 @@
 
 // attach makes the stream the dispatcher's present one. The stream before it
 // must have ended first: orders on it could still arrive.
-func (r *Runner) attach(first *pb.DispatcherFrame, cancel context.CancelFunc) (*link, chan struct{}) {
+func (r *Runner) attach(first *pb.DispatcherFrame, cancel context.CancelFunc) (*link, *frames, chan struct{}) {
 	ended := make(chan struct{})
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -114,7 +117,7 @@
 	}
 	l.dirty = true
 	r.publish()
-	return l, ended
+	return l, l.out, ended
 }
 
 // owner is the name under which the dispatcher's runs are accounted.
@@ -145,7 +148,7 @@
 	return all
 }
 
-func (r *Runner) detach(l *link, out *outbox.Outbox[*pb.RunnerFrame]) {
+func (r *Runner) detach(l *link, out *frames) {
 	out.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -160,27 +163,33 @@
 }
 
 // receive takes the dispatcher's frames.
-func (r *Runner) receive(ctx context.Context, cancel context.CancelFunc, l *link, st *stream) {
+func (r *Runner) receive(ctx context.Context, cancel context.CancelFunc, l *link, out *frames, st *stream) {
 	defer cancel()
 	for {
 		f, err := st.Receive()
 		if err != nil || ctx.Err() != nil {
 			return
 		}
-		r.take(l, f)
+		r.take(l, out, f)
 	}
 }
 
-// take carries out what a frame asks for.
-func (r *Runner) take(l *link, f *pb.DispatcherFrame) {
+// take carries out what a frame asks for. A frame of a stream that has been
+// replaced is dropped: the dispatcher has been told that its orders are not
+// known, and may have placed them elsewhere.
+func (r *Runner) take(l *link, out *frames, f *pb.DispatcherFrame) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if l.out != out {
+		return
+	}
 	now := clock.Boot()
 	if b := f.GetBeat(); b != nil {
 		if b.GetEchoNs() > 0 {
 			l.leaseEnd = max(l.leaseEnd, time.Duration(b.GetEchoNs())+lease.Dispatcher)
 		}
 		l.revision = max(l.revision, b.GetPolicyRevision())
+		l.stateGap = time.Duration(b.GetStateGapUs()) * time.Microsecond
 		r.tellPolicy(l)
 	}
 	r.takePolicy(f.GetPolicy())
@@ -295,7 +304,7 @@
 
 // send is the stream's only writer. Events leave at once, and take the newest
 // state with them; a state alone waits for stateGap after the last frame.
-func (r *Runner) send(ctx context.Context, l *link, out *outbox.Outbox[*pb.RunnerFrame], st *stream) {
+func (r *Runner) send(ctx context.Context, l *link, out *frames, st *stream) {
 	beats := time.NewTicker(beatEvery)
 	defer beats.Stop()
 	for {
@@ -313,7 +322,7 @@
 		case <-out.Ready():
 		case <-gap.C:
 		case <-beats.C:
-			out.Put(&pb.RunnerFrame{Beat: r.beat()})
+			r.beatNow(l, out)
 		}
 		gap.Stop()
 		if ctx.Err() != nil {
@@ -334,7 +343,7 @@
 
 // gather merges all that waits into one frame, with the state if it changed.
 // Without a frame it returns how long the next one has to wait.
-func (r *Runner) gather(l *link, out *outbox.Outbox[*pb.RunnerFrame]) (*pb.RunnerFrame, time.Duration) {
+func (r *Runner) gather(l *link, out *frames) (*pb.RunnerFrame, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.Boot()
@@ -343,7 +352,7 @@
 		if !l.dirty {
 			return nil, idle
 		}
-		if wait := l.sentAt + r.stateGap() - now; wait > 0 {
+		if wait := l.sentAt + l.stateGap - now; wait > 0 {
 			return nil, wait
 		}
 	}
@@ -356,13 +365,22 @@
 		f.State = r.state(l)
 	}
 	l.sentAt = now
+	if f.GetBeat() == nil && now-l.beatAt >= beatEvery/2 {
+		f.Beat = r.beat()
+	}
+	if f.GetBeat() != nil {
+		l.beatAt = now
+	}
 	return f, 0
 }
 
-// stateGap is the least time between two states on one stream: with more
-// dispatchers each gets fewer, so that what all of them read stays the same.
-func (r *Runner) stateGap() time.Duration {
-	return stateGapPerLink * time.Duration(len(r.links))
+// beatNow queues a heartbeat, unless one has gone along with other frames.
+func (r *Runner) beatNow(l *link, out *frames) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if clock.Boot()-l.beatAt >= beatEvery/2 {
+		out.Put(&pb.RunnerFrame{Beat: r.beat()})
+	}
 }
 
 func merge(f, it *pb.RunnerFrame) {
