--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -127,7 +127,7 @@
 
 // configure writes a configuration with one route, as an operator does.
 func (f *fleet) configure(version int, prefix string) {
-	f.put("op/config", fmt.Sprintf(config, version, prefix))
+	f.put(platform.KeyConfig, fmt.Sprintf(config, version, prefix))
 }
 
 func (f *fleet) put(key, value string) {
@@ -153,7 +153,7 @@
 	e.Begin()
 	f.endpoints = append(f.endpoints, e)
 	s := runner.DefaultSettings()
-	s.Name, s.FailureDomain, s.Store = fmt.Sprintf("run-%d", i), e.Domain, f.storeAt
+	s.Name, s.Store = fmt.Sprintf("run-%d", i), f.storeAt
 	s.Listen, s.Link = freeAddress(f.t), freeAddress(f.t)
 	s.Grace = settings.Duration(time.Second)
 	r, err := runner.New(&s, f.logger)
@@ -184,7 +184,7 @@
 
 func (f *fleet) addDispatcher(i int) {
 	s := dispatch.DefaultSettings()
-	s.Name, s.FailureDomain, s.Store = fmt.Sprintf("dis-%d", i), "z0", f.storeAt
+	s.Name, s.Store = fmt.Sprintf("dis-%d", i), f.storeAt
 	s.Listen, s.Ready, s.Peer = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
 	s.Grace = settings.Duration(2 * time.Second)
 	must.NoError(f.t, s.Validate())
@@ -419,14 +419,14 @@
 		must.True(t, eventually(func() bool { return serves(m, "/q/"+jobID(1)) == http.StatusOK }))
 		must.Eq(t, http.StatusNotFound, serves(m, "/p/"+jobID(1)))
 	}
-	f.put("op/evacuate/z0", "{}")
-	f.put("op/evacuate/z1", "{}")
+	f.put(platform.PrefixEvacuate+"z0", "{}")
+	f.put(platform.PrefixEvacuate+"z1", "{}")
 	for _, m := range f.dispatchers {
 		must.True(t, eventually(func() bool { return serves(m, "/q/"+jobID(2)) == http.StatusServiceUnavailable }))
 	}
-	e, err := f.client.Get(t.Context(), "op/evacuate/z0")
+	e, err := f.client.Get(t.Context(), platform.PrefixEvacuate+"z0")
 	must.NoError(t, err)
-	must.NoError(t, f.client.Delete(t.Context(), "op/evacuate/z0", e.Revision))
+	must.NoError(t, f.client.Delete(t.Context(), platform.PrefixEvacuate+"z0", e.Revision))
 	for _, m := range f.dispatchers {
 		must.True(t, eventually(func() bool { return serves(m, "/q/"+jobID(3)) == http.StatusOK }))
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -102,9 +101,7 @@
 	<-ctx.Done()
 	d.shutDown(servers)
 	stop()
-	for _, s := range servers {
-		_ = s.Close()
-	}
+	process.CloseAll(servers)
 	running.Wait()
 	d.log.Info("dispatcher: stopped", zap.String("name", d.settings.Name))
 	return nil
@@ -118,32 +115,12 @@
 	streams.Handle(pomelosillv1connect.NewPeerServiceHandler(d, process.Uncompressed()))
 	pages := http.NewServeMux()
 	d.debug.Mount(pages, func() any { return d.State() })
-	var servers []*http.Server
-	for _, s := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{d.settings.Listen, http.HandlerFunc(d.callers)},
-		{d.settings.Ready, ready}, {d.settings.Peer, streams}, {d.settings.Metrics, pages},
-	} {
-		if s.address == "" {
-			continue
-		}
-		l, err := process.Listen(ctx, s.address)
-		if err != nil {
-			return nil, err
-		}
-		server := process.NewServer(s.handler)
-		servers = append(servers, server)
-		go d.serveOn(server, l)
-	}
-	return servers, nil
-}
-
-func (d *Dispatcher) serveOn(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-		d.log.Error("dispatcher: server ended", zap.String("address", l.Addr().String()), zap.Error(err))
-	}
+	return process.ServeAll(ctx, []process.Site{
+		{Address: d.settings.Listen, Handler: http.HandlerFunc(d.callers)},
+		{Address: d.settings.Ready, Handler: ready},
+		{Address: d.settings.Peer, Handler: streams},
+		{Address: d.settings.Metrics, Handler: pages},
+	}, d.log)
 }
 
 // readiness tells the balancer whether new connections should come here.
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -10,8 +10,6 @@
 type Settings struct {
 	// Name is the process's name, the same after a restart.
 	Name string `json:"name"`
-	// FailureDomain is that of the host.
-	FailureDomain string `json:"failure_domain"`
 	// Listen takes callers' requests.
 	Listen string `json:"listen"`
 	// Ready answers the balancer.
@@ -42,7 +40,7 @@
 // Validate implements settings.Settings.
 func (s *Settings) Validate() error {
 	required := []struct{ field, value string }{
-		{"name", s.Name}, {"failure_domain", s.FailureDomain}, {"listen", s.Listen},
+		{"name", s.Name}, {"listen", s.Listen},
 		{"ready", s.Ready}, {"peer", s.Peer}, {"store", s.Store},
 	}
 	for _, r := range required {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -13,7 +13,6 @@
 type Endpoint struct {
 	Name    string
 	Service string
-	Domain  string
 	Labels  []string
 	// Free is the room that is left, as far as the dispatcher knows.
 	Free     work.Resources
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -92,9 +91,7 @@
 	<-ctx.Done()
 	r.drain()
 	stop()
-	for _, s := range servers {
-		_ = s.Close()
-	}
+	process.CloseAll(servers)
 	running.Wait()
 	r.log.Info("runner: stopped", zap.String("name", r.settings.Name))
 	return nil
@@ -109,29 +106,11 @@
 	streams.Handle(pomelosillv1connect.NewRunnerServiceHandler(r, process.Uncompressed()))
 	pages := http.NewServeMux()
 	r.debug.Mount(pages, func() any { return r.State() })
-	var servers []*http.Server
-	for _, s := range []struct {
-		address string
-		handler http.Handler
-	}{{r.settings.Listen, heartbeats}, {r.settings.Link, streams}, {r.settings.Metrics, pages}} {
-		if s.address == "" {
-			continue
-		}
-		l, err := process.Listen(ctx, s.address)
-		if err != nil {
-			return nil, err
-		}
-		server := process.NewServer(s.handler)
-		servers = append(servers, server)
-		go r.serveOn(server, l)
-	}
-	return servers, nil
-}
-
-func (r *Runner) serveOn(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-		r.log.Error("runner: server ended", zap.String("address", l.Addr().String()), zap.Error(err))
-	}
+	return process.ServeAll(ctx, []process.Site{
+		{Address: r.settings.Listen, Handler: heartbeats},
+		{Address: r.settings.Link, Handler: streams},
+		{Address: r.settings.Metrics, Handler: pages},
+	}, r.log)
 }
 
 // drainMargin is the part of the grace that is left for the end itself.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -85,7 +85,7 @@
 // start starts a runner process.
 func (h *host) start() {
 	s := runner.DefaultSettings()
-	s.Name, s.FailureDomain, s.Listen, s.Link, s.Store = "run-1", domain, h.listen, h.link, "127.0.0.1:1"
+	s.Name, s.Listen, s.Link, s.Store = "run-1", h.listen, h.link, "127.0.0.1:1"
 	s.Grace = settings.Duration(time.Second)
 	must.NoError(h.t, s.Validate())
 	r, err := runner.New(&s, zap.NewNop())
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -10,8 +10,6 @@
 type Settings struct {
 	// Name is the process's name, the same after a restart.
 	Name string `json:"name"`
-	// FailureDomain is that of the host.
-	FailureDomain string `json:"failure_domain"`
 	// Listen takes the endpoint's heartbeats.
 	Listen string `json:"listen"`
 	// Link takes the dispatchers' streams.
@@ -53,7 +51,7 @@
 // Validate implements settings.Settings.
 func (s *Settings) Validate() error {
 	required := []struct{ field, value string }{
-		{"name", s.Name}, {"failure_domain", s.FailureDomain}, {"listen", s.Listen},
+		{"name", s.Name}, {"listen", s.Listen},
 		{"link", s.Link}, {"store", s.Store},
 	}
 	for _, r := range required {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/platform"
 	"github.com/pomelosill/pomelosill/test/fleet"
 )
 
@@ -111,7 +112,7 @@
 // evacuates checks that a failure domain out of service gets no starts.
 func (w *world) evacuates() {
 	out := domainOf(0)
-	_, err := w.client.CompareAndSwap(w.t.Context(), "op/evacuate/"+out, 0, []byte("{}"), 0)
+	_, err := w.client.CompareAndSwap(w.t.Context(), platform.PrefixEvacuate+out, 0, []byte("{}"), 0)
 	must.NoError(w.t, err)
 	time.Sleep(evacuateWithin)
 	before := w.judge.StartsIn(out)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -88,7 +88,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	_, err := w.client.CompareAndSwap(ctx, "op/config", 0, []byte(config), 0)
+	_, err := w.client.CompareAndSwap(ctx, platform.KeyConfig, 0, []byte(config), 0)
 	must.NoError(t, err)
 	for i := range hosts {
 		w.addHost(i)
@@ -123,23 +123,21 @@
 }
 
 type runnerSettings struct {
-	Name          string `json:"name"`
-	FailureDomain string `json:"failure_domain"`
-	Listen        string `json:"listen"`
-	Link          string `json:"link"`
-	Advertise     string `json:"advertise"`
-	Store         string `json:"store"`
-	Grace         string `json:"grace"`
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Link      string `json:"link"`
+	Advertise string `json:"advertise"`
+	Store     string `json:"store"`
+	Grace     string `json:"grace"`
 }
 
 type dispatcherSettings struct {
-	Name          string `json:"name"`
-	FailureDomain string `json:"failure_domain"`
-	Listen        string `json:"listen"`
-	Ready         string `json:"ready"`
-	Peer          string `json:"peer"`
-	Store         string `json:"store"`
-	Grace         string `json:"grace"`
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Ready  string `json:"ready"`
+	Peer   string `json:"peer"`
+	Store  string `json:"store"`
+	Grace  string `json:"grace"`
 }
 
 func domainOf(i int) string { return fmt.Sprintf("z%d", i%domains) }
@@ -163,7 +161,7 @@
 	h.link, h.store = w.proxy(link), w.proxy(w.storeAt)
 	name := fmt.Sprintf("run-%d", i)
 	h.runner = w.process(name, "pomelosill-runner", runnerSettings{
-		Name: name, FailureDomain: h.endpoint.Domain, Listen: h.listen, Link: link,
+		Name: name, Listen: h.listen, Link: link,
 		Advertise: h.link.address(), Store: h.store.address(), Grace: "2s",
 	})
 	w.hosts = append(w.hosts, h)
@@ -206,7 +204,7 @@
 	e := &entry{listen: fleet.FreeAddress(w.t), ready: fleet.FreeAddress(w.t), store: w.proxy(w.storeAt)}
 	name := fmt.Sprintf("dis-%d", i)
 	e.process = w.process(name, "pomelosill-dispatcher", dispatcherSettings{
-		Name: name, FailureDomain: domainOf(i), Listen: e.listen, Ready: e.ready, Peer: fleet.FreeAddress(w.t),
+		Name: name, Listen: e.listen, Ready: e.ready, Peer: fleet.FreeAddress(w.t),
 		Store: e.store.address(), Grace: "3s",
 	})
 	w.entries = append(w.entries, e)
