--- /dev/null
+++ b/internal/process/asynclog_test.go
@@ -0,0 +1,64 @@
+package process
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+func (w *stuckWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.String()
+}
+
+// A reader that has stopped reading must not stop the process.
+func TestLogNeverBlocks(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	log, err := NewServiceLogger(out, "info")
+	must.NoError(t, err)
+	began := time.Now()
+	for range 2 * logQueue {
+		log.Info("job: taken in")
+	}
+	must.Less(t, 5*time.Second, time.Since(began))
+	close(out.release)
+	deadline := time.Now().Add(5 * time.Second)
+	for !strings.Contains(out.String(), "log: lines dropped") && time.Now().Before(deadline) {
+		log.Info("job: taken in")
+		time.Sleep(time.Millisecond)
+	}
+	must.StrContains(t, out.String(), `"msg":"log: lines dropped","lines":`)
+}
+
+func TestSyncWritesWhatIsQueued(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	close(out.release)
+	log, err := NewServiceLogger(out, "info")
+	must.NoError(t, err)
+	log.Info("runner: stopped")
+	must.NoError(t, log.Sync())
+	must.StrContains(t, out.String(), "runner: stopped")
+}
+
+func TestLogLevelIsChecked(t *testing.T) {
+	_, err := NewServiceLogger(&stuckWriter{}, "loud")
+	must.Error(t, err)
+}
