Measure the backlog by what has to begin, not by how long it takes

Change: the wait is the room that waits over the room there is, times the mean duration of tasks. Only jobs with waiting tasks are looked at.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -139,7 +139,7 @@
 	if err := d.servable(j, now); err != nil {
 		return nil, err
 	}
-	d.jobs[spec.ID] = j
+	d.jobs[spec.ID], d.waiting[spec.ID] = j, j
 	d.log.Info("job: taken in", zap.String("job", spec.ID), zap.String("route", route.Name),
 		zap.Int("tasks", spec.Tasks()), zap.Duration("objective", j.objective), zap.Duration("wait", until-now))
 	d.schedule(now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,9 +43,13 @@
 	closing  atomic.Bool
 	refusing atomic.Bool
 
-	mu      sync.Mutex
-	jobs    map[string]*job
+	mu   sync.Mutex
+	jobs map[string]*job
+	// waiting are the jobs with tasks that look for room.
+	waiting map[string]*job
 	runners map[string]*runner
+	// meanTask is the mean duration of the tasks that were placed.
+	meanTask time.Duration
 	// base ends with the process.
 	base context.Context
 }
@@ -66,7 +70,9 @@
 		book:        directory.NewBook(),
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		jobs:        map[string]*job{},
+		waiting:     map[string]*job{},
 		runners:     map[string]*runner{},
+		meanTask:    firstMean,
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -52,6 +52,7 @@
 	}
 	if j.open[t.id.Step] == 0 {
 		j.unblock()
+		d.waiting[j.spec.ID] = j
 	}
 }
 
@@ -65,7 +66,7 @@
 		d.finish(j, platform.Answer{Code: result.OK, Failed: true})
 		return
 	}
-	t.state = taskQueued
+	d.queue(t)
 }
 
 func (d *Dispatcher) refused(r *runner, t *task, code result.Code) {
@@ -94,7 +95,13 @@
 		d.finish(t.job, platform.Answer{Code: result.StillRunning})
 		return
 	}
+	d.queue(t)
+}
+
+// queue lets a task look for room.
+func (d *Dispatcher) queue(t *task) {
 	t.state = taskQueued
+	d.waiting[t.job.spec.ID] = t.job
 }
 
 // maxMoves bounds how often a task is moved: one that is slow everywhere takes
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -195,12 +195,12 @@
 	return false
 }
 
-// waitingWork is the work of the tasks that look for room.
-func (j *job) waitingWork() place.Work {
-	var sum place.Work
+// waitingCPU is what the tasks need that look for room, in thousandths of a
+// core.
+func (j *job) waitingCPU() int64 {
+	var sum int64
 	for s := range j.spec.Steps {
-		step := &j.spec.Steps[s]
-		sum += place.WorkOf(step.Need.CPU, step.Estimate, len(j.queued(s)))
+		sum += j.spec.Steps[s].Need.CPU * int64(len(j.queued(s)))
 	}
 	return sum
 }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -48,16 +48,12 @@
 // allows.
 func (d *Dispatcher) inTime(j *job, endpoints []place.Endpoint, now time.Duration) error {
 	u := j.urgency()
-	all := d.throughput(endpoints)
-	b := place.Backlog{PerSecond: all, Ahead: d.waitingAtRunners()}
+	b := place.Backlog{CPU: d.waitingAtRunners(), Capacity: capacity(endpoints), Mean: d.meanTask}
 	// The other dispatchers' queues are taken to be as long as this one's.
-	dispatchers := place.Work(max(1, len(d.book.Nodes(directory.Dispatcher))))
-	for _, other := range d.jobs {
-		if !other.waits() {
-			continue
-		}
+	dispatchers := int64(max(1, len(d.book.Nodes(directory.Dispatcher))))
+	for _, other := range d.waiting {
 		if !other.urgency().Late(now) {
-			b.Ahead += other.waitingWork() * dispatchers
+			b.CPU += other.waitingCPU() * dispatchers
 		}
 	}
 	if place.Admit(u, b, now) {
@@ -66,25 +62,38 @@
 	return result.Errorf(result.Overloaded, "job %s: %s of work wait ahead, its slack is %s", j.spec.ID, b.Wait(), u.Slack(now))
 }
 
-// throughput is the work that all endpoints do in a second.
-func (d *Dispatcher) throughput(endpoints []place.Endpoint) place.Work {
-	var all place.Work
+// capacity is what all endpoints have, in thousandths of a core at speed 1.
+func capacity(endpoints []place.Endpoint) int64 {
+	var all int64
 	for i := range endpoints {
 		e := &endpoints[i]
-		all += place.Work(float64(e.Capacity.CPU) * min(e.Speed, 1))
+		all += int64(float64(e.Capacity.CPU) * min(e.Speed, 1))
 	}
 	return all
 }
 
-// waitingAtRunners is the work that all dispatchers have waiting at runners.
-func (d *Dispatcher) waitingAtRunners() place.Work {
-	var all place.Work
+// waitingAtRunners is what all dispatchers' orders need that wait at runners,
+// in thousandths of a core.
+func (d *Dispatcher) waitingAtRunners() int64 {
+	var all int64
 	for _, r := range d.runners {
-		all += place.WorkOf(int64(r.state.GetWaitingWork()), time.Millisecond, 1)
+		all += int64(r.state.GetWaitingCpu())
 	}
 	return all
 }
 
+const (
+	// firstMean is the mean duration of tasks before any has been placed.
+	firstMean = 200 * time.Millisecond
+	// meanWeight is the weight of one task in the mean.
+	meanWeight = 1.0 / 256
+)
+
+// learnMean takes the duration of a placed task into the mean.
+func (d *Dispatcher) learnMean(each time.Duration) {
+	d.meanTask += time.Duration(meanWeight * float64(each-d.meanTask))
+}
+
 // endpoints lists the endpoints that may get work, with their runners.
 func (d *Dispatcher) endpoints(now time.Duration) ([]place.Endpoint, []*runner) {
 	p := d.policy.State()
@@ -132,10 +141,8 @@
 		urgency *place.Urgency
 	}
 	var all []ranked
-	for _, j := range d.jobs {
-		if j.waits() {
-			all = append(all, ranked{j, j.urgency()})
-		}
+	for _, j := range d.waiting {
+		all = append(all, ranked{j, j.urgency()})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return place.Compare(a.urgency, b.urgency, now) })
 	jobs := make([]*job, len(all))
@@ -167,6 +174,10 @@
 			SlackUs:    slack.Microseconds(),
 		})
 		r.runs[t.run()] = t
+		d.learnMean(step.Estimate)
+	}
+	if !j.waits() {
+		delete(d.waiting, j.spec.ID)
 	}
 	d.metrics.orders.Add(d.base, int64(len(tasks)))
 	d.log.Info("job: tasks placed", zap.String("job", j.spec.ID), zap.String("runner", r.node.Name), zap.Int("tasks", len(tasks)),
@@ -207,8 +218,8 @@
 
 // othersInTime tells whether a job waits that can still be answered in time.
 func (d *Dispatcher) othersInTime(now time.Duration) bool {
-	for _, j := range d.jobs {
-		if j.waits() && j.urgency().Slack(now) >= 0 {
+	for _, j := range d.waiting {
+		if j.urgency().Slack(now) >= 0 {
 			return true
 		}
 	}
@@ -222,6 +233,7 @@
 	}
 	j.answered = true
 	delete(d.jobs, j.spec.ID)
+	delete(d.waiting, j.spec.ID)
 	for _, t := range j.placed() {
 		d.stopRun(t)
 	}
--- a/internal/place/order.go
+++ b/internal/place/order.go
@@ -65,31 +65,26 @@
 	)
 }
 
-// Work is an amount of work: thousandths of a core times time.
-type Work float64
-
-// WorkOf is the work of tasks that take cpu thousandths of a core each.
-func WorkOf(cpu int64, each time.Duration, tasks int) Work {
-	return Work(float64(cpu) * each.Seconds() * float64(tasks))
-}
-
-// Backlog is the work that waits, and how fast it goes down.
+// Backlog is what waits for room, and how fast room becomes free.
 type Backlog struct {
-	// Ahead is the work that waits and is not less urgent.
-	Ahead Work
-	// PerSecond is the work that can be begun in a second.
-	PerSecond Work
+	// CPU is what the waiting tasks need, in thousandths of a core.
+	CPU int64
+	// Capacity is what all endpoints have, in thousandths of a core at speed 1.
+	Capacity int64
+	// Mean is the mean duration of tasks. How long the waiting tasks
+	// themselves take doesn't matter: they only have to begin.
+	Mean time.Duration
 }
 
-// Wait is how long it takes until the work ahead has begun.
+// Wait is how long it takes until what waits has begun.
 func (b Backlog) Wait() time.Duration {
-	if b.Ahead <= 0 {
+	if b.CPU <= 0 {
 		return 0
 	}
-	if b.PerSecond <= 0 {
+	if b.Capacity <= 0 {
 		return time.Hour
 	}
-	return time.Duration(float64(b.Ahead) / float64(b.PerSecond) * float64(time.Second))
+	return time.Duration(float64(b.CPU) / float64(b.Capacity) * float64(b.Mean))
 }
 
 const (
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -121,9 +121,9 @@
 	var waiting int64
 	for _, o := range r.waiting {
 		used = used.Plus(o.need)
-		waiting += o.need.CPU * o.estimate.Milliseconds()
+		waiting += o.need.CPU
 	}
-	out.WaitingWork = uint64(waiting)
+	out.WaitingCpu = uint64(waiting)
 	ep := s.endpoint
 	c := s.account.Capacity()
 	out.Life, out.Service, out.FailureDomain, out.Labels = ep.Life(), ep.Service, ep.FailureDomain, ep.Labels
