--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,8 +23,10 @@
 	lasts = flag.Duration("lasts", 8*time.Second, "how long faults are injected under each seed")
 )
 
-// failedSeeds once failed; each line says why.
-var failedSeeds = []uint64{}
+// failedSeeds once failed: 104, 107, 109 and 122 with a task twice at once, as
+// runs that a reborn endpoint had taken were given up with its former life, or
+// a refusal was believed after a try without an answer.
+var failedSeeds = []uint64{104, 107, 109, 122}
 
 func TestMain(m *testing.M) {
 	flag.Parse()
