Test what three switched-off mechanisms had left green

Abandoned jobs that run on, given up jobs that always say not run, and a quiet watch that moves on left every test green; each now turns one red.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -352,7 +352,18 @@
 	go func() { _, _ = f.post(ctx, f.dispatchers[0], "/p/"+jobID(1), fmt.Sprintf(jobBody, 2, 900)) }()
 	must.True(t, eventually(func() bool { return f.endpoints[0].Running() == 2 }))
 	cancel()
+	left := time.Now()
 	must.True(t, eventually(func() bool { return f.endpoints[0].Running() == 0 }))
+	must.Less(t, time.Second, time.Since(left), must.Sprint("the job was only given up later"))
+}
+
+// A job that is given up after a start must not be said not to have run.
+func TestGivenUpJobThatRanIsNotRefused(t *testing.T) {
+	f := newSystem(t, options{dispatchers: 1, endpoints: 1, takes: fixed(time.Hour)})
+	status, body := f.served(f.dispatchers[0], "/p/"+jobID(1), fmt.Sprintf(jobBody, 2, 100))
+	must.Eq(t, http.StatusGatewayTimeout, status, must.Sprint(body))
+	must.StrContains(t, body, `"code":209`)
+	must.Positive(t, f.judge.Starts(jobID(1)))
 }
 
 // A third of the starts gets no answer, some are carried out late: every job
--- /dev/null
+++ b/internal/dispatch/operators_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+// scriptedStore answers watches from a script and notes what was asked.
+type scriptedStore struct {
+	store.Store
+	answers []store.Changes
+	errs    []error
+	asked   []uint64
+}
+
+func (s *scriptedStore) Watch(_ context.Context, _ string, after uint64, _ time.Duration) (store.Changes, error) {
+	i := len(s.asked)
+	s.asked = append(s.asked, after)
+	return s.answers[i], s.errs[i]
+}
+
+func configured(revision uint64, document string) store.Entry {
+	return store.Entry{Key: platform.KeyConfig, Value: []byte(document), Revision: revision}
+}
+
+// A watch may hear nothing for a while although changes are made, and its
+// answer's revision be ahead of them: the next one must not skip them.
+func TestQuietAnswerMovesNothingOn(t *testing.T) {
+	s := &scriptedStore{
+		answers: []store.Changes{
+			{Entries: []store.Entry{configured(5, `{"version":1}`)}, Revision: 7},
+			{Revision: 30},
+			{},
+			{Entries: []store.Entry{configured(20, `{"version":2}`)}, Revision: 31},
+		},
+		errs: []error{nil, nil, result.Errorf(result.StoreCompacted, "history is gone"), nil},
+	}
+	f := &follower{store: s, board: policy.NewBoard(), log: zap.NewNop()}
+	for range s.answers {
+		if err := f.step(t.Context()); err != nil {
+			f.failed(err)
+		}
+	}
+	must.Eq(t, []uint64{0, 7, 7, 0}, s.asked)
+	must.Eq(t, 2, f.board.State().Config.Version)
+	must.Eq(t, 31, f.board.Revision())
+}
+
+// A document that can't be read leaves the one in force.
+func TestBadConfigurationChangesNothing(t *testing.T) {
+	s := &scriptedStore{
+		answers: []store.Changes{
+			{Entries: []store.Entry{configured(5, `{"version":1}`)}, Revision: 7},
+			{Entries: []store.Entry{configured(8, `not JSON`), {Key: platform.PrefixEvacuate + "z", Revision: 9}}, Revision: 9},
+		},
+		errs: make([]error, 2),
+	}
+	f := &follower{store: s, board: policy.NewBoard(), log: zap.NewNop()}
+	for range s.answers {
+		must.NoError(t, f.step(t.Context()))
+	}
+	must.Eq(t, 1, f.board.State().Config.Version)
+	must.True(t, f.board.State().OutOfService("z"))
+}
