--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/platform"
 )
 
 const (
@@ -111,7 +112,7 @@
 		return 0, err.Error()
 	}
 	req.Host = "app.example"
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerWait.Milliseconds(), 10))
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, err.Error()
