Don't say of a cancelled job that nothing ran while its tasks run

Cause: found by reading: a cancelled job counted as begun only after the first event of a run, so its caller was told 109 (not run) while tasks ran.

Change: job.begun is asked in all three places that decide it; a link that is forgotten while its former stream ends is no longer touched. The test TestCancelledJobThatRunsIsNotRefused was red before.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -183,7 +183,7 @@
 	}
 	d.log.Info("job: cancelled", zap.String("job", id))
 	code := result.Cancelled
-	if j.mayHaveRun {
+	if j.begun() {
 		code = result.CancelledAfterStart
 	}
 	d.finish(j, platform.Answer{Code: code})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -357,6 +357,27 @@
 	must.Less(t, time.Second, time.Since(left), must.Sprint("the job was only given up later"))
 }
 
+// A cancelled job whose tasks run must not be said not to have run.
+func TestCancelledJobThatRunsIsNotRefused(t *testing.T) {
+	f := newSystem(t, options{dispatchers: 1, endpoints: 1, takes: fixed(time.Hour)})
+	m := f.dispatchers[0]
+	answers := make(chan string, 1)
+	go func() {
+		_, body := f.served(m, "/p/"+jobID(1), fmt.Sprintf(jobBody, 2, 900))
+		answers <- body
+	}()
+	must.True(t, eventually(func() bool { return f.endpoints[0].Running() == 2 }))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodDelete, "http://"+m.listen+"/p/"+jobID(1), nil)
+	must.NoError(t, err)
+	req.Host = callers
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	must.StrContains(t, <-answers, `"code":204`)
+	must.True(t, eventually(func() bool { return f.endpoints[0].Running() == 0 }))
+}
+
 // A job that is given up after a start must not be said not to have run.
 func TestGivenUpJobThatRanIsNotRefused(t *testing.T) {
 	f := newSystem(t, options{dispatchers: 1, endpoints: 1, takes: fixed(time.Hour)})
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -166,7 +166,7 @@
 func (j *job) urgency() *place.Urgency {
 	return &place.Urgency{
 		Arrived: j.arrived, Objective: j.objective, Left: j.left(),
-		Begun: j.mayHaveRun || len(j.placed()) > 0,
+		Begun: j.begun(),
 	}
 }
 
@@ -195,6 +195,10 @@
 	return false
 }
 
+// begun tells whether a task has run, runs, or may: from then on it can't be
+// said that nothing ran.
+func (j *job) begun() bool { return j.mayHaveRun || len(j.placed()) > 0 }
+
 // waitingCPU is what the tasks need that look for room, in thousandths of a
 // core.
 func (j *job) waitingCPU() int64 {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -208,7 +208,7 @@
 		return
 	}
 	a := platform.Answer{Code: result.Overloaded, RetryAfter: comeBack}
-	if j.mayHaveRun || len(j.placed()) > 0 {
+	if j.begun() {
 		a = platform.Answer{Code: result.StillRunning}
 	}
 	d.log.Info("job: given up", zap.String("job", j.spec.ID), zap.Stringer("code", a.Code), zap.Duration("age", now-j.arrived),
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -92,7 +92,7 @@
 		<-before
 		r.mu.Lock()
 		l = r.links[first.GetDispatcher()]
-		if l.ended == before {
+		if l == nil || l.ended == before {
 			break
 		}
 	}
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -8,6 +8,7 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 )
 
+// beat is a heartbeat of this moment.
 func (r *Runner) beat() *pb.RunnerBeat {
 	return &pb.RunnerBeat{SentNs: int64(clock.Boot()), PolicyRevision: r.policy.Revision()}
 }
