Pin the order of events in the test of reborn endpoints

Change: renewals go unanswered until the new life has started the run, so the rebirth is noticed later in each run. It asks for the same ends as before.

--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -461,21 +461,35 @@
 	d.ends(run, lost)
 }
 
-// Orders that were sent after an endpoint's rebirth, before anybody noticed,
+// Orders that reach an endpoint after its rebirth, before anybody has noticed,
 // run in its new life. They must not be taken for lost with the old one.
 func TestRebornEndpointKeepsItsNewRuns(t *testing.T) {
+	// listTime is longer than a renewal waits at the endpoint.
+	const listTime = 130 * time.Millisecond
 	for _, told := range []string{"by its lists", "by its heartbeat"} {
 		t.Run(told, func(t *testing.T) {
-			h := newHost(t, 700*time.Millisecond, nil)
+			var unlisted atomic.Bool
+			h := newHost(t, 700*time.Millisecond, func(e *platformtest.Endpoint) {
+				e.Fault = func(c platformtest.Call) platformtest.Fault {
+					if c.Kind == "hold" && unlisted.Load() {
+						return platformtest.Lost
+					}
+					return platformtest.None
+				}
+			})
 			d := h.dial("1")
 			d.ready()
 			old := d.order("old", 1, 0)
-			must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
+			must.True(t, eventually(func() bool { return h.judge.Starts("old") == 1 }))
+			unlisted.Store(true)
+			time.Sleep(listTime)
 			h.endpoint.Rebirth()
 			run := d.order("a", 1, 0)
+			must.True(t, eventually(func() bool { return h.judge.Starts("a") == 1 }))
 			if told == "by its heartbeat" {
 				h.beat("ready")
 			}
+			unlisted.Store(false)
 			d.ends(run, done)
 			d.ends(old, lost)
 			h.sound()
