Don't claim a start that nobody saw when a job's outcome is unknown

Cause: TestNoAgents was once answered 203 (DeadlineAfterStart) beside load. The owner sends starts as long as it has not noticed that an agent is gone; when the deadline passes before the loss is counted, the job is stopped with DeadlinePassed, and finalCode turned that into DeadlineAfterStart although nothing is known of any start.

Change: a job whose starts are all without news ends OutcomeUnknown; one with a known start still says so.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -176,11 +176,15 @@
 	}
 }
 
-// finalCode never says "not run" of a job of which a task may have started.
+// finalCode never says "not run" of a job of which a task may have started,
+// and never that a task has started when that isn't known.
 func (c *Cell) finalCode(j *job) result.Code {
 	if !j.stop.NotRun() || !j.anyStarted() {
 		return j.stop
 	}
+	if !j.anyKnownStart() {
+		return result.OutcomeUnknown
+	}
 	switch j.stop {
 	case result.DeadlinePassed:
 		return result.DeadlineAfterStart
--- a/internal/cell/outcome.go
+++ b/internal/cell/outcome.go
@@ -117,6 +117,21 @@
 	return false
 }
 
+// anyKnownStart tells whether an agent said that a task started.
+func (j *job) anyKnownStart() bool {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != ended {
+			continue
+		}
+		code := result.Code(t.outcome.GetCode())
+		if !code.NotRun() && code != result.OutcomeUnknown {
+			return true
+		}
+	}
+	return false
+}
+
 // takeRecords compares an agent's records with what was sent to it. What was
 // sent and has no record never arrived: the old stream has ended before the
 // records were made.
--- a/test/failure/notrun_test.go
+++ b/test/failure/notrun_test.go
@@ -223,6 +223,23 @@
 	must.SliceEmpty(t, f.StartsOf(t, j))
 }
 
+// TestAgentsStoppedThenKilled sends a job while no agent has been missed yet:
+// the starts go out, nothing is heard of them, and the deadline passes.
+func TestAgentsStoppedThenKilled(t *testing.T) {
+	f := start(t)
+	for _, e := range f.Endpoints {
+		e.Agent.Stop()
+	}
+	j := fleet.NewJob(8, shortRun).WithTimeout(3 * time.Second)
+	call := f.Go(t.Context(), f.Entries[0], j)
+	time.Sleep(shortRun)
+	for _, e := range f.Endpoints {
+		e.Agent.Kill()
+	}
+	call.MustAnswer(t, result.DeadlinePassed, result.CannotRun, result.Overloaded, result.OutcomeUnknown)
+	must.SliceEmpty(t, f.StartsOf(t, j))
+}
+
 // TestEntryThatNeverSawTheStore starts an entry during an outage. It says what
 // it cannot do.
 func TestEntryThatNeverSawTheStore(t *testing.T) {
