Carry links over plain framed connections, and send less on them

A runner publishes at a tick only if something changed; heartbeats ride on other frames when due; the dispatcher answers a heartbeat when it comes in place of sending its own. A new policy is sent to a runner by one dispatcher first, others follow by turns if it is still missing; runners and dispatchers don't decode a policy that they have; gossip names nodes only when the directory changed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -78,6 +78,19 @@
 	return all
 }
 
+// Count is the number of nodes of a role.
+func (b *Book) Count(role Role) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, k := range b.nodes {
+		if k.node.Role == role {
+			n++
+		}
+	}
+	return n
+}
+
 // Learn takes nodes over that another process knows.
 func (b *Book) Learn(nodes []Node) {
 	b.mu.Lock()
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
@@ -13,6 +12,7 @@
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/stream"
 	"github.com/pomelosill/pomelosill/internal/work"
 )
 
@@ -39,20 +39,23 @@
 	}
 }
 
-// runLink serves one stream.
+// runLink serves one connection.
 func (d *Dispatcher) runLink(ctx context.Context, r *runner, address string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	client, closeClient := newRunnerClient(address)
-	defer closeClient()
-	st := client.Link(ctx)
-	if err := st.Send(&pb.DispatcherFrame{Dispatcher: d.settings.Name, Incarnation: d.incarnation}); err != nil {
+	c, err := stream.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	context.AfterFunc(ctx, c.Close)
+	if err := c.Send(&pb.DispatcherFrame{Dispatcher: d.settings.Name, Incarnation: d.incarnation}); err != nil {
 		return err
 	}
 	watchdog := time.AfterFunc(dialLimit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	first, err := st.Receive()
-	if err != nil {
+	first := &pb.RunnerFrame{}
+	if err := c.Receive(first); err != nil {
 		return firstCause(ctx, err)
 	}
 	out := d.connected(r, first)
@@ -60,20 +63,18 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		cancel(d.sendRunner(ctx, r, out, st))
-		_ = st.CloseRequest()
+		cancel(d.sendRunner(ctx, r, out, c))
 	}()
 	for {
 		watchdog.Reset(silentLimit)
-		f, err := st.Receive()
-		if err != nil {
+		f := &pb.RunnerFrame{}
+		if err := c.Receive(f); err != nil {
 			cancel(err)
 			break
 		}
 		d.received(r, out, f)
 	}
 	<-written
-	_ = st.CloseResponse()
 	return context.Cause(ctx)
 }
 
@@ -152,11 +153,14 @@
 	}
 }
 
+// takeBeat takes a heartbeat over and answers it: the runner's lease counts
+// from the newest one that comes back.
 func (d *Dispatcher) takeBeat(r *runner, f *pb.RunnerFrame, now time.Duration) {
 	r.heardAt = now
 	if b := f.GetBeat(); b != nil {
 		r.echo, r.echoedAt = b.GetSentNs(), now
 		r.revision = b.GetPolicyRevision()
+		r.out.Put(d.beatFor(r))
 	}
 }
 
@@ -203,16 +207,13 @@
 	}
 }
 
-// sendRunner is the stream's only writer after the first frame.
-func (d *Dispatcher) sendRunner(ctx context.Context, r *runner, out *outbox.Outbox[*pb.DispatcherFrame],
-	st *connect.BidiStreamForClient[pb.DispatcherFrame, pb.RunnerFrame]) error {
-	beats := time.NewTicker(beatEvery)
-	defer beats.Stop()
-	out.Put(d.beatFor(r))
+// sendRunner is the connection's only writer after the first frame.
+func (d *Dispatcher) sendRunner(ctx context.Context, r *runner, out *outbox.Outbox[*pb.DispatcherFrame], c *stream.Conn) error {
 	for {
+		changed := d.policy.Changed()
 		items, closed := out.TakeNow()
 		if len(items) > 0 {
-			if err := st.Send(mergeFrames(items)); err != nil {
+			if err := c.Send(mergeFrames(items)); err != nil {
 				return err
 			}
 			continue
@@ -224,10 +225,10 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-out.Ready():
-		case <-beats.C:
-			out.Put(d.beatFor(r))
-		case <-d.policy.Changed():
+		case <-changed:
+			d.mu.Lock()
 			out.Put(d.beatFor(r))
+			d.mu.Unlock()
 		}
 	}
 }
@@ -241,15 +242,11 @@
 	return time.Duration(len(d.runners)) * time.Second / statesPerSecond
 }
 
-// beatFor is a heartbeat, with the policy if the runner's is older.
+// beatFor is a heartbeat, with the policy if the runner's is older. It is
+// called with the lock held.
 func (d *Dispatcher) beatFor(r *runner) *pb.DispatcherFrame {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: r.echo, PolicyRevision: d.policy.Revision(), StateGapUs: d.stateGap().Microseconds()}}
-	if s := d.policy.State(); s != nil && s.Revision > r.revision {
-		r.revision = s.Revision
-		f.Policy = policyFrame(s)
-	}
+	f.Policy = d.policyFor(r)
 	return f
 }
 
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -11,7 +11,6 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
-	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/platform"
@@ -41,33 +40,13 @@
 	return err
 }
 
-// newRunnerClient returns a client with a connection of its own: a connection
+// newPeerClient returns a client with a connection of its own: a connection
 // that has fallen silent must not be used again.
-func newRunnerClient(address string) (pomelosillv1connect.RunnerServiceClient, func()) {
-	c := process.NewStreamClient()
-	return pomelosillv1connect.NewRunnerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
-}
-
 func newPeerClient(address string) (pomelosillv1connect.PeerServiceClient, func()) {
 	c := process.NewStreamClient()
 	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
 }
 
-func policyFrame(s *policy.State) *pb.Policy { return platform.PolicyToWire(s) }
-
-// takePolicy takes over a policy that another process has sent.
-func (d *Dispatcher) takePolicy(p *pb.Policy) {
-	state, err := platform.PolicyFromWire(p)
-	if err != nil {
-		d.log.Warn("policy: refused", zap.Error(err))
-		return
-	}
-	if d.policy.Apply(state) {
-		d.log.Info("policy: in force, from another process", zap.Uint64("revision", state.Revision),
-			zap.Uint64("version", state.Config.Version), zap.Strings("evacuated", state.Evacuated))
-	}
-}
-
 // linkPeer keeps a stream to another dispatcher until ctx ends.
 func (d *Dispatcher) linkPeer(ctx context.Context, n directory.Node) {
 	for ctx.Err() == nil {
@@ -112,28 +91,45 @@
 	receive func() (*pb.GossipFrame, error)
 	// peerRevision is the policy that the peer is known to have.
 	peerRevision revision
+	// nodesSent is the book's change that the last nodes were sent before.
+	nodesSent <-chan struct{}
 }
 
+// write sends a frame whenever the policy has changed, and every gossipEvery.
+// The first frame after a change only names the policy's revision: most peers
+// have it from the store by themselves.
 func (g *gossip) write(ctx context.Context) error {
 	for {
 		changed := g.d.policy.Changed()
-		if err := g.send(g.frame()); err != nil {
+		f := g.frame()
+		if err := g.send(f); err != nil {
 			return err
 		}
+		pause := gossipEvery
+		if f.GetPolicy() == nil && g.peerRevision.behind(f.GetPolicyRevision()) {
+			pause = policyHeadStart
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-time.After(gossipEvery):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// frame names the policy's revision, and carries what the peer lacks as far as
+// it is known: the policy, and the directory if it has changed.
 func (g *gossip) frame() *pb.GossipFrame {
 	f := &pb.GossipFrame{Dispatcher: g.d.settings.Name, PolicyRevision: g.d.policy.Revision()}
-	if s := g.d.policy.State(); s != nil && g.peerRevision.raise(s.Revision) {
-		f.Policy = policyFrame(s)
+	if s := g.d.policy.State(); s != nil && g.d.policy.Age() >= policyHeadStart && g.peerRevision.raise(s.Revision) {
+		f.Policy = platform.PolicyToWire(s)
+	}
+	changed := g.d.book.Changed()
+	if changed == g.nodesSent {
+		return f
 	}
+	g.nodesSent = changed
 	for _, role := range []directory.Role{directory.Runner, directory.Dispatcher} {
 		for _, n := range g.d.book.Nodes(role) {
 			f.Nodes = append(f.Nodes, &pb.Node{Name: n.Name, Role: string(n.Role), Address: n.Address, Revision: n.Revision})
--- /dev/null
+++ b/internal/dispatch/policy.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/directory"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/platform"
+)
+
+const (
+	// policyHeadStart is how long a new policy is left to reach the other
+	// dispatchers from the store before it is sent to them.
+	policyHeadStart = 100 * time.Millisecond
+	// pushStep is the time between two dispatchers' turns to send a new policy
+	// to a runner.
+	pushStep = 120 * time.Millisecond
+	// maxTurns bounds the turns: from the last on everybody sends.
+	maxTurns = 4
+)
+
+// takePolicy takes over a policy that another process has sent.
+func (d *Dispatcher) takePolicy(p *pb.Policy) {
+	if p.GetRevision() <= d.policy.Revision() {
+		return
+	}
+	state, err := platform.PolicyFromWire(p)
+	if err != nil {
+		d.log.Warn("policy: refused", zap.Error(err))
+		return
+	}
+	if d.policy.Apply(state) {
+		d.log.Info("policy: in force, from another process", zap.Uint64("revision", state.Revision),
+			zap.Uint64("version", state.Config.Version), zap.Strings("evacuated", state.Evacuated))
+	}
+}
+
+// policyFor is the policy for a runner whose own is older, nil if it has the
+// newest one or another dispatcher's turn comes first.
+func (d *Dispatcher) policyFor(r *runner) *pb.Policy {
+	s := d.policy.State()
+	if s == nil || s.Revision <= r.revision {
+		return nil
+	}
+	fresh := r.revision == 0
+	if !fresh && d.policy.Age() < pushDelay(d.settings.Name, r.node.Name, d.book.Nodes(directory.Dispatcher)) {
+		return nil
+	}
+	r.revision = s.Revision
+	return platform.PolicyToWire(s)
+}
+
+// pushDelay is how long a dispatcher leaves a new policy to others to send to
+// a runner. Their order differs from runner to runner, so that each sends to a
+// few at once; it matters where the policy is large and the hosts' network
+// narrow.
+func pushDelay(self, runner string, dispatchers []directory.Node) time.Duration {
+	turn := 0
+	own := weight(self, runner)
+	for _, n := range dispatchers {
+		if weight(n.Name, runner) < own {
+			turn++
+		}
+	}
+	return time.Duration(min(turn, maxTurns)) * pushStep
+}
+
+// weight is where a dispatcher stands in a runner's order.
+func weight(dispatcher, runner string) uint64 {
+	sum := sha256.Sum256([]byte(dispatcher + " " + runner))
+	return binary.BigEndian.Uint64(sum[:])
+}
--- /dev/null
+++ b/internal/dispatch/policy_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/directory"
+	"github.com/pomelosill/pomelosill/internal/policy"
+)
+
+func dispatchers(n int) []directory.Node {
+	var all []directory.Node
+	for i := range n {
+		all = append(all, directory.Node{Name: fmt.Sprintf("d-%d", i), Role: directory.Dispatcher, Address: "x", Revision: 1})
+	}
+	return all
+}
+
+// With 12 dispatchers and 70 runners, a policy of 200 kB sent by everybody to
+// everybody would hold a link of 25 Mbit/s for over four seconds.
+func TestPolicyIsSentByOneDispatcherFirst(t *testing.T) {
+	all := dispatchers(12)
+	load := map[string]int{}
+	for i := range 70 {
+		atOnce := 0
+		for _, n := range all {
+			if pushDelay(n.Name, fmt.Sprintf("r-%d", i), all) == 0 {
+				atOnce++
+				load[n.Name]++
+			}
+		}
+		must.Eq(t, 1, atOnce)
+	}
+	for name, runners := range load {
+		must.Less(t, 20, runners, must.Sprint(name))
+	}
+}
+
+// A dispatcher that knows nobody, or whose turn is last, sends soon all the
+// same.
+func TestPolicyTurnsAreBounded(t *testing.T) {
+	must.Eq(t, 0, pushDelay("d-0", "r", nil))
+	all := dispatchers(40)
+	for _, n := range all {
+		must.LessEq(t, 500*time.Millisecond, pushDelay(n.Name, "r", all))
+	}
+}
+
+func TestRunnerWithoutAPolicyGetsItAtOnce(t *testing.T) {
+	d := &Dispatcher{settings: &Settings{Name: "d-0"}, policy: policy.NewBoard(), book: directory.NewBook(), log: zap.NewNop()}
+	d.book.Learn(dispatchers(12))
+	d.policy.Apply(&policy.State{Revision: 7, Config: &policy.Config{}})
+	waits := 0
+	for i := range 30 {
+		r := newRunner(directory.Node{Name: fmt.Sprintf("r-%d", i)})
+		must.NotNil(t, d.policyFor(r))
+		must.Eq(t, 7, r.revision)
+		must.Nil(t, d.policyFor(r))
+		r.revision = 6
+		if d.policyFor(r) == nil {
+			waits++
+		}
+	}
+	must.Greater(t, 15, waits)
+}
--- a/internal/dispatch/revision.go
+++ b/internal/dispatch/revision.go
@@ -17,3 +17,6 @@
 		}
 	}
 }
+
+// behind tells whether the revision is lower than another.
+func (r *revision) behind(other uint64) bool { return r.v.Load() < other }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// beatEvery is the time between two heartbeats on a stream.
-	beatEvery = 100 * time.Millisecond
 	// quietLimit is the silence after which a runner gets no more work.
 	quietLimit = 220 * time.Millisecond
 	// silentLimit is the silence after which a stream is given up.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -50,7 +50,7 @@
 	u := j.urgency()
 	b := place.Backlog{CPU: d.waitingAtRunners(), Capacity: capacity(endpoints), Mean: d.meanTask}
 	// The other dispatchers' queues are taken to be as long as this one's.
-	dispatchers := int64(max(1, len(d.book.Nodes(directory.Dispatcher))))
+	dispatchers := int64(max(1, d.book.Count(directory.Dispatcher)))
 	for _, other := range d.waiting {
 		if !other.urgency().Late(now) {
 			b.CPU += other.waitingCPU() * dispatchers
--- a/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
+++ b/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
@@ -21,8 +21,6 @@
 const _ = connect.IsAtLeastVersion1_13_0
 
 const (
-	// RunnerServiceName is the fully-qualified name of the RunnerService service.
-	RunnerServiceName = "pomelosill.v1.RunnerService"
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "pomelosill.v1.PeerService"
 )
@@ -35,84 +33,10 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// RunnerServiceLinkProcedure is the fully-qualified name of the RunnerService's Link RPC.
-	RunnerServiceLinkProcedure = "/pomelosill.v1.RunnerService/Link"
 	// PeerServiceGossipProcedure is the fully-qualified name of the PeerService's Gossip RPC.
 	PeerServiceGossipProcedure = "/pomelosill.v1.PeerService/Gossip"
 )
 
-// RunnerServiceClient is a client for the pomelosill.v1.RunnerService service.
-type RunnerServiceClient interface {
-	// Link is the one long-lived stream between a dispatcher and a runner.
-	Link(context.Context) *connect.BidiStreamForClient[v1.DispatcherFrame, v1.RunnerFrame]
-}
-
-// NewRunnerServiceClient constructs a client for the pomelosill.v1.RunnerService service. By
-// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
-// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
-// connect.WithGRPC() or connect.WithGRPCWeb() options.
-//
-// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
-// http://api.acme.com or https://acme.com/grpc).
-func NewRunnerServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RunnerServiceClient {
-	baseURL = strings.TrimRight(baseURL, "/")
-	runnerServiceMethods := v1.File_pomelosill_v1_run_proto.Services().ByName("RunnerService").Methods()
-	return &runnerServiceClient{
-		link: connect.NewClient[v1.DispatcherFrame, v1.RunnerFrame](
-			httpClient,
-			baseURL+RunnerServiceLinkProcedure,
-			connect.WithSchema(runnerServiceMethods.ByName("Link")),
-			connect.WithClientOptions(opts...),
-		),
-	}
-}
-
-// runnerServiceClient implements RunnerServiceClient.
-type runnerServiceClient struct {
-	link *connect.Client[v1.DispatcherFrame, v1.RunnerFrame]
-}
-
-// Link calls pomelosill.v1.RunnerService.Link.
-func (c *runnerServiceClient) Link(ctx context.Context) *connect.BidiStreamForClient[v1.DispatcherFrame, v1.RunnerFrame] {
-	return c.link.CallBidiStream(ctx)
-}
-
-// RunnerServiceHandler is an implementation of the pomelosill.v1.RunnerService service.
-type RunnerServiceHandler interface {
-	// Link is the one long-lived stream between a dispatcher and a runner.
-	Link(context.Context, *connect.BidiStream[v1.DispatcherFrame, v1.RunnerFrame]) error
-}
-
-// NewRunnerServiceHandler builds an HTTP handler from the service implementation. It returns the
-// path on which to mount the handler and the handler itself.
-//
-// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
-// and JSON codecs. They also support gzip compression.
-func NewRunnerServiceHandler(svc RunnerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
-	runnerServiceMethods := v1.File_pomelosill_v1_run_proto.Services().ByName("RunnerService").Methods()
-	runnerServiceLinkHandler := connect.NewBidiStreamHandler(
-		RunnerServiceLinkProcedure,
-		svc.Link,
-		connect.WithSchema(runnerServiceMethods.ByName("Link")),
-		connect.WithHandlerOptions(opts...),
-	)
-	return "/pomelosill.v1.RunnerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch r.URL.Path {
-		case RunnerServiceLinkProcedure:
-			runnerServiceLinkHandler.ServeHTTP(w, r)
-		default:
-			http.NotFound(w, r)
-		}
-	})
-}
-
-// UnimplementedRunnerServiceHandler returns CodeUnimplemented from all methods.
-type UnimplementedRunnerServiceHandler struct{}
-
-func (UnimplementedRunnerServiceHandler) Link(context.Context, *connect.BidiStream[v1.DispatcherFrame, v1.RunnerFrame]) error {
-	return connect.NewError(connect.CodeUnimplemented, errors.New("pomelosill.v1.RunnerService.Link is not implemented"))
-}
-
 // PeerServiceClient is a client for the pomelosill.v1.PeerService service.
 type PeerServiceClient interface {
 	// Gossip exchanges the policy and the directory in both directions.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
 )
 
 // Route leads callers' requests to a service.
@@ -90,8 +92,10 @@
 
 // Board holds the newest policy known to a process.
 type Board struct {
-	mu      sync.Mutex
-	state   *State
+	mu    sync.Mutex
+	state *State
+	// takenAt is when state was taken over.
+	takenAt time.Duration
 	changed chan struct{}
 }
 
@@ -114,6 +118,13 @@
 	return 0
 }
 
+// Age is how long ago the newest policy was taken over.
+func (b *Board) Age() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return clock.Boot() - b.takenAt
+}
+
 // Changed returns a channel that is closed at the next change.
 func (b *Board) Changed() <-chan struct{} {
 	b.mu.Lock()
@@ -130,6 +141,7 @@
 		return false
 	}
 	b.state = s
+	b.takenAt = clock.Boot()
 	close(b.changed)
 	b.changed = make(chan struct{})
 	return true
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
@@ -12,6 +11,7 @@
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/stream"
 	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform"
 )
@@ -21,11 +21,15 @@
 	beatEvery = 100 * time.Millisecond
 	// forgetAfter is how long events are kept for a dispatcher that is away.
 	forgetAfter = 5 * time.Second
+	// helloTimeout bounds the wait for a connection's first frame.
+	helloTimeout = 2 * time.Second
+	// leastTellDelay and mostTellDelay bound how long a runner leaves it to
+	// others to send a dispatcher the policy. Runners differ in it: one of
+	// them is enough.
+	leastTellDelay = 300 * time.Millisecond
+	mostTellDelay  = time.Second
 )
 
-// stream is one connection of a dispatcher.
-type stream = connect.BidiStream[pb.DispatcherFrame, pb.RunnerFrame]
-
 // frames are what waits to be sent on a stream.
 type frames = outbox.Outbox[*pb.RunnerFrame]
 
@@ -53,29 +57,38 @@
 	beatAt time.Duration
 	// stateGap is the least time between two states that go alone.
 	stateGap time.Duration
-	// revision is the newest policy that the dispatcher said it has.
-	revision uint64
+	// revision is the newest policy that the dispatcher said it has, and
+	// behindSince since when it has been older than the runner's own.
+	revision    uint64
+	behindSince time.Duration
 }
 
-// Link implements the RunnerService.
-func (r *Runner) Link(ctx context.Context, st *stream) error {
-	first, err := st.Receive()
-	if err != nil {
-		return err
+// serveLink serves a dispatcher's connection. Its first frame names the
+// dispatcher.
+func (r *Runner) serveLink(c *stream.Conn) {
+	first := &pb.DispatcherFrame{}
+	hello := time.AfterFunc(helloTimeout, c.Close)
+	err := c.Receive(first)
+	hello.Stop()
+	if err == nil && (first.GetDispatcher() == "" || first.GetIncarnation() == "") {
+		err = result.Errorf(result.Malformed, "the first frame must name the dispatcher")
 	}
-	if first.GetDispatcher() == "" || first.GetIncarnation() == "" {
-		return connect.NewError(connect.CodeInvalidArgument, result.Errorf(result.Malformed, "the first frame must name the dispatcher"))
+	if err != nil {
+		r.log.Warn("link: connection refused", zap.Error(err))
+		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(r.base)
 	defer cancel()
-	l, out, ended := r.attach(first, cancel)
+	l, out, ended := r.attach(first, func() {
+		cancel()
+		c.Close()
+	})
 	defer close(ended)
 	r.log.Info("link: dispatcher connected", zap.String("dispatcher", l.name), zap.String("incarnation", l.incarnation))
-	go r.receive(ctx, cancel, l, out, st)
-	r.send(ctx, l, out, st)
+	go r.receive(ctx, cancel, l, out, c)
+	r.send(ctx, l, out, c)
 	r.detach(l, out)
 	r.log.Info("link: dispatcher disconnected", zap.String("dispatcher", l.name))
-	return nil
 }
 
 // attach makes the stream the dispatcher's present one. The stream before it
@@ -163,11 +176,11 @@
 }
 
 // receive takes the dispatcher's frames.
-func (r *Runner) receive(ctx context.Context, cancel context.CancelFunc, l *link, out *frames, st *stream) {
+func (r *Runner) receive(ctx context.Context, cancel context.CancelFunc, l *link, out *frames, c *stream.Conn) {
 	defer cancel()
 	for {
-		f, err := st.Receive()
-		if err != nil || ctx.Err() != nil {
+		f := &pb.DispatcherFrame{}
+		if err := c.Receive(f); err != nil || ctx.Err() != nil {
 			return
 		}
 		r.take(l, out, f)
@@ -190,7 +203,7 @@
 		}
 		l.revision = max(l.revision, b.GetPolicyRevision())
 		l.stateGap = time.Duration(b.GetStateGapUs()) * time.Microsecond
-		r.tellPolicy(l)
+		r.tellPolicy(l, now)
 	}
 	r.takePolicy(f.GetPolicy())
 	if now > l.leaseEnd && len(f.GetStarts()) > 0 {
@@ -216,7 +229,7 @@
 
 // takePolicy takes over a policy that a dispatcher has sent.
 func (r *Runner) takePolicy(p *pb.Policy) {
-	if p == nil {
+	if p == nil || p.GetRevision() <= r.policy.Revision() {
 		return
 	}
 	state, err := platform.PolicyFromWire(p)
@@ -232,10 +245,18 @@
 	}
 }
 
-// tellPolicy sends the policy to a dispatcher whose own is older.
-func (r *Runner) tellPolicy(l *link) {
+// tellPolicy sends the policy to a dispatcher whose own has been older for a
+// while: it may read the store or hear others.
+func (r *Runner) tellPolicy(l *link, now time.Duration) {
 	s := r.policy.State()
 	if s == nil || l.out == nil || l.revision >= s.Revision {
+		l.behindSince = 0
+		return
+	}
+	if l.behindSince == 0 {
+		l.behindSince = now
+	}
+	if now-l.behindSince < r.tellDelay {
 		return
 	}
 	l.revision = s.Revision
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -7,18 +7,21 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
-	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/stream"
 	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform"
 )
@@ -42,8 +45,13 @@
 	links   map[string]*link
 	waiting []*order
 	leaving bool
+	// checked is the endpoint's state at the last check of what time changes.
+	checked *pb.RunnerState
 	// fence is the fencing token of the next session.
 	fence int64
+	// tellDelay is how long a dispatcher's policy has to be older than the
+	// runner's until the runner sends its own.
+	tellDelay time.Duration
 	// base ends with the process.
 	base context.Context
 }
@@ -64,6 +72,7 @@
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		links:       map[string]*link{},
 		fence:       started,
+		tellDelay:   leastTellDelay + rand.N(mostTellDelay-leastTellDelay),
 	}
 	r.counters, err = newCounters(debug.Meter)
 	return r, err
@@ -75,10 +84,16 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	r.base = base
+	links, err := process.Listen(ctx, r.settings.Link)
+	if err != nil {
+		return err
+	}
 	servers, err := r.serve(ctx)
 	if err != nil {
+		_ = links.Close()
 		return err
 	}
+	linkServer := stream.Serve(links, r.serveLink, r.log)
 	var running sync.WaitGroup
 	registrar := &directory.Registrar{
 		Store: platform.NewStore(r.settings.Store), Log: r.log,
@@ -92,6 +107,7 @@
 	r.drain()
 	stop()
 	process.CloseAll(servers)
+	linkServer.Close()
 	running.Wait()
 	r.log.Info("runner: stopped", zap.String("name", r.settings.Name))
 	return nil
@@ -102,13 +118,10 @@
 	heartbeats := http.NewServeMux()
 	heartbeats.HandleFunc(platform.PathHeartbeat, r.heartbeat)
 	heartbeats.HandleFunc(platform.PathLeave, r.leave)
-	streams := http.NewServeMux()
-	streams.Handle(pomelosillv1connect.NewRunnerServiceHandler(r, process.Uncompressed()))
 	pages := http.NewServeMux()
 	r.debug.Mount(pages, func() any { return r.State() })
 	return process.ServeAll(ctx, []process.Site{
 		{Address: r.settings.Listen, Handler: heartbeats},
-		{Address: r.settings.Link, Handler: streams},
 		{Address: r.settings.Metrics, Handler: pages},
 	}, r.log)
 }
@@ -163,7 +176,10 @@
 		r.stopStrangers(s)
 		r.checkLease(s, now)
 	}
-	r.publish()
+	if state := r.endpointState(); !proto.Equal(state, r.checked) {
+		r.checked = state
+		r.publish()
+	}
 }
 
 // State is the runner's state dump.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -13,16 +13,14 @@
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
-	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
-	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runner"
 	"github.com/pomelosill/pomelosill/internal/settings"
+	"github.com/pomelosill/pomelosill/internal/stream"
 	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/fleet"
@@ -128,7 +126,7 @@
 // dispatcher is one stream to a runner.
 type dispatcher struct {
 	t      *testing.T
-	stream *connect.BidiStreamForClient[pb.DispatcherFrame, pb.RunnerFrame]
+	stream *stream.Conn
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	send   sync.Mutex
@@ -145,13 +143,13 @@
 func (h *host) dial(incarnation string) *dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.t.Cleanup(cancel)
-	c := process.NewStreamClient()
-	h.t.Cleanup(c.CloseIdleConnections)
-	d := &dispatcher{t: h.t, cancel: cancel, events: map[string]*pb.RunEvent{}}
-	d.stream = pomelosillv1connect.NewRunnerServiceClient(c, "http://"+h.link).Link(ctx)
-	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: incarnation}))
-	first, err := d.stream.Receive()
+	c, err := stream.Dial(ctx, h.link)
 	must.NoError(h.t, err)
+	context.AfterFunc(ctx, c.Close)
+	d := &dispatcher{t: h.t, cancel: cancel, events: map[string]*pb.RunEvent{}, stream: c}
+	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: incarnation}))
+	first := &pb.RunnerFrame{}
+	must.NoError(h.t, d.stream.Receive(first))
 	d.held = first.GetHeld()
 	d.take(first)
 	go d.receive()
@@ -180,8 +178,8 @@
 
 func (d *dispatcher) receive() {
 	for {
-		f, err := d.stream.Receive()
-		if err != nil {
+		f := &pb.RunnerFrame{}
+		if err := d.stream.Receive(f); err != nil {
 			return
 		}
 		d.take(f)
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/stream"
 )
 
 // beat is a heartbeat of this moment.
@@ -13,31 +16,28 @@
 	return &pb.RunnerBeat{SentNs: int64(clock.Boot()), PolicyRevision: r.policy.Revision()}
 }
 
-// send is the stream's only writer. Events leave at once, and take the newest
-// state with them; a state alone waits for stateGap after the last frame.
-func (r *Runner) send(ctx context.Context, l *link, out *frames, st *stream) {
-	beats := time.NewTicker(beatEvery)
-	defer beats.Stop()
+// send is the connection's only writer. Events leave at once, and take the
+// newest state with them; a state alone waits for stateGap after the last
+// frame.
+func (r *Runner) send(ctx context.Context, l *link, out *frames, c *stream.Conn) {
+	pause := time.NewTimer(0)
+	defer pause.Stop()
 	for {
 		frame, wait := r.gather(l, out)
 		if frame != nil {
-			if err := st.Send(frame); err != nil {
+			if err := c.Send(frame); err != nil {
+				r.log.Info("link: can't send", zap.String("dispatcher", l.name), zap.Error(err))
 				r.keep(l, frame)
 				return
 			}
 			continue
 		}
-		gap := time.NewTimer(wait)
+		pause.Reset(wait)
 		select {
 		case <-ctx.Done():
-		case <-out.Ready():
-		case <-gap.C:
-		case <-beats.C:
-			r.beatNow(l, out)
-		}
-		gap.Stop()
-		if ctx.Err() != nil {
 			return
+		case <-out.Ready():
+		case <-pause.C:
 		}
 	}
 }
@@ -49,21 +49,25 @@
 	l.kept = append(l.kept, f.GetEvents()...)
 }
 
-// idle is how long a writer sleeps that has nothing to send.
-const idle = time.Minute
+// beatSlack is how much earlier than due a heartbeat goes along with another
+// frame.
+const beatSlack = beatEvery / 4
 
-// gather merges all that waits into one frame, with the state if it changed.
-// Without a frame it returns how long the next one has to wait.
+// gather merges all that waits into one frame, with the state if it changed
+// and a heartbeat if one is due. Without a frame it returns how long the next
+// one has to wait.
 func (r *Runner) gather(l *link, out *frames) (*pb.RunnerFrame, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.Boot()
+	beatIn := l.beatAt + beatEvery - now
 	items, _ := out.TakeNow()
 	if len(items) == 0 {
-		if !l.dirty {
-			return nil, idle
+		wait := beatIn
+		if l.dirty {
+			wait = min(wait, l.sentAt+l.stateGap-now)
 		}
-		if wait := l.sentAt + l.stateGap - now; wait > 0 {
+		if wait > 0 {
 			return nil, wait
 		}
 	}
@@ -76,7 +80,7 @@
 		f.State = r.state(l)
 	}
 	l.sentAt = now
-	if f.GetBeat() == nil && now-l.beatAt >= beatEvery/2 {
+	if f.GetBeat() == nil && beatIn <= beatSlack {
 		f.Beat = r.beat()
 	}
 	if f.GetBeat() != nil {
@@ -85,15 +89,6 @@
 	return f, 0
 }
 
-// beatNow queues a heartbeat, unless one has gone along with other frames.
-func (r *Runner) beatNow(l *link, out *frames) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if clock.Boot()-l.beatAt >= beatEvery/2 {
-		out.Put(&pb.RunnerFrame{Beat: r.beat()})
-	}
-}
-
 func merge(f, it *pb.RunnerFrame) {
 	if it.GetRunner() != "" {
 		f.Runner, f.Incarnation, f.Held = it.GetRunner(), it.GetIncarnation(), it.GetHeld()
@@ -112,7 +107,14 @@
 
 // state describes the endpoint for one dispatcher.
 func (r *Runner) state(l *link) *pb.RunnerState {
-	out := &pb.RunnerState{Handled: l.handled}
+	out := r.endpointState()
+	out.Handled = l.handled
+	return out
+}
+
+// endpointState describes the endpoint as it is now.
+func (r *Runner) endpointState() *pb.RunnerState {
+	out := &pb.RunnerState{}
 	s := r.session
 	if s == nil {
 		return out
--- /dev/null
+++ b/internal/stream/bench_test.go
@@ -0,0 +1,85 @@
+package stream_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/process"
+	"github.com/pomelosill/pomelosill/internal/stream"
+)
+
+// BenchmarkStream is one round trip of a small message.
+func BenchmarkStream(b *testing.B) {
+	near, far := tcpPair(b)
+	go echo(far)
+	b.ReportAllocs()
+	for b.Loop() {
+		must.NoError(b, near.Send(order("x")))
+		must.NoError(b, near.Receive(&pb.RunnerFrame{}))
+	}
+}
+
+func tcpPair(b *testing.B) (near, far *stream.Conn) {
+	l, err := process.Listen(b.Context(), "127.0.0.1:0")
+	must.NoError(b, err)
+	accepted := make(chan *stream.Conn)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			accepted <- stream.NewConn(c)
+		}
+	}()
+	near, err = stream.Dial(b.Context(), l.Addr().String())
+	must.NoError(b, err)
+	far = <-accepted
+	b.Cleanup(func() {
+		near.Close()
+		far.Close()
+		_ = l.Close()
+	})
+	return near, far
+}
+
+// echoPeer answers each frame of a connect-go stream.
+type echoPeer struct{}
+
+func (echoPeer) Gossip(_ context.Context, st *connect.BidiStream[pb.GossipFrame, pb.GossipFrame]) error {
+	for {
+		f, err := st.Receive()
+		if err != nil {
+			return err
+		}
+		if err := st.Send(f); err != nil {
+			return err
+		}
+	}
+}
+
+// BenchmarkConnect is the same over a stream of connect-go.
+func BenchmarkConnect(b *testing.B) {
+	mux := http.NewServeMux()
+	mux.Handle(pomelosillv1connect.NewPeerServiceHandler(echoPeer{}, process.Uncompressed()))
+	l, err := process.Listen(b.Context(), "127.0.0.1:0")
+	must.NoError(b, err)
+	server := process.NewServer(mux)
+	go func() { _ = server.Serve(l) }()
+	client := process.NewStreamClient()
+	b.Cleanup(func() {
+		client.CloseIdleConnections()
+		_ = server.Close()
+	})
+	st := pomelosillv1connect.NewPeerServiceClient(client, "http://"+l.Addr().String()).Gossip(b.Context())
+	b.ReportAllocs()
+	for b.Loop() {
+		must.NoError(b, st.Send(&pb.GossipFrame{Dispatcher: "x"}))
+		_, err := st.Receive()
+		must.NoError(b, err)
+	}
+	_ = st.CloseRequest()
+}
