Run dispatchers and runners in simulated time under random faults

Change: test/simulate runs the real dispatchers, runners and their protocols in one process under testing/synctest, on a network of its own (cuts both or one way, delays, resets, silence, kills with and without power) against the stand-ins of store and endpoints (outages, lost answers, stale watches, late and lost orders, rebirths), and checks what callers and endpoints see. The processes take their network as a parameter (internal/network); callers are shared with the soak (test/caller).

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -5,13 +5,27 @@
 package clock
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// simulated is the clock of a test in simulated time, nil otherwise.
+var simulated atomic.Pointer[func() time.Duration]
+
+// Simulate makes Boot read a test's clock until the returned function is
+// called.
+func Simulate(now func() time.Duration) (restore func()) {
+	simulated.Store(&now)
+	return func() { simulated.Store(nil) }
+}
+
 // Boot is the time since the machine booted, suspensions included.
 func Boot() time.Duration {
+	if now := simulated.Load(); now != nil {
+		return (*now)()
+	}
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return time.Duration(time.Now().UnixNano())
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/store"
@@ -35,6 +36,7 @@
 	log         *zap.Logger
 	debug       *process.Debug
 	metrics     *metrics
+	network     network.Network
 	store       store.Store
 	policy      *policy.Board
 	book        *directory.Book
@@ -56,7 +58,10 @@
 
 // New returns a dispatcher with valid settings. Its error is that of setting
 // up metrics.
-func New(s *Settings, log *zap.Logger) (*Dispatcher, error) {
+func New(s *Settings, log *zap.Logger) (*Dispatcher, error) { return NewOn(network.TCP, s, log) }
+
+// NewOn returns a dispatcher on a network.
+func NewOn(n network.Network, s *Settings, log *zap.Logger) (*Dispatcher, error) {
 	debug, err := process.NewDebug("pomelosill-dispatcher")
 	if err != nil {
 		return nil, err
@@ -65,7 +70,8 @@
 		settings:    s,
 		log:         log,
 		debug:       debug,
-		store:       platform.NewStore(s.Store),
+		network:     n,
+		store:       platform.NewStoreOn(n, s.Store),
 		policy:      policy.NewBoard(),
 		book:        directory.NewBook(),
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
@@ -121,7 +127,7 @@
 	streams.Handle(pomelosillv1connect.NewPeerServiceHandler(d, process.Uncompressed()))
 	pages := http.NewServeMux()
 	d.debug.Mount(pages, func() any { return d.State() })
-	return process.ServeAll(ctx, []process.Site{
+	return process.ServeAll(ctx, d.network, []process.Site{
 		{Address: d.settings.Listen, Handler: http.HandlerFunc(d.callers)},
 		{Address: d.settings.Ready, Handler: ready},
 		{Address: d.settings.Peer, Handler: streams},
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -43,7 +43,7 @@
 func (d *Dispatcher) runLink(ctx context.Context, r *runner, address string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	c, err := stream.Dial(ctx, address)
+	c, err := stream.Dial(ctx, d.network, address)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -11,6 +11,7 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/platform"
@@ -42,8 +43,8 @@
 
 // newPeerClient returns a client with a connection of its own: a connection
 // that has fallen silent must not be used again.
-func newPeerClient(address string) (pomelosillv1connect.PeerServiceClient, func()) {
-	c := process.NewStreamClient()
+func newPeerClient(n network.Network, address string) (pomelosillv1connect.PeerServiceClient, func()) {
+	c := process.NewStreamClientOn(n)
 	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
 }
 
@@ -59,7 +60,7 @@
 func (d *Dispatcher) runGossip(ctx context.Context, n directory.Node) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	client, closeClient := newPeerClient(n.Address)
+	client, closeClient := newPeerClient(d.network, n.Address)
 	defer closeClient()
 	st := client.Gossip(ctx)
 	g := &gossip{d: d, send: st.Send, receive: st.Receive}
--- /dev/null
+++ b/internal/network/network.go
@@ -0,0 +1,40 @@
+// Package network is what a process opens and accepts connections with: TCP,
+// or in tests a network whose faults are chosen.
+package network
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Network opens and accepts connections.
+type Network interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+	Listen(ctx context.Context, address string) (net.Listener, error)
+}
+
+// TCP is the host's network.
+var TCP Network = tcp{}
+
+type tcp struct{}
+
+func (tcp) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (tcp) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(ctx, "tcp", address)
+}
+
+// Dialer is a dial function for net/http with a bound on the opening of a
+// connection.
+func Dialer(n Network, timeout time.Duration) func(ctx context.Context, _, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return n.Dial(ctx, address)
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/result"
 )
 
@@ -131,8 +132,13 @@
 
 // Listen binds a TCP address; its error has the code AddressInUse.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", addr)
+	return ListenOn(ctx, network.TCP, addr)
+}
+
+// ListenOn binds an address of a network. Its error has the code
+// AddressInUse.
+func ListenOn(ctx context.Context, n network.Network, addr string) (net.Listener, error) {
+	l, err := n.Listen(ctx, addr)
 	if err != nil {
 		return nil, result.Wrap(result.AddressInUse, err, addr)
 	}
@@ -163,13 +169,15 @@
 
 // NewStreamClient returns a client for connect streams over unencrypted
 // HTTP/2. It gives up connections to hosts that fall silent.
-func NewStreamClient() *http.Client {
+func NewStreamClient() *http.Client { return NewStreamClientOn(network.TCP) }
+
+// NewStreamClientOn is NewStreamClient on a network.
+func NewStreamClientOn(n network.Network) *http.Client {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	dialer := net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		Protocols:   &p,
-		DialContext: dialer.DialContext,
+		DialContext: network.Dialer(n, dialTimeout),
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}}
 }
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -6,6 +6,8 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/network"
 )
 
 // Site is an address with what is served there; an empty address serves
@@ -17,13 +19,13 @@
 
 // ServeAll binds every address and serves it until its server is closed. Its
 // error has the code AddressInUse; nothing is served then.
-func ServeAll(ctx context.Context, sites []Site, log *zap.Logger) ([]*http.Server, error) {
+func ServeAll(ctx context.Context, n network.Network, sites []Site, log *zap.Logger) ([]*http.Server, error) {
 	var servers []*http.Server
 	for _, s := range sites {
 		if s.Address == "" {
 			continue
 		}
-		l, err := Listen(ctx, s.Address)
+		l, err := ListenOn(ctx, n, s.Address)
 		if err != nil {
 			CloseAll(servers)
 			return nil, err
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/stream"
@@ -36,6 +37,7 @@
 	debug       *process.Debug
 	counters    *counters
 	policy      *policy.Board
+	network     network.Network
 	incarnation string
 
 	mu sync.Mutex
@@ -58,7 +60,10 @@
 
 // New returns a runner with valid settings. Its error is that of setting up
 // metrics.
-func New(s *Settings, log *zap.Logger) (*Runner, error) {
+func New(s *Settings, log *zap.Logger) (*Runner, error) { return NewOn(network.TCP, s, log) }
+
+// NewOn returns a runner on a network.
+func NewOn(n network.Network, s *Settings, log *zap.Logger) (*Runner, error) {
 	debug, err := process.NewDebug("pomelosill-runner")
 	if err != nil {
 		return nil, err
@@ -69,6 +74,7 @@
 		log:         log,
 		debug:       debug,
 		policy:      policy.NewBoard(),
+		network:     n,
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		links:       map[string]*link{},
 		fence:       started,
@@ -84,7 +90,7 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	r.base = base
-	links, err := process.Listen(ctx, r.settings.Link)
+	links, err := process.ListenOn(ctx, r.network, r.settings.Link)
 	if err != nil {
 		return err
 	}
@@ -96,7 +102,7 @@
 	linkServer := stream.Serve(links, r.serveLink, r.log)
 	var running sync.WaitGroup
 	registrar := &directory.Registrar{
-		Store: platform.NewStore(r.settings.Store), Log: r.log,
+		Store: platform.NewStoreOn(r.network, r.settings.Store), Log: r.log,
 		Node: directory.Node{Name: r.settings.Name, Role: directory.Runner, Address: r.settings.address()},
 	}
 	running.Go(func() { registrar.Run(base) })
@@ -120,7 +126,7 @@
 	heartbeats.HandleFunc(platform.PathLeave, r.leave)
 	pages := http.NewServeMux()
 	r.debug.Mount(pages, func() any { return r.State() })
-	return process.ServeAll(ctx, []process.Site{
+	return process.ServeAll(ctx, r.network, []process.Site{
 		{Address: r.settings.Listen, Handler: heartbeats},
 		{Address: r.settings.Metrics, Handler: pages},
 	}, r.log)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runner"
 	"github.com/pomelosill/pomelosill/internal/settings"
@@ -143,7 +144,7 @@
 func (h *host) dial(incarnation string) *dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.t.Cleanup(cancel)
-	c, err := stream.Dial(ctx, h.link)
+	c, err := stream.Dial(ctx, network.TCP, h.link)
 	must.NoError(h.t, err)
 	context.AfterFunc(ctx, c.Close)
 	d := &dispatcher{t: h.t, cancel: cancel, events: map[string]*pb.RunEvent{}, stream: c}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -70,7 +70,7 @@
 	r.fence++
 	s := &session{
 		endpoint: ep,
-		client:   platform.NewEndpoint(ep.Address, ep.ID),
+		client:   platform.NewEndpoint(r.network, ep.Address, ep.ID),
 		account:  room.New(ep.Capacity),
 		health:   room.NewHealth(),
 		fence:    r.fence,
--- a/internal/stream/bench_test.go
+++ b/internal/stream/bench_test.go
@@ -10,6 +10,7 @@
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/stream"
 )
@@ -35,7 +36,7 @@
 			accepted <- stream.NewConn(c)
 		}
 	}()
-	near, err = stream.Dial(b.Context(), l.Addr().String())
+	near, err = stream.Dial(b.Context(), network.TCP, l.Addr().String())
 	must.NoError(b, err)
 	far = <-accepted
 	b.Cleanup(func() {
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -14,6 +14,8 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelosill/pomelosill/internal/network"
 )
 
 const (
@@ -41,9 +43,10 @@
 }
 
 // Dial opens a connection to a Server.
-func Dial(ctx context.Context, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+func Dial(ctx context.Context, n network.Network, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := n.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/stream"
 )
 
@@ -29,7 +30,7 @@
 }
 
 func dial(t *testing.T, address string) *stream.Conn {
-	c, err := stream.Dial(t.Context(), address)
+	c, err := stream.Dial(t.Context(), network.TCP, address)
 	must.NoError(t, err)
 	t.Cleanup(c.Close)
 	return c
@@ -135,13 +136,13 @@
 	must.NoError(t, c.Receive(&pb.RunnerFrame{}))
 	server.Close()
 	must.Error(t, c.Receive(&pb.RunnerFrame{}))
-	_, err := stream.Dial(t.Context(), address)
+	_, err := stream.Dial(t.Context(), network.TCP, address)
 	must.Error(t, err)
 }
 
 func TestDialStopsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := stream.Dial(ctx, "127.0.0.1:1")
+	_, err := stream.Dial(ctx, network.TCP, "127.0.0.1:1")
 	must.ErrorIs(t, err, context.Canceled)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pomelosill/pomelosill/platform"
+	"github.com/pomelosill/pomelosill/test/caller"
 	"github.com/pomelosill/pomelosill/test/fleet"
 )
 
@@ -59,10 +60,10 @@
 	must.True(t, w.allReady(readyWithin), must.Sprint("never ready"))
 	ctx, cancel := context.WithTimeout(t.Context(), *lasts)
 	defer cancel()
-	var all []*told
+	var all []*caller.Told
 	var names []string
 	var both sync.WaitGroup
-	both.Go(func() { all = w.load(ctx, 1) })
+	both.Go(func() { all = w.callers().Load(ctx, 1) })
 	both.Go(func() { names = w.faults(ctx) })
 	both.Wait()
 	w.check(all)
@@ -77,35 +78,19 @@
 }
 
 // check compares what callers were told with what the endpoints did.
-func (w *world) check(all []*told) {
-	served, refusals := 0, 0
-	for _, a := range all {
-		id := jobID(a.number)
-		if a.last() == http.StatusOK && strings.Contains(a.body, "completed") {
-			served++
-			if n := w.judge.Done(id); n < shapeOf(a.number).tasks {
-				w.t.Errorf("%s is said to be done, and %d of %d tasks were", id, n, shapeOf(a.number).tasks)
-			}
-		}
-		if a.refused() {
-			refusals++
-			if n := w.judge.Starts(id); n > 0 {
-				w.t.Errorf("%s is said not to have run (%v), and was started %d times", id, a.statuses, n)
-			}
-		}
-	}
-	w.t.Logf("%d jobs: %d served, %d refused", len(all), served, refusals)
+func (w *world) check(all []*caller.Told) {
+	served, refused := caller.Check(w.t, w.judge, all)
+	w.t.Logf("%d jobs: %d served, %d refused", len(all), served, refused)
 }
 
 // recovers checks that jobs are served again soon after the last fault.
 func (w *world) recovers() {
 	began := time.Now()
-	client := &http.Client{}
-	defer client.CloseIdleConnections()
+	callers := w.callers()
 	inRow := 0
 	for number := uint64(afterLoad); inRow < len(w.entries)*2; number++ {
 		e := w.entries[int(number)%len(w.entries)]
-		if status, _ := w.post(client, e, number); status == http.StatusOK {
+		if status, _ := callers.Post(e.listen, number); status == http.StatusOK {
 			inRow++
 		} else {
 			inRow = 0
@@ -125,6 +110,6 @@
 	before := w.judge.StartsIn(out)
 	ctx, cancel := context.WithTimeout(w.t.Context(), time.Second)
 	defer cancel()
-	w.check(w.load(ctx, 2*afterLoad))
+	w.check(w.callers().Load(ctx, 2*afterLoad))
 	must.Eq(w.t, before, w.judge.StartsIn(out), must.Sprint("starts in a failure domain out of service"))
 }
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -24,6 +24,7 @@
 	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
+	"github.com/pomelosill/pomelosill/test/caller"
 	"github.com/pomelosill/pomelosill/test/fleet"
 )
 
@@ -31,8 +32,7 @@
 	dispatchers = 3
 	hosts       = 4
 	domains     = 2
-	// taskCPU and endpointTasks give an endpoint room for so many tasks.
-	taskCPU       = 1000
+	// endpointTasks is how many tasks an endpoint has room for.
 	endpointTasks = 6
 	beatEvery     = 100 * time.Millisecond
 	config        = `{"version":1,"routes":[{"name":"r","hostname":"app.example","prefix":"/p/","service":"svc",
@@ -145,9 +145,9 @@
 func (w *world) addHost(i int) {
 	h := &host{listen: fleet.FreeAddress(w.t)}
 	h.endpoint = &platformtest.Endpoint{
-		Service: "svc", Domain: domainOf(i), Capacity: work.Resources{CPU: endpointTasks * taskCPU, MemoryMB: 1000},
-		Need:     func(work.Run) work.Resources { return work.Resources{CPU: taskCPU, MemoryMB: 1} },
-		Duration: duration, Judge: w.judge, Fault: h.choose,
+		Service: "svc", Domain: domainOf(i), Capacity: work.Resources{CPU: endpointTasks * caller.TaskCPU, MemoryMB: 1000},
+		Need:     func(work.Run) work.Resources { return work.Resources{CPU: caller.TaskCPU, MemoryMB: 1} },
+		Duration: caller.Duration, Judge: w.judge, Fault: h.choose,
 	}
 	server := httptest.NewServer(h.endpoint.Handler())
 	w.t.Cleanup(func() {
@@ -210,6 +210,16 @@
 	w.entries = append(w.entries, e)
 }
 
+// callers send jobs to all dispatchers.
+func (w *world) callers() *caller.Callers {
+	c := &caller.Callers{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	w.t.Cleanup(c.HTTP.CloseIdleConnections)
+	for _, e := range w.entries {
+		c.Dispatchers = append(c.Dispatchers, e.listen)
+	}
+	return c
+}
+
 func (w *world) isReady(e *entry) bool {
 	client := &http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + e.ready + "/readiness")
