--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -119,7 +119,7 @@
 	l.out = outbox.New[*pb.RunnerFrame]()
 	l.cancel, l.ended = cancel, ended
 	l.handled, l.lapsed, l.revision = 0, false, 0
-	l.leaseEnd = clock.Boot() + lease.Dispatcher
+	r.grant(l, clock.Boot())
 	l.out.Put(&pb.RunnerFrame{
 		Runner: r.settings.Name, Incarnation: r.incarnation,
 		Held: r.held(l.owner()), Beat: r.beat(),
@@ -133,6 +133,19 @@
 	return l, l.out, ended
 }
 
+// grant gives a dispatcher that has connected its first lease. Runs that it has
+// here keep the one they have: a first frame may have been held up on its way,
+// and says nothing of the present. Only an echo prolongs it.
+func (r *Runner) grant(l *link, now time.Duration) {
+	if now <= l.leaseEnd {
+		return
+	}
+	if l.leaseEnd > 0 {
+		r.stopOwned(l, "dispatcher silent")
+	}
+	l.leaseEnd = now + lease.Dispatcher
+}
+
 // owner is the name under which the dispatcher's runs are accounted.
 func (l *link) owner() string { return l.name + "/" + l.incarnation }
 
--- a/internal/runner/link_test.go
+++ b/internal/runner/link_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 )
 
@@ -42,3 +43,30 @@
 	}
 	return false
 }
+
+// The first frame of a new connection may have been held up by a cut for as
+// long as the lease lasts. If it prolonged the lease, runs could go on for
+// almost two leases after the last echo.
+func TestConnectingDoesNotProlongTheLease(t *testing.T) {
+	s := DefaultSettings()
+	r, err := New(&s, zap.NewNop())
+	must.NoError(t, err)
+	r.base = t.Context()
+	first := &pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}
+	l, _, ended := r.attach(first, func() {})
+	close(ended)
+	granted := l.leaseEnd
+	must.Greater(t, clock.Boot(), granted)
+
+	_, _, ended = r.attach(first, func() {})
+	close(ended)
+	must.Eq(t, granted, l.leaseEnd, must.Sprint("before the lease has lapsed"))
+
+	l.leaseEnd = clock.Boot() - 1
+	_, _, ended = r.attach(first, func() {})
+	close(ended)
+	must.Greater(t, clock.Boot(), l.leaseEnd, must.Sprint("after it, when all runs are stopped"))
+
+	again, _, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "2"}, func() {})
+	must.Greater(t, clock.Boot(), again.leaseEnd, must.Sprint("a new incarnation, which has no runs"))
+}
