--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -21,8 +21,9 @@
 
 const (
 	// TaskCPU is what each task needs, in thousandths of a core.
-	TaskCPU  = 1000
-	jobEvery = 45 * time.Millisecond
+	TaskCPU = 1000
+	// JobEvery is the time between two jobs of an ordinary load.
+	JobEvery = 45 * time.Millisecond
 	// resendAfter is how long after a lost answer a caller sends its job again.
 	resendAfter = 1300 * time.Millisecond
 	// callerWait is how long a caller waits for an answer.
@@ -86,6 +87,8 @@
 	HTTP *http.Client
 	// Dispatchers are the addresses that take jobs.
 	Dispatchers []string
+	// Every is the time between two jobs.
+	Every time.Duration
 }
 
 // Load sends jobs until ctx ends and returns what callers were told. The first
@@ -101,7 +104,7 @@
 			defer mu.Unlock()
 			all = append(all, a)
 		})
-		time.Sleep(jobEvery)
+		time.Sleep(c.Every)
 	}
 	callers.Wait()
 	return all
--- a/test/simulate/world.go
+++ b/test/simulate/world.go
@@ -36,9 +36,14 @@
 	// endpointTasks is how many tasks an endpoint has room for.
 	endpointTasks = 8
 	beatEvery     = 300 * time.Millisecond
-	grace         = 2 * time.Second
-	storeAddress  = "store:1"
-	config        = `{"version":1,"routes":[{"name":"r","hostname":"app.example","prefix":"/p/","service":"svc",
+	// stopTakes is how long a stop takes at an endpoint.
+	stopTakes = 40 * time.Millisecond
+	// fullLoad is the time between two jobs that no endpoint has room for all
+	// of.
+	fullLoad     = 15 * time.Millisecond
+	grace        = 2 * time.Second
+	storeAddress = "store:1"
+	config       = `{"version":1,"routes":[{"name":"r","hostname":"app.example","prefix":"/p/","service":"svc",
 		"stretch":1.6,"target_latency_ms":60,"max_attempts":3}],"services":[{"name":"svc"}]}`
 )
 
@@ -80,6 +85,8 @@
 	clients     []*http.Client
 	closing     chan struct{}
 	log         *logBuffer
+	// jobEvery is the time between two jobs.
+	jobEvery time.Duration
 }
 
 // logBuffer keeps what all processes log.
@@ -117,6 +124,7 @@
 	w := &world{
 		t: t, rng: rng, fabric: newFabric(), judge: platformtest.NewJudge(), store: standin.NewServer(time.Now),
 		closing: make(chan struct{}), log: &logBuffer{},
+		jobEvery: fullLoad + time.Duration(rng.Int64N(int64(caller.JobEvery-fullLoad))),
 	}
 	w.serve("store", storeAddress, (&platformtest.Store{Server: w.store}).Handler())
 	w.client = platform.NewStoreOn(w.fabric.place("operator"), storeAddress)
@@ -208,7 +216,7 @@
 		ID: address, Service: "svc", Domain: domainOf(i),
 		Capacity: work.Resources{CPU: endpointTasks * caller.TaskCPU, MemoryMB: 1000},
 		Need:     func(work.Run) work.Resources { return work.Resources{CPU: caller.TaskCPU, MemoryMB: 1} },
-		Duration: caller.Duration, Judge: w.judge, Fault: h.choose,
+		Duration: caller.Duration, StopTakes: stopTakes, Judge: w.judge, Fault: h.choose,
 	}
 	h.endpoint.Begin()
 	w.serve(h.endpointPlace(), address, h.endpoint.Handler())
@@ -281,7 +289,7 @@
 
 // callers send jobs to all dispatchers.
 func (w *world) callers() *caller.Callers {
-	return &caller.Callers{HTTP: w.httpClient("callers"), Dispatchers: w.listens}
+	return &caller.Callers{HTTP: w.httpClient("callers"), Dispatchers: w.listens, Every: w.jobEvery}
 }
 
 // allReady waits until every dispatcher is ready.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -212,7 +212,7 @@
 
 // callers send jobs to all dispatchers.
 func (w *world) callers() *caller.Callers {
-	c := &caller.Callers{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	c := &caller.Callers{Every: caller.JobEvery, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	w.t.Cleanup(c.HTTP.CloseIdleConnections)
 	for _, e := range w.entries {
 		c.Dispatchers = append(c.Dispatchers, e.listen)
