Weigh the backlog by a dispatcher's share of the load

Cause: a dispatcher takes the others' queues to be as long as its own. Refused callers were all told to come back after one second.

Callers are told to come back after 1 to 4 s.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -22,10 +23,14 @@
 	defaultBodyBytes = 256 << 10
 	// defaultWait is how long a caller waits that doesn't say so.
 	defaultWait = 10 * time.Second
-	// comeBack is when a refused caller may try again.
-	comeBack = time.Second
+	// soonestBack and latestBack bound when a refused caller may try again;
+	// callers who are refused together must not come back together.
+	soonestBack = time.Second
+	latestBack  = 4 * time.Second
 )
 
+func comeBack() time.Duration { return soonestBack + rand.N(latestBack-soonestBack) }
+
 // callers serves callers' requests.
 func (d *Dispatcher) callers(w http.ResponseWriter, r *http.Request) {
 	p := d.policy.State()
@@ -69,7 +74,7 @@
 	d.log.Info("job: refused", zap.String("path", r.URL.Path), zap.Uint64("policy", d.policy.Revision()), zap.Error(err))
 	a := platform.Answer{Code: code}
 	if result.Describe(code).HTTP == http.StatusServiceUnavailable {
-		a.RetryAfter = comeBack
+		a.RetryAfter = comeBack()
 	}
 	platform.WriteAnswer(w, a)
 }
@@ -136,6 +141,7 @@
 	}
 	j := newJob(spec, route, now, until)
 	j.callers = 1
+	d.load.Add(j.waitingCPU(), now)
 	if err := d.servable(j, now); err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/place"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/store"
@@ -50,6 +51,9 @@
 	// waiting are the jobs with tasks that look for room.
 	waiting map[string]*job
 	runners map[string]*runner
+	// load is the work that has come lately, peers that of other dispatchers.
+	load  place.Load
+	peers map[string]peerLoad
 	// meanTask is the mean duration of the tasks that were placed.
 	meanTask time.Duration
 	// base ends with the process.
@@ -78,6 +82,7 @@
 		jobs:        map[string]*job{},
 		waiting:     map[string]*job{},
 		runners:     map[string]*runner{},
+		peers:       map[string]peerLoad{},
 		meanTask:    firstMean,
 	}
 	d.metrics, err = newMetrics(debug.Meter)
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -122,7 +122,7 @@
 // frame names the policy's revision, and carries what the peer lacks as far as
 // it is known: the policy, and the directory if it has changed.
 func (g *gossip) frame() *pb.GossipFrame {
-	f := &pb.GossipFrame{Dispatcher: g.d.settings.Name, PolicyRevision: g.d.policy.Revision()}
+	f := &pb.GossipFrame{Dispatcher: g.d.settings.Name, PolicyRevision: g.d.policy.Revision(), Load: g.d.ownLoad()}
 	if s := g.d.policy.State(); s != nil && g.d.policy.Age() >= policyHeadStart && g.peerRevision.raise(s.Revision) {
 		f.Policy = platform.PolicyToWire(s)
 	}
@@ -149,6 +149,7 @@
 		}
 		watchdog.Reset(gossipSilent)
 		g.peerRevision.raise(f.GetPolicyRevision())
+		g.d.takeLoad(f.GetDispatcher(), f.GetLoad())
 		if p := f.GetPolicy(); p != nil {
 			g.d.takePolicy(p)
 		}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
-	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/place"
 	"github.com/pomelosill/pomelosill/internal/result"
@@ -49,13 +48,14 @@
 func (d *Dispatcher) inTime(j *job, endpoints []place.Endpoint, now time.Duration) error {
 	u := j.urgency()
 	b := place.Backlog{CPU: d.waitingAtRunners(), Capacity: capacity(endpoints), Mean: d.meanTask}
-	// The other dispatchers' queues are taken to be as long as this one's.
-	dispatchers := int64(max(1, d.book.Count(directory.Dispatcher)))
+	var own int64
 	for _, other := range d.waiting {
 		if !other.urgency().Late(now) {
-			b.CPU += other.waitingCPU() * dispatchers
+			own += other.waitingCPU()
 		}
 	}
+	// The other dispatchers' queues are taken to be as long as their load.
+	b.CPU += int64(float64(own) / d.share(now))
 	if place.Admit(u, b, now) {
 		return nil
 	}
@@ -207,7 +207,7 @@
 	if now < j.until && !u.Hopeless(now) && (!u.Late(now) || !d.othersInTime(now)) {
 		return
 	}
-	a := platform.Answer{Code: result.Overloaded, RetryAfter: comeBack}
+	a := platform.Answer{Code: result.Overloaded, RetryAfter: comeBack()}
 	if j.begun() {
 		a = platform.Answer{Code: result.StillRunning}
 	}
--- /dev/null
+++ b/internal/place/share.go
@@ -0,0 +1,44 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+// loadMemory is the time constant of Load.
+const loadMemory = 2 * time.Second
+
+// Load is how much work has come lately, old work counting less and less.
+type Load struct {
+	sum float64
+	at  time.Duration
+}
+
+// Add counts work that comes now, in thousandths of a core.
+func (l *Load) Add(cpu int64, now time.Duration) {
+	l.sum = l.Value(now) + float64(cpu)
+	l.at = now
+}
+
+// Value is the load at an instant.
+func (l *Load) Value(now time.Duration) float64 {
+	return l.sum * math.Exp(-float64(now-l.at)/float64(loadMemory))
+}
+
+// Share is a dispatcher's part of all the work that comes, by its own load and
+// those of others. Others whose load isn't known are taken to have its own.
+// Callers are spread unevenly over dispatchers: on days with a fixed share one
+// with twice the mean load refused jobs that there was room for.
+func Share(own float64, others []float64, unknown int) float64 {
+	all := own * float64(1+unknown)
+	for _, load := range others {
+		all += load
+	}
+	if all <= 0 {
+		return 1 / float64(1+unknown+len(others))
+	}
+	return max(own/all, minShare)
+}
+
+// minShare bounds what a dispatcher makes of its own queue.
+const minShare = 0.02
