--- /dev/null
+++ b/test/simulate/conn.go
@@ -0,0 +1,129 @@
+package simulate
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// chunkBytes is the most that is forwarded in one piece, window the number
+	// of pieces that a writer may be ahead of its reader.
+	chunkBytes = 32 << 10
+	window     = 256
+)
+
+// conn is one connection between two places.
+type conn struct {
+	from, to string
+	fabric   *fabric
+	ends     [4]net.Conn
+	stop     chan struct{}
+	muted    chan struct{}
+	once     sync.Once
+	muteOnce sync.Once
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		close(c.stop)
+		for _, end := range c.ends {
+			_ = end.Close()
+		}
+		c.fabric.mu.Lock()
+		delete(c.fabric.conns, c)
+		c.fabric.mu.Unlock()
+	})
+}
+
+func (c *conn) mute() { c.muteOnce.Do(func() { close(c.muted) }) }
+
+// connect opens a connection and returns its two ends.
+func (f *fabric) connect(from, to string) (client, server net.Conn) {
+	client, a := net.Pipe()
+	b, server := net.Pipe()
+	c := &conn{from: from, to: to, fabric: f, ends: [4]net.Conn{client, a, b, server}, stop: make(chan struct{}), muted: make(chan struct{})}
+	f.mu.Lock()
+	f.conns[c] = true
+	f.mu.Unlock()
+	go c.forward(b, a, route{from, to})
+	go c.forward(a, b, route{to, from})
+	return &end{Conn: client, c: c}, server
+}
+
+// end is the end of a connection that its opener holds.
+type end struct {
+	net.Conn
+	c *conn
+	// resets makes Close lose what is on its way.
+	resets atomic.Bool
+}
+
+// SetLinger is that of net.TCPConn.
+func (e *end) SetLinger(seconds int) error {
+	e.resets.Store(seconds == 0)
+	return nil
+}
+
+// Close implements net.Conn.
+func (e *end) Close() error {
+	if e.resets.Load() {
+		e.c.close()
+	}
+	return e.Conn.Close()
+}
+
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// forward carries one direction.
+func (c *conn) forward(dst, src net.Conn, r route) {
+	chunks := make(chan chunk, window)
+	go c.deliver(dst, chunks, r)
+	defer close(chunks)
+	for {
+		data := make([]byte, chunkBytes)
+		n, err := src.Read(data)
+		if err != nil {
+			return
+		}
+		select {
+		case chunks <- chunk{data[:n], time.Now().Add(c.fabric.latency(r))}:
+		case <-c.stop:
+			return
+		}
+	}
+}
+
+// deliver writes what has been sent when it is due and the route is open. The
+// connection ends after the last piece.
+func (c *conn) deliver(dst net.Conn, chunks <-chan chunk, r route) {
+	for k := range chunks {
+		time.Sleep(time.Until(k.due))
+		if !c.fabric.passes(r, c.stop) {
+			break
+		}
+		select {
+		case <-c.muted:
+			continue
+		default:
+		}
+		if _, err := dst.Write(k.data); err != nil {
+			break
+		}
+	}
+	select {
+	case <-c.muted:
+		<-c.stop
+	default:
+		time.Sleep(c.fabric.latency(r))
+		c.fabric.passes(r, c.stop)
+	}
+	c.close()
+	for range chunks {
+		continue
+	}
+}
