--- a/cmd/pomelosill-dispatcher/main.go
+++ b/cmd/pomelosill-dispatcher/main.go
@@ -5,6 +5,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/dispatch"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 )
 
@@ -17,8 +18,7 @@
 			"progress, SIGHUP checks the settings file.",
 		Example:  "deploy/dispatcher.jsonc",
 		Settings: &s,
-		LogLevel: func() string { return s.LogLevel },
-		Start:    func(log *zap.Logger) (process.Runnable, error) { return dispatch.New(&s, log) },
+		Start:    func(log *zap.Logger) (process.Runnable, error) { return dispatch.New(network.TCP, &s, log) },
 	}
 	process.Main(service.Command())
 }
--- a/cmd/pomelosill-runner/main.go
+++ b/cmd/pomelosill-runner/main.go
@@ -5,6 +5,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/runner"
 )
@@ -18,8 +19,7 @@
 			"and lets running tasks end, SIGHUP checks the settings file.",
 		Example:  "deploy/runner.jsonc",
 		Settings: &s,
-		LogLevel: func() string { return s.LogLevel },
-		Start:    func(log *zap.Logger) (process.Runnable, error) { return runner.New(&s, log) },
+		Start:    func(log *zap.Logger) (process.Runnable, error) { return runner.New(network.TCP, &s, log) },
 	}
 	process.Main(service.Command())
 }
--- a/cmd/pomelosill-standin/main.go
+++ b/cmd/pomelosill-standin/main.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/standin/endpoint"
 	"github.com/pomelosill/pomelosill/internal/standin/platform"
@@ -123,7 +124,7 @@
 // serve serves h until ctx ends, then lets the requests in progress finish;
 // release ends those that wait on something other than time.
 func serve(ctx context.Context, addr string, h http.Handler, release func()) error {
-	listener, err := process.Listen(ctx, addr)
+	listener, err := process.Listen(ctx, network.TCP, addr)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/pomelosill/pomelosill/internal/gate"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 )
 
@@ -60,7 +61,7 @@
 		version:     version,
 		incarnation: uuid.NewString(),
 		log:         process.Prefixed(log, "agent"),
-		http:        process.NewStreamClient(),
+		http:        process.NewStreamClient(network.TCP),
 		epoch:       time.Now(),
 		endpoint:    newEndpoint(s),
 		counters:    &counters{},
@@ -159,7 +160,7 @@
 	if a.settings.Listen == "" {
 		return func() {}, nil
 	}
-	listener, err := process.Listen(ctx, a.settings.Listen)
+	listener, err := process.Listen(ctx, network.TCP, a.settings.Listen)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/settings"
@@ -283,7 +284,7 @@
 	entry.generation = 1
 	endpoint := newFakeEndpoint(t, echo)
 	s := testSettings(endpoint.server.URL, entry)
-	listener, err := process.Listen(t.Context(), "127.0.0.1:0")
+	listener, err := process.Listen(t.Context(), network.TCP, "127.0.0.1:0")
 	must.NoError(t, err)
 	s.Listen = listener.Addr().String()
 	must.NoError(t, listener.Close())
--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/settings"
 
@@ -75,7 +76,7 @@
 	e := &fakeEntry{inService: true, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.Handle(pomelosillv1connect.NewDispatchServiceHandler(e))
-	listener, err := process.Listen(t.Context(), "127.0.0.1:0")
+	listener, err := process.Listen(t.Context(), network.TCP, "127.0.0.1:0")
 	must.NoError(t, err)
 	server := process.NewServer(mux)
 	served := make(chan struct{})
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -6,49 +6,29 @@
 
 	"go.uber.org/zap"
 
-	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
-	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/store"
 )
 
 const (
-	// directoryWait is how long a watch of the directory waits.
-	directoryWait = 2 * time.Second
-	// directoryTimeout is the time for the answer beside directoryWait.
+	// directoryWait, directoryTimeout and directoryPause are the follower's
+	// times for the directory.
+	directoryWait    = 2 * time.Second
 	directoryTimeout = 500 * time.Millisecond
-	// directoryPause is the pause after a call that failed.
-	directoryPause = 150 * time.Millisecond
+	directoryPause   = 150 * time.Millisecond
 )
 
-// followDirectory keeps the book at what the store holds.
-func (d *Dispatcher) followDirectory(ctx context.Context) {
-	var at uint64
-	out := false
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, directoryWait+directoryTimeout)
-		c, err := d.store.Watch(callCtx, directory.Prefix, at, directoryWait)
-		cancel()
-		if err != nil {
-			if result.CodeOf(err) == result.StoreCompacted {
-				at = 0
-			}
-			if !out {
-				d.log.Warn("directory: can't be read", zap.Error(err))
+// followDirectory returns a follower that keeps the book at what the store
+// holds.
+func followDirectory(s store.Store, book *directory.Book, log *zap.Logger) *follower {
+	return &follower{
+		store: s, log: log, prefix: directory.Prefix, what: "directory",
+		wait: directoryWait, timeout: directoryTimeout, pause: directoryPause,
+		apply: func(c store.Changes, all bool) {
+			for _, bad := range book.Apply(c, all, time.Now()) {
+				log.Warn("directory: bad record", zap.Error(bad))
 			}
-			out = true
-			clock.Sleep(ctx, directoryPause)
-			continue
-		}
-		if out {
-			d.log.Info("directory: read again", zap.Uint64("revision", c.Revision))
-		}
-		out = false
-		for _, bad := range d.book.Apply(c, at == 0, time.Now()) {
-			d.log.Warn("directory: bad record", zap.Error(bad))
-		}
-		if at == 0 || len(c.Entries)+len(c.Deleted) > 0 {
-			at = c.Revision
-		}
+		},
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -60,12 +60,9 @@
 	base context.Context
 }
 
-// New returns a dispatcher with valid settings. Its error is that of setting
+// New returns a dispatcher on a network, with valid settings. Its error is that of setting
 // up metrics.
-func New(s *Settings, log *zap.Logger) (*Dispatcher, error) { return NewOn(network.TCP, s, log) }
-
-// NewOn returns a dispatcher on a network.
-func NewOn(n network.Network, s *Settings, log *zap.Logger) (*Dispatcher, error) {
+func New(n network.Network, s *Settings, log *zap.Logger) (*Dispatcher, error) {
 	debug, err := process.NewDebug("pomelosill-dispatcher")
 	if err != nil {
 		return nil, err
@@ -75,7 +72,7 @@
 		log:         log,
 		debug:       debug,
 		network:     n,
-		store:       platform.NewStoreOn(n, s.Store),
+		store:       platform.NewStore(n, s.Store),
 		policy:      policy.NewBoard(),
 		book:        directory.NewBook(),
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
@@ -106,8 +103,8 @@
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
 		registrar.Run,
-		func(ctx context.Context) { followOperators(ctx, d.store, d.policy, d.log) },
-		d.followDirectory,
+		followOperators(d.store, d.policy, d.log).run,
+		followDirectory(d.store, d.book, d.log).run,
 		d.dialAll,
 		d.watchJobs,
 	} {
@@ -127,7 +124,7 @@
 // serve binds the addresses and serves them.
 func (d *Dispatcher) serve(ctx context.Context) ([]*http.Server, error) {
 	ready := http.NewServeMux()
-	ready.HandleFunc(platform.PathReady, d.readiness)
+	ready.HandleFunc(platform.PatternReady, d.readiness)
 	streams := http.NewServeMux()
 	streams.Handle(pomelosillv1connect.NewPeerServiceHandler(d, process.Uncompressed()))
 	pages := http.NewServeMux()
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -5,13 +5,13 @@
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
-	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/platform"
 )
 
 // handle takes over what became of a run. It is called with the lock held.
 func (d *Dispatcher) handle(r *runner, e *pb.RunEvent) {
-	run := work.Run{Task: e.GetRun().GetTask(), Attempt: e.GetRun().GetAttempt()}
+	run := runref.Decode(e.GetRun())
 	t, found := r.runs[run]
 	if !found {
 		delete(r.stopping, run)
@@ -75,7 +75,7 @@
 	switch code {
 	case result.AlreadyStarted:
 		t.attempt += skipAttempts
-	case result.NoFreeSlot, result.StaleStamp:
+	case result.NoFreeSlot, result.LeaseLapsed:
 	default:
 		t.job.avoid[r.node.Name] = true
 	}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -11,12 +11,14 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
+	"github.com/pomelosill/pomelosill/internal/policy/exchange"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/stream"
 	"github.com/pomelosill/pomelosill/internal/work"
 )
 
-// linkRunner keeps a stream to a runner until ctx ends.
+// linkRunner keeps a connection to a runner until ctx ends.
 func (d *Dispatcher) linkRunner(ctx context.Context, n directory.Node) {
 	d.mu.Lock()
 	r := d.runners[n.Name]
@@ -98,7 +100,7 @@
 	r.pending, r.numbers, r.revision = map[uint64]work.Resources{}, 0, 0
 	d.takeBeat(r, first, now)
 	for run := range r.stopping {
-		r.out.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: run.Task, Attempt: run.Attempt}}})
+		r.out.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{runref.Encode(run)}})
 	}
 	return r.out
 }
@@ -107,7 +109,7 @@
 func (d *Dispatcher) reconcile(r *runner, held []*pb.RunRef) {
 	known := map[work.Run]bool{}
 	for _, h := range held {
-		known[work.Run{Task: h.GetTask(), Attempt: h.GetAttempt()}] = true
+		known[runref.Decode(h)] = true
 	}
 	for run := range r.stopping {
 		if !known[run] {
@@ -139,9 +141,7 @@
 	}
 	now := clock.Boot()
 	d.takeBeat(r, f, now)
-	if p := f.GetPolicy(); p != nil {
-		d.takePolicy(p)
-	}
+	exchange.Take(d.policy, f.GetPolicy(), d.log)
 	for _, e := range f.GetEvents() {
 		d.handle(r, e)
 	}
@@ -189,7 +189,7 @@
 
 func lostRun(run work.Run) *pb.RunEvent {
 	return &pb.RunEvent{
-		Run: &pb.RunRef{Task: run.Task, Attempt: run.Attempt},
+		Run: runref.Encode(run),
 		End: pb.RunEnd_RUN_END_LOST, Code: uint32(result.EndpointGone),
 	}
 }
--- a/internal/dispatch/operators_test.go
+++ b/internal/dispatch/operators_test.go
@@ -44,15 +44,16 @@
 		},
 		errs: []error{nil, nil, result.Errorf(result.StoreCompacted, "history is gone"), nil},
 	}
-	f := &follower{store: s, board: policy.NewBoard(), log: zap.NewNop()}
+	board := policy.NewBoard()
+	f := followOperators(s, board, zap.NewNop())
 	for range s.answers {
 		if err := f.step(t.Context()); err != nil {
 			f.failed(err)
 		}
 	}
 	must.Eq(t, []uint64{0, 7, 7, 0}, s.asked)
-	must.Eq(t, 2, f.board.State().Config.Version)
-	must.Eq(t, 31, f.board.Revision())
+	must.Eq(t, 2, board.State().Config.Version)
+	must.Eq(t, 31, board.Revision())
 }
 
 // A document that can't be read leaves the one in force.
@@ -64,10 +65,11 @@
 		},
 		errs: make([]error, 2),
 	}
-	f := &follower{store: s, board: policy.NewBoard(), log: zap.NewNop()}
+	board := policy.NewBoard()
+	f := followOperators(s, board, zap.NewNop())
 	for range s.answers {
 		must.NoError(t, f.step(t.Context()))
 	}
-	must.Eq(t, 1, f.board.State().Config.Version)
-	must.True(t, f.board.State().OutOfService("z"))
+	must.Eq(t, 1, board.State().Config.Version)
+	must.True(t, board.State().OutOfService("z"))
 }
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -12,9 +12,9 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/policy/exchange"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
-	"github.com/pomelosill/pomelosill/platform"
 )
 
 const (
@@ -44,7 +44,7 @@
 // newPeerClient returns a client with a connection of its own: a connection
 // that has fallen silent must not be used again.
 func newPeerClient(n network.Network, address string) (pomelosillv1connect.PeerServiceClient, func()) {
-	c := process.NewStreamClientOn(n)
+	c := process.NewStreamClient(n)
 	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
 }
 
@@ -124,7 +124,7 @@
 func (g *gossip) frame() *pb.GossipFrame {
 	f := &pb.GossipFrame{Dispatcher: g.d.settings.Name, PolicyRevision: g.d.policy.Revision(), Load: g.d.ownLoad()}
 	if s := g.d.policy.State(); s != nil && g.d.policy.Age() >= policyHeadStart && g.peerRevision.raise(s.Revision) {
-		f.Policy = platform.PolicyToWire(s)
+		f.Policy = exchange.Encode(s)
 	}
 	changed := g.d.book.Changed()
 	if changed == g.nodesSent {
@@ -150,9 +150,7 @@
 		watchdog.Reset(gossipSilent)
 		g.peerRevision.raise(f.GetPolicyRevision())
 		g.d.takeLoad(f.GetDispatcher(), f.GetLoad())
-		if p := f.GetPolicy(); p != nil {
-			g.d.takePolicy(p)
-		}
+		exchange.Take(g.d.policy, f.GetPolicy(), g.d.log)
 		var nodes []directory.Node
 		for _, n := range f.GetNodes() {
 			nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -5,11 +5,9 @@
 	"encoding/binary"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
-	"github.com/pomelosill/pomelosill/platform"
+	"github.com/pomelosill/pomelosill/internal/policy/exchange"
 )
 
 const (
@@ -23,22 +21,6 @@
 	maxTurns = 4
 )
 
-// takePolicy takes over a policy that another process has sent.
-func (d *Dispatcher) takePolicy(p *pb.Policy) {
-	if p.GetRevision() <= d.policy.Revision() {
-		return
-	}
-	state, err := platform.PolicyFromWire(p)
-	if err != nil {
-		d.log.Warn("policy: refused", zap.Error(err))
-		return
-	}
-	if d.policy.Apply(state) {
-		d.log.Info("policy: in force, from another process", zap.Uint64("revision", state.Revision),
-			zap.Uint64("version", state.Config.Version), zap.Strings("evacuated", state.Evacuated))
-	}
-}
-
 // policyFor is the policy for a runner whose own is older, nil if it has the
 // newest one or another dispatcher's turn comes first.
 func (d *Dispatcher) policyFor(r *runner) *pb.Policy {
@@ -51,7 +33,7 @@
 		return nil
 	}
 	r.revision = s.Revision
-	return platform.PolicyToWire(s)
+	return exchange.Encode(s)
 }
 
 // pushDelay is how long a dispatcher leaves a new policy to others to send to
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomelosill/pomelosill/internal/directory"
 	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
 func dispatchers(n int) []directory.Node {
@@ -51,7 +52,7 @@
 }
 
 func TestRunnerWithoutAPolicyGetsItAtOnce(t *testing.T) {
-	d := &Dispatcher{settings: &Settings{Name: "d-0"}, policy: policy.NewBoard(), book: directory.NewBook(), log: zap.NewNop()}
+	d := &Dispatcher{settings: &Settings{Service: settings.Service{Name: "d-0"}}, policy: policy.NewBoard(), book: directory.NewBook(), log: zap.NewNop()}
 	d.book.Learn(dispatchers(12))
 	d.policy.Apply(&policy.State{Revision: 7, Config: &policy.Config{}})
 	waits := 0
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -14,7 +14,7 @@
 const (
 	// quietLimit is the silence after which a runner gets no more work.
 	quietLimit = 220 * time.Millisecond
-	// silentLimit is the silence after which a stream is given up.
+	// silentLimit is the silence after which a connection is given up.
 	silentLimit = 400 * time.Millisecond
 )
 
@@ -23,10 +23,10 @@
 type runner struct {
 	node directory.Node
 	// incarnation is that of the runner's process, empty before the first
-	// stream.
+	// connection.
 	incarnation string
 	state       *pb.RunnerState
-	// out is the outbox of the present stream, nil while there is none.
+	// out is the outbox of the present connection, nil while there is none.
 	out *outbox.Outbox[*pb.DispatcherFrame]
 	// inherited is set while the runs were ordered from an earlier process of
 	// the runner, which may not have been stopped yet.
@@ -44,7 +44,7 @@
 	pending  map[uint64]work.Resources
 	numbers  uint64
 	revision uint64
-	// connections counts the streams that were opened.
+	// connections counts the connections that were opened.
 	connections atomic.Int64
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -12,6 +12,7 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/place"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/platform"
 )
 
@@ -162,7 +163,7 @@
 		t.state, t.runner, t.placedAt, t.moving = taskPlaced, r.node.Name, now, false
 		step := &j.spec.Steps[t.id.Step]
 		frame.Starts = append(frame.Starts, &pb.RunOrder{
-			Run:        &pb.RunRef{Task: t.name, Attempt: t.attempt},
+			Run:        runref.Encode(t.run()),
 			Service:    j.route.Service,
 			Spec:       j.spec.Spec,
 			CpuMilli:   uint64(step.Need.CPU),
@@ -250,6 +251,6 @@
 	}
 	r.stopping[t.run()] = true
 	if r.out != nil {
-		r.out.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: t.name, Attempt: t.attempt}}})
+		r.out.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{runref.Encode(t.run())}})
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/pomelosill/pomelosill/internal/cell"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/store"
@@ -80,7 +81,7 @@
 		settings: s,
 		log:      process.Prefixed(log, "entry"),
 		debug:    debug,
-		client:   process.NewStreamClient(),
+		client:   process.NewStreamClient(network.TCP),
 		counters: &counters{},
 		started:  time.Now(),
 	}
@@ -173,7 +174,7 @@
 func (e *Entry) listen(ctx context.Context) ([]net.Listener, error) {
 	var all []net.Listener
 	for _, addr := range []string{e.settings.Listen, e.settings.Peer, e.settings.Admin} {
-		l, err := process.Listen(ctx, addr)
+		l, err := process.Listen(ctx, network.TCP, addr)
 		if err != nil {
 			for _, open := range all {
 				_ = open.Close()
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// loadMemory is the time constant of Load.
-const loadMemory = 2 * time.Second
+const (
+	// loadMemory is the time in which the weight of work that came falls to
+	// 1/e.
+	loadMemory = 2 * time.Second
+	// minShare bounds what a dispatcher with little load makes of its queue.
+	minShare = 0.02
+)
 
 // Load is how much work has come lately, old work counting less and less.
 type Load struct {
@@ -26,9 +31,10 @@
 }
 
 // Share is a dispatcher's part of all the work that comes, by its own load and
-// those of others. Others whose load isn't known are taken to have its own.
-// Callers are spread unevenly over dispatchers: on days with a fixed share one
-// with twice the mean load refused jobs that there was room for.
+// those of others; the load of unknown others is taken to be its own. It
+// answers callers that are spread unevenly over dispatchers: a busy one that
+// took the others' queues to be as long as its own would refuse jobs that there
+// is room for.
 func Share(own float64, others []float64, unknown int) float64 {
 	all := own * float64(1+unknown)
 	for _, load := range others {
@@ -39,6 +45,3 @@
 	}
 	return max(own/all, minShare)
 }
-
-// minShare bounds what a dispatcher makes of its own queue.
-const minShare = 0.02
--- a/internal/process/asynclog_test.go
+++ b/internal/process/asynclog_test.go
@@ -2,31 +2,23 @@
 
 import (
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/test/logbuf"
 )
 
 // stuckWriter blocks until it is released.
 type stuckWriter struct {
+	logbuf.Buffer
 	release chan struct{}
-	mu      sync.Mutex
-	text    strings.Builder
 }
 
 func (w *stuckWriter) Write(p []byte) (int, error) {
 	<-w.release
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.text.Write(p)
-}
-
-func (w *stuckWriter) String() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.text.String()
+	return w.Buffer.Write(p)
 }
 
 // A reader that has stopped reading must not stop the process.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -130,14 +130,8 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// Listen binds a TCP address; its error has the code AddressInUse.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	return ListenOn(ctx, network.TCP, addr)
-}
-
-// ListenOn binds an address of a network. Its error has the code
-// AddressInUse.
-func ListenOn(ctx context.Context, n network.Network, addr string) (net.Listener, error) {
+// Listen binds an address of a network; its error has the code AddressInUse.
+func Listen(ctx context.Context, n network.Network, addr string) (net.Listener, error) {
 	l, err := n.Listen(ctx, addr)
 	if err != nil {
 		return nil, result.Wrap(result.AddressInUse, err, addr)
@@ -169,10 +163,7 @@
 
 // NewStreamClient returns a client for connect streams over unencrypted
 // HTTP/2. It gives up connections to hosts that fall silent.
-func NewStreamClient() *http.Client { return NewStreamClientOn(network.TCP) }
-
-// NewStreamClientOn is NewStreamClient on a network.
-func NewStreamClientOn(n network.Network) *http.Client {
+func NewStreamClient(n network.Network) *http.Client {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/network"
 )
 
 // blackHole passes a connection's bytes on until it drops everything in both
@@ -46,7 +48,7 @@
 // A stream to a host that vanished without a word must end, so that what was
 // sent on it goes out on another.
 func TestStreamToAVanishedHostEnds(t *testing.T) {
-	l, err := Listen(t.Context(), "127.0.0.1:0")
+	l, err := Listen(t.Context(), network.TCP, "127.0.0.1:0")
 	must.NoError(t, err)
 	release := make(chan struct{})
 	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -57,7 +59,7 @@
 	defer func() { _ = server.Close() }()
 	defer close(release)
 
-	client := NewStreamClient()
+	client := NewStreamClient(network.TCP)
 	transport, ok := client.Transport.(*http.Transport)
 	must.True(t, ok)
 	var hole *blackHole
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -25,7 +25,7 @@
 		if s.Address == "" {
 			continue
 		}
-		l, err := ListenOn(ctx, n, s.Address)
+		l, err := Listen(ctx, n, s.Address)
 		if err != nil {
 			CloseAll(servers)
 			return nil, err
--- a/internal/process/service.go
+++ b/internal/process/service.go
@@ -20,13 +20,17 @@
 	// Example names the documented settings file.
 	Example string
 	// Settings is filled with defaults.
-	Settings settings.Settings
-	// LogLevel returns the level from Settings.
-	LogLevel func() string
+	Settings ServiceSettings
 	// Start makes what runs.
 	Start func(log *zap.Logger) (Runnable, error)
 }
 
+// ServiceSettings are settings that name the log's level.
+type ServiceSettings interface {
+	settings.Settings
+	Level() string
+}
+
 // Runnable serves until ctx ends.
 type Runnable interface {
 	Run(ctx context.Context) error
@@ -53,7 +57,7 @@
 	if err := settings.Load(path, s.Settings); err != nil {
 		return err
 	}
-	log, err := NewServiceLogger(os.Stdout, s.LogLevel())
+	log, err := NewServiceLogger(os.Stdout, s.Settings.Level())
 	if err != nil {
 		return err
 	}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -93,6 +93,7 @@
 	NotOwner        Code = 607
 	StaleFence      Code = 608
 	PeerSilent      Code = 609
+	LeaseLapsed     Code = 610
 	Internal        Code = 699
 )
 
@@ -173,6 +174,7 @@
 	{NotOwner, "NotOwner", "The entry does not own the cell.", EffectNotRun, true, http.StatusMisdirectedRequest},
 	{StaleFence, "StaleFence", "The endpoint has seen a higher fencing token.", EffectNotRun, true, http.StatusConflict},
 	{PeerSilent, "PeerSilent", "The other process sends nothing.", EffectNone, true, http.StatusServiceUnavailable},
+	{LeaseLapsed, "LeaseLapsed", "The runner has not heard the dispatcher for as long as its lease lasts.", EffectNotRun, true, http.StatusConflict},
 	{Internal, "Internal", "An internal check failed.", EffectMayHaveRun, false, http.StatusInternalServerError},
 }
 
--- a/internal/room/speed.go
+++ b/internal/room/speed.go
@@ -136,9 +136,9 @@
 	return n >= slowJobs && float64(n) >= slowShare*float64(len(slow))
 }
 
-// Decay lets old evidence fade while nothing runs, so that an endpoint that
-// was slow or failing is tried again.
-func (a *Account) Decay() { a.speed = newSpeed() }
+// ForgetSpeed begins to measure anew, so that an endpoint that was slow or
+// failing is tried again.
+func (a *Account) ForgetSpeed() { a.speed = newSpeed() }
 
 // Stalled returns the runs that stand still, or would be done earlier if they
 // began again elsewhere, each once.
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -8,6 +8,7 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/room"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/work"
 )
 
@@ -22,7 +23,7 @@
 
 func runEvent(run work.Run, end pb.RunEnd, code result.Code, took time.Duration) *pb.RunEvent {
 	return &pb.RunEvent{
-		Run:   &pb.RunRef{Task: run.Task, Attempt: run.Attempt},
+		Run:   runref.Encode(run),
 		End:   end,
 		Code:  uint32(code),
 		RunUs: took.Microseconds(),
@@ -46,3 +47,17 @@
 		zap.Stringer("end", g.End), zap.Stringer("code", code), zap.Duration("took", g.Took))
 	r.tell(g.Entry.Owner, runEvent(g.Entry.Run, end, code, g.Took))
 }
+
+// tell sends an event to the run's dispatcher, or keeps it until the
+// dispatcher is back. It is called with the lock held.
+func (r *Runner) tell(owner string, e *pb.RunEvent) {
+	for _, l := range r.links {
+		if l.owner() != owner {
+			continue
+		}
+		if l.out == nil || !l.out.Put(&pb.RunnerFrame{Events: []*pb.RunEvent{e}}) {
+			l.kept = append(l.kept, e)
+		}
+		return
+	}
+}
--- /dev/null
+++ b/internal/runner/host_test.go
@@ -0,0 +1,239 @@
+package runner_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/runner"
+	"github.com/pomelosill/pomelosill/internal/settings"
+	"github.com/pomelosill/pomelosill/internal/stream"
+	"github.com/pomelosill/pomelosill/internal/work"
+	"github.com/pomelosill/pomelosill/platform/platformtest"
+	"github.com/pomelosill/pomelosill/test/fleet"
+)
+
+const (
+	service = "svc"
+	domain  = "z1"
+	// patience bounds the wait for what must happen.
+	patience = 5 * time.Second
+	taskCPU  = 1000
+)
+
+// config is a policy's document in the form of the platform.
+const config = `{"version":3,"routes":[{"name":"r","hostname":"h","prefix":"/p/","service":"svc","stretch":1.6,"target_latency_ms":60,"max_attempts":2}]}`
+
+// host is one endpoint with its runner.
+type host struct {
+	t        *testing.T
+	endpoint *platformtest.Endpoint
+	judge    *platformtest.Judge
+	listen   string
+	link     string
+	stop     context.CancelFunc
+	done     chan struct{}
+	sequence int64
+}
+
+// newHost starts an endpoint with room for two tasks of the duration, and its
+// runner. change may alter the endpoint first.
+func newHost(t *testing.T, takes time.Duration, change func(*platformtest.Endpoint)) *host {
+	h := &host{t: t, judge: platformtest.NewJudge(), listen: fleet.FreeAddress(t), link: fleet.FreeAddress(t)}
+	h.endpoint = &platformtest.Endpoint{
+		Service: service, Domain: domain, Capacity: work.Resources{CPU: 2 * taskCPU, MemoryMB: 100},
+		Need:     func(work.Run) work.Resources { return work.Resources{CPU: taskCPU} },
+		Duration: func(work.Run) time.Duration { return takes },
+		Judge:    h.judge,
+	}
+	if change != nil {
+		change(h.endpoint)
+	}
+	server := httptest.NewServer(h.endpoint.Handler())
+	h.endpoint.ID = strings.TrimPrefix(server.URL, "http://")
+	h.endpoint.Begin()
+	t.Cleanup(func() {
+		h.kill()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	h.start()
+	return h
+}
+
+// start starts a runner process.
+func (h *host) start() {
+	s := runner.DefaultSettings()
+	s.Name, s.Listen, s.Link, s.Store = "run-1", h.listen, h.link, "127.0.0.1:1"
+	s.Grace = settings.Duration(time.Second)
+	must.NoError(h.t, s.Validate())
+	r, err := runner.New(network.TCP, &s, zap.NewNop())
+	must.NoError(h.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop, h.done = cancel, make(chan struct{})
+	go func() {
+		defer close(h.done)
+		if err := r.Run(ctx); err != nil {
+			h.t.Errorf("runner: %v", err)
+		}
+	}()
+	h.beat("ready")
+}
+
+func (h *host) kill() {
+	h.stop()
+	<-h.done
+}
+
+// beat sends heartbeats until one is acknowledged.
+func (h *host) beat(state string) {
+	h.sequence++
+	must.True(h.t, eventually(func() bool {
+		return h.endpoint.Announce(h.t.Context(), http.DefaultClient, h.listen, h.sequence, state)
+	}))
+}
+
+func eventually(is func() bool) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if is() {
+			return true
+		}
+	}
+	return false
+}
+
+// dispatcher is one stream to a runner.
+type dispatcher struct {
+	t      *testing.T
+	stream *stream.Conn
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	send   sync.Mutex
+	echo   int64
+	state  *pb.RunnerState
+	held   []*pb.RunRef
+	events map[string]*pb.RunEvent
+	number uint64
+	mute   bool
+}
+
+// dial opens the stream of a life of the dispatcher "d", sends the policy and
+// keeps heartbeats going.
+func (h *host) dial(incarnation string) *dispatcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.t.Cleanup(cancel)
+	c, err := stream.Dial(ctx, network.TCP, h.link)
+	must.NoError(h.t, err)
+	context.AfterFunc(ctx, c.Close)
+	d := &dispatcher{t: h.t, cancel: cancel, events: map[string]*pb.RunEvent{}, stream: c}
+	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: incarnation}))
+	first := &pb.RunnerFrame{}
+	must.NoError(h.t, d.stream.Receive(first))
+	d.held = first.GetHeld()
+	d.take(first)
+	go d.receive()
+	d.tell(&pb.DispatcherFrame{Policy: &pb.Policy{Revision: 1, Config: []byte(config)}})
+	go d.beats(ctx)
+	return d
+}
+
+func (d *dispatcher) tell(f *pb.DispatcherFrame) {
+	d.send.Lock()
+	defer d.send.Unlock()
+	_ = d.stream.Send(f)
+}
+
+func (d *dispatcher) beats(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		echo, mute := d.echo, d.mute
+		d.mu.Unlock()
+		if !mute {
+			d.tell(&pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: echo}})
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (d *dispatcher) receive() {
+	for {
+		f := &pb.RunnerFrame{}
+		if err := d.stream.Receive(f); err != nil {
+			return
+		}
+		d.take(f)
+	}
+}
+
+func (d *dispatcher) take(f *pb.RunnerFrame) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f.GetBeat() != nil {
+		d.echo = f.GetBeat().GetSentNs()
+	}
+	if f.GetState() != nil {
+		d.state = f.GetState()
+	}
+	for _, e := range f.GetEvents() {
+		if e.GetEnd() != pb.RunEnd_RUN_END_STALLED {
+			d.events[key(e.GetRun())] = e
+		}
+	}
+}
+
+func key(r *pb.RunRef) string { return r.GetTask() + "#" + strconv.FormatUint(r.GetAttempt(), 10) }
+
+// order asks for one run of the job's first task.
+func (d *dispatcher) order(job string, attempt uint64, wait time.Duration) *pb.RunRef {
+	run := &pb.RunRef{Task: work.Task{Job: job}.String(), Attempt: attempt}
+	d.number++
+	d.tell(&pb.DispatcherFrame{Starts: []*pb.RunOrder{{
+		Run: run, Service: service, CpuMilli: taskCPU, EstimateUs: 100_000,
+		PatienceUs: wait.Microseconds(), SlackUs: wait.Microseconds(), Number: d.number,
+	}}})
+	return run
+}
+
+func (d *dispatcher) event(run *pb.RunRef) *pb.RunEvent {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.events[key(run)]
+}
+
+// ends waits for the end of a run and checks it.
+func (d *dispatcher) ends(run *pb.RunRef, want pb.RunEnd) *pb.RunEvent {
+	d.t.Helper()
+	must.True(d.t, eventually(func() bool { return d.event(run) != nil }), must.Sprintf("%s never ended", key(run)))
+	must.Eq(d.t, want, d.event(run).GetEnd(), must.Sprintf("%s: %v", key(run), d.event(run)))
+	return d.event(run)
+}
+
+func (d *dispatcher) ready() {
+	d.t.Helper()
+	must.True(d.t, eventually(func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.state.GetReady()
+	}), must.Sprint("the endpoint never became ready"))
+}
+
+func (h *host) sound() {
+	h.t.Helper()
+	must.SliceEmpty(h.t, h.judge.Faults())
+}
+
+const (
+	done    = pb.RunEnd_RUN_END_DONE
+	refused = pb.RunEnd_RUN_END_REFUSED
+	lost    = pb.RunEnd_RUN_END_LOST
+)
--- a/internal/runner/link.go
+++ b/internal/runner/link.go
@@ -11,26 +11,20 @@
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/stream"
-	"github.com/pomelosill/pomelosill/internal/work"
-	"github.com/pomelosill/pomelosill/platform"
 )
 
 const (
-	// beatEvery is the time between two heartbeats on a stream.
+	// beatEvery is the time between two heartbeats on a connection.
 	beatEvery = 100 * time.Millisecond
 	// forgetAfter is how long events are kept for a dispatcher that is away.
 	forgetAfter = 5 * time.Second
 	// helloTimeout bounds the wait for a connection's first frame.
 	helloTimeout = 2 * time.Second
-	// leastTellDelay and mostTellDelay bound how long a runner leaves it to
-	// others to send a dispatcher the policy. Runners differ in it: one of
-	// them is enough.
-	leastTellDelay = 300 * time.Millisecond
-	mostTellDelay  = time.Second
 )
 
-// frames are what waits to be sent on a stream.
+// frames are what waits to be sent on a connection.
 type frames = outbox.Outbox[*pb.RunnerFrame]
 
 // link is what the runner holds for one dispatcher. It belongs to the
@@ -38,19 +32,21 @@
 type link struct {
 	name        string
 	incarnation string
-	// out is the outbox of the present stream, nil while there is none.
+	// out is the outbox of the present connection, nil while there is none.
 	out    *frames
 	cancel context.CancelFunc
-	// ended is closed when the present stream's handler has returned.
+	// ended is closed when the present connection's handler has returned.
 	ended chan struct{}
-	// kept are events that wait for a stream.
+	// kept are events that wait for a connection.
 	kept []*pb.RunEvent
-	// leaseEnd is when the dispatcher's runs are stopped.
+	// leaseEnd is when the dispatcher's runs are stopped, lapsed is set once
+	// they were.
 	leaseEnd time.Duration
 	lapsed   bool
-	// handled is the number of the last order on the present stream.
+	// handled is the number of the last order on the present connection.
 	handled uint64
-	// dirty is set while a newer state than the last one sent is known.
+	// dirty is set while a newer state than the last one sent is known, sentAt
+	// is when the last frame was sent.
 	dirty  bool
 	sentAt time.Duration
 	// beatAt is when the last heartbeat was sent.
@@ -91,38 +87,21 @@
 	r.log.Info("link: dispatcher disconnected", zap.String("dispatcher", l.name))
 }
 
-// attach makes the stream the dispatcher's present one. The stream before it
+// attach makes the connection the dispatcher's present one. The one before it
 // must have ended first: orders on it could still arrive.
 func (r *Runner) attach(first *pb.DispatcherFrame, cancel context.CancelFunc) (*link, *frames, chan struct{}) {
-	ended := make(chan struct{})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.links[first.GetDispatcher()]
-	for l != nil && l.cancel != nil {
-		before := l.ended
-		l.cancel()
-		r.mu.Unlock()
-		<-before
-		r.mu.Lock()
-		l = r.links[first.GetDispatcher()]
-		if l == nil || l.ended == before {
-			break
-		}
-	}
-	if l == nil || l.incarnation != first.GetIncarnation() {
-		if l != nil {
-			r.stopOwned(l, "dispatcher restarted")
-		}
-		l = &link{name: first.GetDispatcher(), incarnation: first.GetIncarnation()}
-		r.links[l.name] = l
-	}
+	r.endFormer(first.GetDispatcher())
+	l := r.ensureLink(first)
+	ended := make(chan struct{})
 	l.out = outbox.New[*pb.RunnerFrame]()
 	l.cancel, l.ended = cancel, ended
 	l.handled, l.lapsed, l.revision = 0, false, 0
 	r.grant(l, clock.Boot())
 	l.out.Put(&pb.RunnerFrame{
 		Runner: r.settings.Name, Incarnation: r.incarnation,
-		Held: r.held(l.owner()), Beat: r.beat(),
+		Held: r.held(l), Beat: r.beat(),
 	})
 	if len(l.kept) > 0 {
 		l.out.Put(&pb.RunnerFrame{Events: l.kept})
@@ -133,43 +112,59 @@
 	return l, l.out, ended
 }
 
-// grant gives a dispatcher that has connected its first lease. Runs that it has
-// here keep the one they have: a first frame may have been held up on its way,
-// and says nothing of the present. Only an echo prolongs it.
-func (r *Runner) grant(l *link, now time.Duration) {
-	if now <= l.leaseEnd {
-		return
+// endFormer ends the dispatcher's present connection and waits for its
+// handler. It gives the lock up meanwhile, so that yet another connection may
+// have come, which is ended as well.
+func (r *Runner) endFormer(dispatcher string) {
+	var ended chan struct{}
+	for {
+		l := r.links[dispatcher]
+		if l == nil || l.cancel == nil || l.ended == ended {
+			return
+		}
+		ended = l.ended
+		l.cancel()
+		r.mu.Unlock()
+		<-ended
+		r.mu.Lock()
+	}
+}
+
+// ensureLink is the link of the dispatcher's process; that of an earlier process
+// ends with its runs.
+func (r *Runner) ensureLink(first *pb.DispatcherFrame) *link {
+	l := r.links[first.GetDispatcher()]
+	if l != nil && l.incarnation == first.GetIncarnation() {
+		return l
 	}
-	if l.leaseEnd > 0 {
-		r.stopOwned(l, "dispatcher silent")
+	if l != nil {
+		r.stopOwned(l, "dispatcher restarted")
 	}
-	l.leaseEnd = now + lease.Dispatcher
+	l = &link{name: first.GetDispatcher(), incarnation: first.GetIncarnation()}
+	r.links[l.name] = l
+	return l
 }
 
 // owner is the name under which the dispatcher's runs are accounted.
 func (l *link) owner() string { return l.name + "/" + l.incarnation }
 
-// held lists the owner's runs, waiting ones and those with kept events
+// held lists the dispatcher's runs, waiting ones and those with kept events
 // included.
-func (r *Runner) held(owner string) []*pb.RunRef {
+func (r *Runner) held(l *link) []*pb.RunRef {
+	owner := l.owner()
 	var all []*pb.RunRef
 	if s := r.session; s != nil {
 		for _, run := range s.account.OwnedBy(owner) {
-			all = append(all, &pb.RunRef{Task: run.Task, Attempt: run.Attempt})
+			all = append(all, runref.Encode(run))
 		}
 	}
 	for _, o := range r.waiting {
 		if o.owner == owner {
-			all = append(all, &pb.RunRef{Task: o.run.Task, Attempt: o.run.Attempt})
+			all = append(all, runref.Encode(o.run))
 		}
 	}
-	for _, l := range r.links {
-		if l.owner() != owner {
-			continue
-		}
-		for _, e := range l.kept {
-			all = append(all, e.GetRun())
-		}
+	for _, e := range l.kept {
+		all = append(all, e.GetRun())
 	}
 	return all
 }
@@ -200,9 +195,9 @@
 	}
 }
 
-// take carries out what a frame asks for. A frame of a stream that has been
-// replaced is dropped: the dispatcher has been told that its orders are not
-// known, and may have placed them elsewhere.
+// take carries out what a frame asks for. A frame of a connection that has
+// been replaced is dropped: the dispatcher has been told that its orders are
+// not known, and may have placed them elsewhere.
 func (r *Runner) take(l *link, out *frames, f *pb.DispatcherFrame) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -210,124 +205,44 @@
 		return
 	}
 	now := clock.Boot()
-	if b := f.GetBeat(); b != nil {
-		if b.GetEchoNs() > 0 {
-			l.leaseEnd = max(l.leaseEnd, time.Duration(b.GetEchoNs())+lease.Dispatcher)
-		}
-		l.revision = max(l.revision, b.GetPolicyRevision())
-		l.stateGap = time.Duration(b.GetStateGapUs()) * time.Microsecond
-		r.tellPolicy(l, now)
-	}
+	r.takeBeat(l, f.GetBeat(), now)
 	r.takePolicy(f.GetPolicy())
-	if now > l.leaseEnd && len(f.GetStarts()) > 0 {
-		// The dispatcher counts these runs as lost already.
-		r.log.Warn("link: orders from a dispatcher whose lease has lapsed", zap.String("dispatcher", l.name), zap.Int("orders", len(f.GetStarts())))
-		for _, s := range f.GetStarts() {
-			r.refuse(newOrder(l.owner(), s, now), result.StaleStamp)
-			l.handled = s.GetNumber()
-		}
-	} else {
-		for _, s := range f.GetStarts() {
-			r.accept(newOrder(l.owner(), s, now), now)
-			l.handled = s.GetNumber()
-		}
-	}
+	r.takeOrders(l, f.GetStarts(), now)
 	for _, s := range f.GetStops() {
-		r.stop(l.owner(), work.Run{Task: s.GetTask(), Attempt: s.GetAttempt()})
+		r.stop(l.owner(), runref.Decode(s))
 	}
 	if len(f.GetStarts())+len(f.GetStops()) > 0 {
 		r.publish()
 	}
 }
 
-// takePolicy takes over a policy that a dispatcher has sent.
-func (r *Runner) takePolicy(p *pb.Policy) {
-	if p == nil || p.GetRevision() <= r.policy.Revision() {
+// takeBeat takes a heartbeat over, nil for none.
+func (r *Runner) takeBeat(l *link, b *pb.DispatcherBeat, now time.Duration) {
+	if b == nil {
 		return
 	}
-	state, err := platform.PolicyFromWire(p)
-	if err != nil {
-		r.log.Warn("policy: refused", zap.Error(err))
-		return
-	}
-	if r.policy.Apply(state) {
-		r.log.Info("policy: in force", zap.Uint64("revision", state.Revision), zap.Uint64("version", state.Config.Version),
-			zap.Strings("evacuated", state.Evacuated))
-		r.refuseWaiting()
-		r.publish()
-	}
-}
-
-// tellPolicy sends the policy to a dispatcher whose own has been older for a
-// while: it may read the store or hear others.
-func (r *Runner) tellPolicy(l *link, now time.Duration) {
-	s := r.policy.State()
-	if s == nil || l.out == nil || l.revision >= s.Revision {
-		l.behindSince = 0
-		return
-	}
-	if l.behindSince == 0 {
-		l.behindSince = now
-	}
-	if now-l.behindSince < r.tellDelay {
-		return
-	}
-	l.revision = s.Revision
-	l.out.Put(&pb.RunnerFrame{Policy: platform.PolicyToWire(s)})
-}
-
-// checkLink stops the runs of a dispatcher that has fallen silent.
-func (r *Runner) checkLink(l *link, now time.Duration) {
-	if now > l.leaseEnd && !l.lapsed {
-		l.lapsed = true
-		r.stopOwned(l, "dispatcher silent")
-		if l.cancel != nil {
-			l.cancel()
-		}
-	}
-	if l.cancel == nil && now > l.leaseEnd+forgetAfter {
-		delete(r.links, l.name)
+	if b.GetEchoNs() > 0 {
+		l.leaseEnd = max(l.leaseEnd, time.Duration(b.GetEchoNs())+lease.Dispatcher)
 	}
+	l.revision = max(l.revision, b.GetPolicyRevision())
+	l.stateGap = time.Duration(b.GetStateGapUs()) * time.Microsecond
+	r.tellPolicy(l, now)
 }
 
-// stopOwned stops all runs of a dispatcher and refuses its waiting orders.
-func (r *Runner) stopOwned(l *link, why string) {
-	owner := l.owner()
-	stopped := 0
-	for _, o := range append([]*order(nil), r.waiting...) {
-		if o.owner == owner && r.dropWaiting(o.run) {
-			r.refuse(o, result.StaleStamp)
-		}
-	}
-	if s := r.session; s != nil {
-		for _, run := range s.account.OwnedBy(owner) {
-			stopped++
-			r.stop(owner, run)
-		}
-	}
-	r.log.Info("link: runs stopped", zap.String("dispatcher", l.name), zap.String("reason", why), zap.Int("runs", stopped))
-}
-
-// tell sends an event to the run's dispatcher, or keeps it until the
-// dispatcher is back. It is called with the lock held.
-func (r *Runner) tell(owner string, e *pb.RunEvent) {
-	for _, l := range r.links {
-		if l.owner() != owner {
+// takeOrders accepts orders, or refuses them once the lease has lapsed: the
+// dispatcher counts such runs as lost already.
+func (r *Runner) takeOrders(l *link, starts []*pb.RunOrder, now time.Duration) {
+	lapsed := now > l.leaseEnd
+	if lapsed && len(starts) > 0 {
+		r.log.Warn("link: orders from a dispatcher whose lease has lapsed", zap.String("dispatcher", l.name), zap.Int("orders", len(starts)))
+	}
+	for _, s := range starts {
+		o := newOrder(l.owner(), s, now)
+		l.handled = s.GetNumber()
+		if lapsed {
+			r.refuse(o, result.LeaseLapsed)
 			continue
 		}
-		if l.out == nil || !l.out.Put(&pb.RunnerFrame{Events: []*pb.RunEvent{e}}) {
-			l.kept = append(l.kept, e)
-		}
-		return
-	}
-}
-
-// publish marks the state as changed for every dispatcher.
-func (r *Runner) publish() {
-	for _, l := range r.links {
-		l.dirty = true
-		if l.out != nil {
-			l.out.Wake()
-		}
+		r.accept(o, now)
 	}
 }
--- a/internal/runner/link_test.go
+++ b/internal/runner/link_test.go
@@ -8,16 +8,27 @@
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
+	"github.com/pomelosill/pomelosill/internal/work"
 )
 
+// bareRunner is a runner that serves nothing and has no endpoint.
+func bareRunner(t *testing.T) *Runner {
+	s := DefaultSettings()
+	s.Name = "r"
+	r, err := New(network.TCP, &s, zap.NewNop())
+	must.NoError(t, err)
+	r.base = t.Context()
+	return r
+}
+
 // A dispatcher that has connected again was told which runs are known, and may
 // have placed the others elsewhere. An order that its former stream still
 // hands on must not be carried out.
 func TestFramesOfAReplacedStreamAreDropped(t *testing.T) {
-	s := DefaultSettings()
-	r, err := New(&s, zap.NewNop())
-	must.NoError(t, err)
-	r.base = t.Context()
+	r := bareRunner(t)
 	first := &pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}
 	l, old, ended := r.attach(first, func() {})
 	close(ended)
@@ -48,10 +59,7 @@
 // long as the lease lasts. If it prolonged the lease, runs could go on for
 // almost two leases after the last echo.
 func TestConnectingDoesNotProlongTheLease(t *testing.T) {
-	s := DefaultSettings()
-	r, err := New(&s, zap.NewNop())
-	must.NoError(t, err)
-	r.base = t.Context()
+	r := bareRunner(t)
 	first := &pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}
 	l, _, ended := r.attach(first, func() {})
 	close(ended)
@@ -70,3 +78,42 @@
 	again, _, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "2"}, func() {})
 	must.Greater(t, clock.Boot(), again.leaseEnd, must.Sprint("a new incarnation, which has no runs"))
 }
+
+// The dispatcher counts runs as lost once its lease has lapsed, and may have
+// placed them elsewhere: orders that come late must not be carried out.
+func TestOrdersAfterTheLeaseAreRefused(t *testing.T) {
+	r := bareRunner(t)
+	l, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	out.TakeNow()
+	l.leaseEnd = clock.Boot() - 1
+	r.take(l, out, &pb.DispatcherFrame{Starts: []*pb.RunOrder{{Run: &pb.RunRef{Task: "j.0.0.0", Attempt: 1}, Number: 1}}})
+	items, _ := out.TakeNow()
+	must.Len(t, 1, items)
+	must.Len(t, 1, items[0].GetEvents())
+	must.Eq(t, pb.RunEnd_RUN_END_REFUSED, items[0].GetEvents()[0].GetEnd())
+	must.Eq(t, uint32(result.LeaseLapsed), items[0].GetEvents()[0].GetCode())
+	must.Eq(t, 1, l.handled)
+}
+
+// An event that waits for a connection to be written when it ends is neither
+// lost nor forgotten among the runs that the next one is told of.
+func TestUnsentEventsAreKept(t *testing.T) {
+	r := bareRunner(t)
+	first := &pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}
+	l, out, ended := r.attach(first, func() {})
+	out.TakeNow()
+	run := work.Run{Task: "j.0.0.0", Attempt: 1}
+	r.tell(l.owner(), runEvent(run, endDone, result.OK, 0))
+	r.detach(l, out)
+	close(ended)
+
+	_, out, _ = r.attach(first, func() {})
+	items, _ := out.TakeNow()
+	f := &pb.RunnerFrame{}
+	for _, it := range items {
+		merge(f, it)
+	}
+	must.Len(t, 1, f.GetHeld())
+	must.Len(t, 1, f.GetEvents())
+	must.Eq(t, run, runref.Decode(f.GetEvents()[0].GetRun()))
+}
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -12,6 +12,7 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/room"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/work"
 )
 
@@ -32,7 +33,7 @@
 func newOrder(owner string, o *pb.RunOrder, now time.Duration) *order {
 	return &order{
 		owner:    owner,
-		run:      work.Run{Task: o.GetRun().GetTask(), Attempt: o.GetRun().GetAttempt()},
+		run:      runref.Decode(o.GetRun()),
 		service:  o.GetService(),
 		spec:     o.GetSpec(),
 		need:     work.Resources{CPU: int64(o.GetCpuMilli()), MemoryMB: int64(o.GetMemoryMb()), GPUs: int64(o.GetGpus())},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,12 +58,9 @@
 	base context.Context
 }
 
-// New returns a runner with valid settings. Its error is that of setting up
+// New returns a runner on a network, with valid settings. Its error is that of setting up
 // metrics.
-func New(s *Settings, log *zap.Logger) (*Runner, error) { return NewOn(network.TCP, s, log) }
-
-// NewOn returns a runner on a network.
-func NewOn(n network.Network, s *Settings, log *zap.Logger) (*Runner, error) {
+func New(n network.Network, s *Settings, log *zap.Logger) (*Runner, error) {
 	debug, err := process.NewDebug("pomelosill-runner")
 	if err != nil {
 		return nil, err
@@ -90,7 +87,7 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	r.base = base
-	links, err := process.ListenOn(ctx, r.network, r.settings.Link)
+	links, err := process.Listen(ctx, r.network, r.settings.Link)
 	if err != nil {
 		return err
 	}
@@ -102,7 +99,7 @@
 	linkServer := stream.Serve(links, r.serveLink, r.log)
 	var running sync.WaitGroup
 	registrar := &directory.Registrar{
-		Store: platform.NewStoreOn(r.network, r.settings.Store), Log: r.log,
+		Store: platform.NewStore(r.network, r.settings.Store), Log: r.log,
 		Node: directory.Node{Name: r.settings.Name, Role: directory.Runner, Address: r.settings.address()},
 	}
 	running.Go(func() { registrar.Run(base) })
@@ -122,8 +119,8 @@
 // serve binds the addresses and serves them.
 func (r *Runner) serve(ctx context.Context) ([]*http.Server, error) {
 	heartbeats := http.NewServeMux()
-	heartbeats.HandleFunc(platform.PathHeartbeat, r.heartbeat)
-	heartbeats.HandleFunc(platform.PathLeave, r.leave)
+	heartbeats.HandleFunc(platform.PatternHeartbeat, r.heartbeat)
+	heartbeats.HandleFunc(platform.PatternLeave, r.leave)
 	pages := http.NewServeMux()
 	r.debug.Mount(pages, func() any { return r.State() })
 	return process.ServeAll(ctx, r.network, []process.Site{
@@ -170,7 +167,8 @@
 	}
 }
 
-// checkAll is called with the lock held.
+// checkAll looks at everything that time changes, and publishes the state if
+// that has changed it. It is called with the lock held.
 func (r *Runner) checkAll() {
 	now := clock.Boot()
 	for _, l := range r.links {
@@ -178,6 +176,7 @@
 	}
 	r.startWaiting(now)
 	if s := r.session; s != nil {
+		r.checkSpeed(s, now)
 		r.checkStalled(s, now)
 		r.stopStrangers(s)
 		r.checkLease(s, now)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -37,6 +37,9 @@
 	// fenceStep is added to a fencing token that the endpoint holds to be
 	// too low.
 	fenceStep = 60_000
+	// measuredAnew is the speed below which an endpoint that has rested is
+	// measured anew.
+	measuredAnew = 0.5
 )
 
 // session is one life of the endpoint. Its fields belong to the runner's lock.
@@ -249,16 +252,21 @@
 	r.lose(s, now, result.EndpointUnreachable)
 }
 
-// checkStalled reports runs that stand still and rests the endpoint if it is
-// the cause.
-func (r *Runner) checkStalled(s *session, now time.Duration) {
+// checkSpeed rests an endpoint that is too slow, and measures one anew that has
+// rested.
+func (r *Runner) checkSpeed(s *session, now time.Duration) {
 	if s.account.Slow() && s.health.Slow(now) {
 		r.log.Warn("endpoint: suspected, too slow", zap.String("life", s.endpoint.Life()),
 			zap.Float64("speed", s.account.Speed()), zap.Int("running", s.account.Runs()))
 	}
-	if s.account.Runs() == 0 && !s.health.Resting(now) && s.health.MaxRuns() > 0 && s.account.Speed() < 0.5 {
-		s.account.Decay()
+	rested := !s.health.Resting(now) && s.health.MaxRuns() > 0
+	if rested && s.account.Runs() == 0 && s.account.Speed() < measuredAnew {
+		s.account.ForgetSpeed()
 	}
+}
+
+// checkStalled reports runs that stand still.
+func (r *Runner) checkStalled(s *session, now time.Duration) {
 	for _, run := range s.account.Stalled(now) {
 		e, _ := s.account.Get(run)
 		r.log.Info("run: stalled", zap.String("task", run.Task), zap.Uint64("attempt", run.Attempt),
--- a/internal/stream/bench_test.go
+++ b/internal/stream/bench_test.go
@@ -27,7 +27,7 @@
 }
 
 func tcpPair(b *testing.B) (near, far *stream.Conn) {
-	l, err := process.Listen(b.Context(), "127.0.0.1:0")
+	l, err := process.Listen(b.Context(), network.TCP, "127.0.0.1:0")
 	must.NoError(b, err)
 	accepted := make(chan *stream.Conn)
 	go func() {
@@ -66,11 +66,11 @@
 func BenchmarkConnect(b *testing.B) {
 	mux := http.NewServeMux()
 	mux.Handle(pomelosillv1connect.NewPeerServiceHandler(echoPeer{}, process.Uncompressed()))
-	l, err := process.Listen(b.Context(), "127.0.0.1:0")
+	l, err := process.Listen(b.Context(), network.TCP, "127.0.0.1:0")
 	must.NoError(b, err)
 	server := process.NewServer(mux)
 	go func() { _ = server.Serve(l) }()
-	client := process.NewStreamClient()
+	client := process.NewStreamClient(network.TCP)
 	b.Cleanup(func() {
 		client.CloseIdleConnections()
 		_ = server.Close()
--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -11,15 +11,20 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform"
-	"github.com/pomelosill/pomelosill/platform/platformtest"
 )
 
 const (
+	// Config is the configuration whose one route serves the callers.
+	Config = `{"version":1,"routes":[{"name":"r","hostname":"` + host + `","prefix":"` + prefix + `","service":"` + Service + `",
+		"stretch":1.6,"target_latency_ms":60,"max_attempts":3}],"services":[{"name":"` + Service + `"}]}`
+	// Service is what the callers' tasks run on.
+	Service = "svc"
+	host    = "app.example"
+	prefix  = "/p/"
 	// TaskCPU is what each task needs, in thousandths of a core.
 	TaskCPU = 1000
 	// JobEvery is the time between two jobs of an ordinary load.
@@ -131,11 +136,11 @@
 		s.Tasks, TaskCPU, s.Each.Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dispatcher+"/p/"+JobID(number), strings.NewReader(text))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dispatcher+prefix+JobID(number), strings.NewReader(text))
 	if err != nil {
 		return 0, err.Error()
 	}
-	req.Host = "app.example"
+	req.Host = host
 	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
@@ -148,25 +153,3 @@
 	}
 	return resp.StatusCode, string(answer)
 }
-
-// Check compares what callers were told with what the endpoints did, and
-// returns how many jobs were served and refused.
-func Check(t *testing.T, judge *platformtest.Judge, all []*Told) (served, refused int) {
-	t.Helper()
-	for _, a := range all {
-		id := JobID(a.Number)
-		if a.Completed() {
-			served++
-			if n := judge.Done(id); n < ShapeOf(a.Number).Tasks {
-				t.Errorf("%s is said to be done, and %d of %d tasks were", id, n, ShapeOf(a.Number).Tasks)
-			}
-		}
-		if a.Refused() {
-			refused++
-			if n := judge.Starts(id); n > 0 {
-				t.Errorf("%s is said not to have run (%v), and was started %d times", id, a.Statuses, n)
-			}
-		}
-	}
-	return served, refused
-}
--- a/test/simulate/conn.go
+++ b/test/simulate/conn.go
@@ -14,7 +14,7 @@
 	window     = 256
 )
 
-// conn is one connection between two places.
+// conn is one connection between two of them.
 type conn struct {
 	from, to string
 	fabric   *fabric
--- a/test/simulate/fabric.go
+++ b/test/simulate/fabric.go
@@ -13,15 +13,14 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
-	// cuts are the pairs of places, in one direction, that nothing passes.
+	// cuts are the pairs of names, in one direction, that nothing passes.
 	cuts map[route]bool
 	// slow delays what passes on a route.
 	slow    map[route]time.Duration
 	changed chan struct{}
 }
 
-// route is one direction between two places. A place is a process or a
-// stand-in.
+// route is one direction between two processes or stand-ins, by name.
 type route struct{ from, to string }
 
 func newFabric() *fabric {
@@ -31,7 +30,7 @@
 	}
 }
 
-// set changes what passes between places.
+// set changes what passes.
 func (f *fabric) set(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,7 +84,7 @@
 	return latency + f.slow[r]
 }
 
-// each calls do for every open connection between two places.
+// each calls do for every open connection between two of them.
 func (f *fabric) each(a, b string, do func(*conn)) {
 	f.mu.Lock()
 	var all []*conn
@@ -100,7 +99,7 @@
 	}
 }
 
-// reset closes the connections between two places, silence lets them pass
+// reset closes the connections between two of them, silence lets them pass
 // nothing any more.
 func (f *fabric) reset(a, b string) { f.each(a, b, (*conn).close) }
 
--- a/test/simulate/place.go
+++ b/test/simulate/stack.go
@@ -19,7 +19,7 @@
 type listener struct {
 	f       *fabric
 	address string
-	place   string
+	owner   string
 	queue   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
@@ -55,21 +55,21 @@
 // String implements net.Addr.
 func (a address) String() string { return string(a) }
 
-// place is one process's or stand-in's view of the network.
-type place struct {
+// stack is the network stack of one process or stand-in.
+type stack struct {
 	f    *fabric
 	name string
 	// dead is closed when the process is killed.
 	dead chan struct{}
 }
 
-func (f *fabric) place(name string) *place {
-	return &place{f: f, name: name, dead: make(chan struct{})}
+func (f *fabric) stack(name string) *stack {
+	return &stack{f: f, name: name, dead: make(chan struct{})}
 }
 
-func (p *place) isDead() bool {
+func (s *stack) isDead() bool {
 	select {
-	case <-p.dead:
+	case <-s.dead:
 		return true
 	default:
 		return false
@@ -77,26 +77,26 @@
 }
 
 // Dial implements network.Network.
-func (p *place) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	if p.isDead() {
+func (s *stack) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if s.isDead() {
 		return nil, errUnreachable
 	}
-	p.f.mu.Lock()
-	l := p.f.listeners[addr]
-	p.f.mu.Unlock()
+	s.f.mu.Lock()
+	l := s.f.listeners[addr]
+	s.f.mu.Unlock()
 	if l == nil {
 		time.Sleep(2 * latency)
 		return nil, errRefused
 	}
-	there, back := route{p.name, l.place}, route{l.place, p.name}
-	if !p.f.passes(there, ctx.Done()) || !p.f.passes(back, ctx.Done()) {
+	there, back := route{s.name, l.owner}, route{l.owner, s.name}
+	if !s.f.passes(there, ctx.Done()) || !s.f.passes(back, ctx.Done()) {
 		return nil, ctx.Err()
 	}
-	time.Sleep(p.f.latency(there) + p.f.latency(back))
-	if p.isDead() {
+	time.Sleep(s.f.latency(there) + s.f.latency(back))
+	if s.isDead() {
 		return nil, errUnreachable
 	}
-	client, server := p.f.connect(p.name, l.place)
+	client, server := s.f.connect(s.name, l.owner)
 	select {
 	case l.queue <- server:
 		return client, nil
@@ -107,38 +107,38 @@
 }
 
 // Listen implements network.Network.
-func (p *place) Listen(_ context.Context, addr string) (net.Listener, error) {
-	p.f.mu.Lock()
-	defer p.f.mu.Unlock()
-	if p.isDead() {
+func (s *stack) Listen(_ context.Context, addr string) (net.Listener, error) {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	if s.isDead() {
 		return nil, errUnreachable
 	}
-	if p.f.listeners[addr] != nil {
+	if s.f.listeners[addr] != nil {
 		return nil, errTaken
 	}
-	l := &listener{f: p.f, address: addr, place: p.name, queue: make(chan net.Conn), closed: make(chan struct{})}
-	p.f.listeners[addr] = l
+	l := &listener{f: s.f, address: addr, owner: s.name, queue: make(chan net.Conn), closed: make(chan struct{})}
+	s.f.listeners[addr] = l
 	return l, nil
 }
 
 // kill takes the process off the network. With power, its peers see their
 // connections end; without, they hear nothing.
-func (p *place) kill(power bool) {
-	close(p.dead)
-	p.f.mu.Lock()
+func (s *stack) kill(power bool) {
+	close(s.dead)
+	s.f.mu.Lock()
 	var conns []*conn
-	for c := range p.f.conns {
-		if c.from == p.name || c.to == p.name {
+	for c := range s.f.conns {
+		if c.from == s.name || c.to == s.name {
 			conns = append(conns, c)
 		}
 	}
 	var listeners []*listener
-	for _, l := range p.f.listeners {
-		if l.place == p.name {
+	for _, l := range s.f.listeners {
+		if l.owner == s.name {
 			listeners = append(listeners, l)
 		}
 	}
-	p.f.mu.Unlock()
+	s.f.mu.Unlock()
 	for _, l := range listeners {
 		_ = l.Close()
 	}
--- a/test/simulate/world.go
+++ b/test/simulate/world.go
@@ -5,12 +5,10 @@
 package simulate
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -25,10 +23,10 @@
 	"github.com/pomelosill/pomelosill/internal/runner"
 	"github.com/pomelosill/pomelosill/internal/settings"
 	standin "github.com/pomelosill/pomelosill/internal/standin/platform"
-	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/caller"
+	"github.com/pomelosill/pomelosill/test/logbuf"
 )
 
 const (
@@ -43,15 +41,13 @@
 	fullLoad     = 15 * time.Millisecond
 	grace        = 2 * time.Second
 	storeAddress = "store:1"
-	config       = `{"version":1,"routes":[{"name":"r","hostname":"app.example","prefix":"/p/","service":"svc",
-		"stretch":1.6,"target_latency_ms":60,"max_attempts":3}],"services":[{"name":"svc"}]}`
 )
 
 // member is a process of the system; it can be killed and started again.
 type member struct {
 	name  string
 	run   func(n network.Network, log *zap.Logger) func(context.Context) error
-	place *place
+	stack *stack
 	stop  context.CancelFunc
 	done  chan struct{}
 }
@@ -62,10 +58,7 @@
 	name     string
 	listen   string
 	runner   *member
-
-	mu         sync.Mutex
-	fault      platformtest.Fault
-	faultShare float64
+	chance   platformtest.Chance
 }
 
 // world is the system under test.
@@ -84,33 +77,16 @@
 	servers     []*http.Server
 	clients     []*http.Client
 	closing     chan struct{}
-	log         *logBuffer
+	log         *logbuf.Buffer
 	// jobEvery is the time between two jobs.
 	jobEvery time.Duration
 }
 
-// logBuffer keeps what all processes log.
-type logBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
-func (l *logBuffer) logger(name string) *zap.Logger {
+// logger logs what one process does.
+func (w *world) logger(name string) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.AddSync(l), zapcore.InfoLevel)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.AddSync(w.log), zapcore.InfoLevel)
 	return zap.New(core).With(zap.String("process", name))
 }
 
@@ -123,12 +99,12 @@
 	t.Cleanup(restore)
 	w := &world{
 		t: t, rng: rng, fabric: newFabric(), judge: platformtest.NewJudge(), store: standin.NewServer(time.Now),
-		closing: make(chan struct{}), log: &logBuffer{},
+		closing: make(chan struct{}), log: &logbuf.Buffer{},
 		jobEvery: fullLoad + time.Duration(rng.Int64N(int64(caller.JobEvery-fullLoad))),
 	}
 	w.serve("store", storeAddress, (&platformtest.Store{Server: w.store}).Handler())
-	w.client = platform.NewStoreOn(w.fabric.place("operator"), storeAddress)
-	_, err := w.client.CompareAndSwap(t.Context(), platform.KeyConfig, 0, []byte(config), 0)
+	w.client = platform.NewStore(w.fabric.stack("operator"), storeAddress)
+	_, err := w.client.CompareAndSwap(t.Context(), platform.KeyConfig, 0, []byte(caller.Config), 0)
 	must.NoError(t, err)
 	for i := range 3 + rng.IntN(3) {
 		w.addHost(i)
@@ -159,17 +135,17 @@
 }
 
 func (w *world) serve(name, address string, handler http.Handler) {
-	l, err := w.fabric.place(name).Listen(w.t.Context(), address)
+	l, err := w.fabric.stack(name).Listen(w.t.Context(), address)
 	must.NoError(w.t, err)
 	s := process.NewServer(handler)
 	w.servers = append(w.servers, s)
 	go func() { _ = s.Serve(l) }()
 }
 
-// httpClient is a client of one place.
-func (w *world) httpClient(place string) *http.Client {
+// httpClient is a client at one host.
+func (w *world) httpClient(name string) *http.Client {
 	c := &http.Client{Transport: &http.Transport{
-		DialContext: network.Dialer(w.fabric.place(place), time.Second), MaxIdleConnsPerHost: 64,
+		DialContext: network.Dialer(w.fabric.stack(name), time.Second), MaxIdleConnsPerHost: 64,
 	}}
 	w.clients = append(w.clients, c)
 	return c
@@ -184,15 +160,15 @@
 
 // start starts a process.
 func (w *world) start(m *member) {
-	m.place = w.fabric.place(m.name)
-	run := m.run(m.place, w.log.logger(m.name))
+	m.stack = w.fabric.stack(m.name)
+	run := m.run(m.stack, w.logger(m.name))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	m.stop, m.done = cancel, done
-	place := m.place
+	stack := m.stack
 	go func() {
 		defer close(done)
-		if err := run(ctx); err != nil && !place.isDead() {
+		if err := run(ctx); err != nil && !stack.isDead() {
 			w.t.Errorf("%s: %v", m.name, err)
 		}
 	}()
@@ -201,8 +177,8 @@
 // kill takes a process off the network for good. What is left of it runs on
 // alone until it has ended.
 func (m *member) kill(power bool) {
-	if !m.place.isDead() {
-		m.place.kill(power)
+	if !m.stack.isDead() {
+		m.stack.kill(power)
 	}
 	m.stop()
 }
@@ -212,19 +188,15 @@
 func (w *world) addHost(i int) {
 	h := &host{name: fmt.Sprintf("run-%d", i), listen: fmt.Sprintf("run-%d:1", i)}
 	address := fmt.Sprintf("end-%d:1", i)
-	h.endpoint = &platformtest.Endpoint{
-		ID: address, Service: "svc", Domain: domainOf(i),
-		Capacity: work.Resources{CPU: endpointTasks * caller.TaskCPU, MemoryMB: 1000},
-		Need:     func(work.Run) work.Resources { return work.Resources{CPU: caller.TaskCPU, MemoryMB: 1} },
-		Duration: caller.Duration, StopTakes: stopTakes, Judge: w.judge, Fault: h.choose,
-	}
+	h.endpoint = caller.Endpoint(domainOf(i), endpointTasks, w.judge)
+	h.endpoint.ID, h.endpoint.StopTakes, h.endpoint.Fault = address, stopTakes, h.chance.Choose
 	h.endpoint.Begin()
-	w.serve(h.endpointPlace(), address, h.endpoint.Handler())
+	w.serve(h.endpointName(), address, h.endpoint.Handler())
 	h.runner = w.addMember(h.name, func(n network.Network, log *zap.Logger) func(context.Context) error {
 		s := runner.DefaultSettings()
 		s.Name, s.Listen, s.Link, s.Store = h.name, h.listen, h.name+":2", storeAddress
 		s.Grace = settings.Duration(grace)
-		r, err := runner.NewOn(n, &s, log)
+		r, err := runner.New(n, &s, log)
 		must.NoError(w.t, err)
 		return r.Run
 	})
@@ -232,37 +204,14 @@
 	go w.beat(h)
 }
 
-func (h *host) endpointPlace() string { return "end of " + h.name }
-
-// choose is the fault of one call to the endpoint.
-func (h *host) choose(platformtest.Call) platformtest.Fault {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if rand.Float64() < h.faultShare {
-		return h.fault
-	}
-	return platformtest.None
-}
-
-func (h *host) setFault(f platformtest.Fault, share float64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.fault, h.faultShare = f, share
-}
+func (h *host) endpointName() string { return "end of " + h.name }
 
 // beat sends the endpoint's heartbeats.
 func (w *world) beat(h *host) {
-	client := w.httpClient(h.endpointPlace())
+	client := w.httpClient(h.endpointName())
 	client.Timeout = time.Second
 	for sequence := int64(1); ; sequence++ {
-		req, err := http.NewRequest(http.MethodPut, "http://"+h.listen+"/instances/"+h.endpoint.ID,
-			bytes.NewReader(h.endpoint.Heartbeat(sequence, "ready")))
-		if err != nil {
-			return
-		}
-		if resp, err := client.Do(req); err == nil {
-			_ = resp.Body.Close()
-		}
+		h.endpoint.Announce(context.Background(), client, h.listen, sequence, "ready")
 		select {
 		case <-w.closing:
 			client.CloseIdleConnections()
@@ -279,7 +228,7 @@
 		s := dispatch.DefaultSettings()
 		s.Name, s.Listen, s.Ready, s.Peer, s.Store = name, listen, name+":2", name+":3", storeAddress
 		s.Grace = settings.Duration(grace)
-		d, err := dispatch.NewOn(n, &s, log)
+		d, err := dispatch.New(n, &s, log)
 		must.NoError(w.t, err)
 		return d.Run
 	})
@@ -297,7 +246,7 @@
 	client := w.httpClient("balancer")
 	end := time.Now().Add(within)
 	for _, m := range w.dispatchers {
-		for !ready(client, m.name+":2") {
+		for !platformtest.Ready(w.t.Context(), client, m.name+":2") {
 			if time.Now().After(end) {
 				return false
 			}
@@ -306,12 +255,3 @@
 	}
 	return true
 }
-
-func ready(client *http.Client, address string) bool {
-	resp, err := client.Get("http://" + address + "/readiness")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -4,7 +4,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,14 +13,13 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/internal/network"
 	standin "github.com/pomelosill/pomelosill/internal/standin/platform"
-	"github.com/pomelosill/pomelosill/internal/work"
 	"github.com/pomelosill/pomelosill/platform"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/caller"
@@ -35,8 +33,6 @@
 	// endpointTasks is how many tasks an endpoint has room for.
 	endpointTasks = 8
 	beatEvery     = 100 * time.Millisecond
-	config        = `{"version":1,"routes":[{"name":"r","hostname":"app.example","prefix":"/p/","service":"svc",
-		"stretch":1.6,"target_latency_ms":60,"max_attempts":3}],"services":[{"name":"svc"}]}`
 )
 
 // host is one endpoint, with its runner and the proxies around both.
@@ -47,9 +43,7 @@
 	// store between the runner and the store.
 	link, calls, store *proxy
 	listen             string
-	mu                 sync.Mutex
-	fault              platformtest.Fault
-	faultShare         float64
+	chance             platformtest.Chance
 }
 
 // entry is one dispatcher.
@@ -81,14 +75,14 @@
 	}
 	server := httptest.NewServer((&platformtest.Store{Server: w.store}).Handler())
 	w.storeAt = strings.TrimPrefix(server.URL, "http://")
-	w.client = platform.NewStore(w.storeAt)
+	w.client = platform.NewStore(network.TCP, w.storeAt)
 	t.Cleanup(func() {
 		cancel()
 		w.store.Close()
 		server.CloseClientConnections()
 		server.Close()
 	})
-	_, err := w.client.CompareAndSwap(ctx, platform.KeyConfig, 0, []byte(config), 0)
+	_, err := w.client.CompareAndSwap(ctx, platform.KeyConfig, 0, []byte(caller.Config), 0)
 	must.NoError(t, err)
 	for i := range hosts {
 		w.addHost(i)
@@ -144,11 +138,8 @@
 
 func (w *world) addHost(i int) {
 	h := &host{listen: fleet.FreeAddress(w.t)}
-	h.endpoint = &platformtest.Endpoint{
-		Service: "svc", Domain: domainOf(i), Capacity: work.Resources{CPU: endpointTasks * caller.TaskCPU, MemoryMB: 1000},
-		Need:     func(work.Run) work.Resources { return work.Resources{CPU: caller.TaskCPU, MemoryMB: 1} },
-		Duration: caller.Duration, Judge: w.judge, Fault: h.choose,
-	}
+	h.endpoint = caller.Endpoint(domainOf(i), endpointTasks, w.judge)
+	h.endpoint.Fault = h.chance.Choose
 	server := httptest.NewServer(h.endpoint.Handler())
 	w.t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -168,34 +159,11 @@
 	go w.beat(h)
 }
 
-// choose is the fault of one call to the endpoint.
-func (h *host) choose(platformtest.Call) platformtest.Fault {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if rand.Float64() < h.faultShare {
-		return h.fault
-	}
-	return platformtest.None
-}
-
-func (h *host) setFault(f platformtest.Fault, share float64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.fault, h.faultShare = f, share
-}
-
 // beat sends the endpoint's heartbeats.
 func (w *world) beat(h *host) {
 	client := &http.Client{Timeout: time.Second}
 	for sequence := int64(1); w.ctx.Err() == nil; sequence++ {
-		req, err := http.NewRequestWithContext(w.ctx, http.MethodPut, "http://"+h.listen+"/instances/"+h.endpoint.ID,
-			bytes.NewReader(h.endpoint.Heartbeat(sequence, "ready")))
-		if err != nil {
-			return
-		}
-		if resp, err := client.Do(req); err == nil {
-			_ = resp.Body.Close()
-		}
+		h.endpoint.Announce(w.ctx, client, h.listen, sequence, "ready")
 		time.Sleep(beatEvery)
 	}
 }
@@ -220,21 +188,12 @@
 	return c
 }
 
-func (w *world) isReady(e *entry) bool {
-	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + e.ready + "/readiness")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // allReady waits until every dispatcher is ready.
 func (w *world) allReady(within time.Duration) bool {
+	client := &http.Client{Timeout: time.Second}
 	end := time.Now().Add(within)
 	for _, e := range w.entries {
-		for !w.isReady(e) {
+		for !platformtest.Ready(w.ctx, client, e.ready) {
 			if time.Now().After(end) {
 				return false
 			}
