Directory: a removed record is not brought back by gossip

Cause: a dispatcher forgets a removed record a minute after its removal, and each does so at another moment. Gossip from a peer that still had the record added it again without its removal, on either side in turn, so a process that had left was dialled for ever; under a reused address it would have been taken for another one.

Change: records that are no newer than the last reading of the store are ignored from peers: that reading had them, or they had been removed.

Test: TestMergeIgnoresRecordsThatTheStoreHasRemoved, which fails before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,6 +44,9 @@
 	nodes map[string]cachedNode
 	// changed is closed and replaced when the nodes change.
 	changed chan struct{}
+	// storeRevision is the store's revision as of the last changes that were
+	// read from it.
+	storeRevision uint64
 }
 
 type cachedNode struct {
@@ -95,13 +98,16 @@
 	return n
 }
 
-// Merge adds the nodes that another process knows. It ignores a node if the cache
-// has a current record of it with the same or a newer revision.
+// Merge adds the nodes that another process knows. It ignores a record that is
+// no newer than what was read from the store: that reading included the record,
+// or the record had been removed.
 func (c *Cache) Merge(nodes []Node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, n := range nodes {
-		c.put(n)
+		if n.Revision > c.storeRevision {
+			c.put(n)
+		}
 	}
 }
 
@@ -146,6 +152,7 @@
 			c.nodes[name] = cached
 		}
 	}
+	c.storeRevision = max(c.storeRevision, changes.Revision)
 	c.evictRemoved(now)
 	return errs
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -50,3 +50,21 @@
 	c.Merge([]Node{{Name: "n", Role: Runner, Address: "b:1", Revision: 6}})
 	must.Eq(t, "b:1", c.Nodes(Runner)[0].Address)
 }
+
+// Dispatchers forget a removed process at different times. A peer that still
+// knows its record must not bring it back, neither while the removed record is
+// kept nor afterwards: it would be passed around forever.
+func TestMergeIgnoresRecordsThatTheStoreHasRemoved(t *testing.T) {
+	c := NewCache()
+	now := time.Now()
+	old := Node{Name: "n", Role: Runner, Address: "1.2.3.4:5", Revision: 3}
+	c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", runnerRecord, 3)}, Revision: 3}, true, now)
+	c.ApplyChanges(store.Changes{Deleted: []string{Prefix + "n"}, Revision: 4}, false, now)
+	c.Merge([]Node{old})
+	c.ApplyChanges(store.Changes{Revision: 5}, false, now.Add(removedRetention+time.Second))
+	must.Len(t, 0, c.Nodes(Runner), must.Sprint("merged while the removed record was kept"))
+	c.Merge([]Node{old})
+	must.Len(t, 0, c.Nodes(Runner), must.Sprint("merged after the record was forgotten"))
+	c.Merge([]Node{{Name: "n", Role: Runner, Address: "1.2.3.4:6", Revision: 9}})
+	must.Len(t, 1, c.Nodes(Runner), must.Sprint("the process has written a new record"))
+}
