Links: each runner has twelve dispatchers, and gossip goes to log2(n) peers

Cause: every dispatcher kept a link to every runner and a stream to every other dispatcher, so a process's links grew with the fleet: 13,200 links and 2,970 streams at 55 dispatchers and 240 runners. After any change of the directory the whole of it went to every peer.

Change: directory.RunnersOf assigns runners to dispatchers by rendezvous hashing, twelve dispatchers a runner; up to twelve dispatchers are linked completely, as before. A runner that is assigned elsewhere gets no more work, and its link stays until its runs have ended. directory.PeersOf chooses the peers of the gossip. A frame has a digest of the directory; records are sent only to a peer whose digest differs, and each once.

The load of the other dispatchers, by which a backlog is scaled, no longer comes by gossip (a dispatcher doesn't hear all others) but from the runners: each dispatcher tells its runners its load per link.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,6 +44,10 @@
 	nodes map[string]cachedNode
 	// changed is closed and replaced when the nodes change.
 	changed chan struct{}
+	// version counts the records that were added or replaced.
+	version uint64
+	// digest is the exclusive or of emptyDigest and the digests of all records.
+	digest uint64
 	// storeRevision is the store's revision as of the last changes that were
 	// read from it.
 	storeRevision uint64
@@ -51,6 +55,8 @@
 
 type cachedNode struct {
 	node Node
+	// version is the cache's version with which the record was put.
+	version uint64
 	// removedAt is when the record was removed, or zero while it exists.
 	removedAt time.Time
 }
@@ -59,9 +65,13 @@
 // removed.
 const removedRetention = time.Minute
 
+// emptyDigest is the digest of an empty directory. It isn't zero, which is the
+// value of a missing field in a message.
+const emptyDigest = 1
+
 // NewCache returns an empty cache.
 func NewCache() *Cache {
-	return &Cache{nodes: map[string]cachedNode{}, changed: make(chan struct{})}
+	return &Cache{nodes: map[string]cachedNode{}, changed: make(chan struct{}), digest: emptyDigest}
 }
 
 // Changed returns a channel that is closed when the nodes next change.
@@ -98,6 +108,30 @@
 	return n
 }
 
+// ChangedSince returns the nodes that were added or replaced after a version of
+// the cache, and the current version.
+func (c *Cache) ChangedSince(version uint64) ([]Node, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var nodes []Node
+	for _, cached := range c.nodes {
+		if cached.version > version {
+			nodes = append(nodes, cached.node)
+		}
+	}
+	return nodes, c.version
+}
+
+// Digest returns a value that is equal for caches with the same records.
+func (c *Cache) Digest() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.digest
+}
+
+// recordDigest returns the digest of one record.
+func recordDigest(n Node) uint64 { return mix(hashName(n.Name) ^ mix(n.Revision)) }
+
 // Merge adds the nodes that another process knows. It ignores a record that is
 // no newer than what was read from the store: that reading included the record,
 // or the record had been removed.
@@ -116,10 +150,18 @@
 	if found && cached.node.Revision >= n.Revision && cached.removedAt.IsZero() {
 		return
 	}
-	c.nodes[n.Name] = cachedNode{node: n}
-	if !found || cached.node != n {
-		c.notifyChanged()
+	if found && cached.node == n {
+		cached.removedAt = time.Time{}
+		c.nodes[n.Name] = cached
+		return
+	}
+	if found {
+		c.digest ^= recordDigest(cached.node)
 	}
+	c.digest ^= recordDigest(n)
+	c.version++
+	c.nodes[n.Name] = cachedNode{node: n, version: c.version}
+	c.notifyChanged()
 }
 
 func (c *Cache) notifyChanged() {
@@ -162,6 +204,7 @@
 func (c *Cache) evictRemoved(now time.Time) {
 	for name, cached := range c.nodes {
 		if !cached.removedAt.IsZero() && now.Sub(cached.removedAt) > removedRetention {
+			c.digest ^= recordDigest(cached.node)
 			delete(c.nodes, name)
 			c.notifyChanged()
 		}
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -32,35 +32,96 @@
 	}
 }
 
-// maintainConnections keeps a connection to every node of the directory.
+// unlinkCheckInterval is the time between two checks whether the runners that
+// are no longer assigned to the dispatcher have finished its runs.
+const unlinkCheckInterval = 200 * time.Millisecond
+
+// maintainConnections keeps a connection to every runner that the directory
+// assigns to this dispatcher, and a stream to its peers. A runner that is no
+// longer assigned gets no more work, and its connection is kept until the runs
+// there have ended.
 func (d *Dispatcher) maintainConnections(ctx context.Context) {
 	connections := map[directory.Node]context.CancelFunc{}
 	for ctx.Err() == nil {
 		changed := d.directory.Changed()
-		wanted := map[directory.Node]bool{}
-		for _, n := range append(d.directory.Nodes(directory.Runner), d.directory.Nodes(directory.Dispatcher)...) {
-			n.Revision = 0
-			wanted[n] = true
-			if _, found := connections[n]; found || n.Name == d.settings.Name {
-				continue
-			}
-			nodeCtx, cancel := context.WithCancel(ctx)
-			connections[n] = cancel
-			if n.Role == directory.Runner {
-				go d.maintainRunnerConnection(nodeCtx, n)
-			} else {
-				go d.maintainPeerStream(nodeCtx, n)
+		wanted := d.wantedConnections()
+		for n := range wanted {
+			if connections[n] == nil {
+				connections[n] = d.startConnection(ctx, n)
 			}
 		}
+		var recheck <-chan time.Time
 		for n, cancel := range connections {
-			if !wanted[n] {
-				cancel()
-				delete(connections, n)
+			if wanted[n] {
+				continue
+			}
+			if n.Role == directory.Runner && !d.unlink(n) {
+				recheck = time.After(unlinkCheckInterval)
+				continue
 			}
+			cancel()
+			delete(connections, n)
 		}
 		select {
 		case <-changed:
+		case <-recheck:
 		case <-ctx.Done():
 		}
 	}
 }
+
+// wantedConnections returns the nodes to which this dispatcher connects, without
+// the revisions of their records. It marks the runners among them as linked.
+func (d *Dispatcher) wantedConnections() map[directory.Node]bool {
+	dispatchers := d.directory.Nodes(directory.Dispatcher)
+	runners := directory.RunnersOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner))
+	wanted := map[directory.Node]bool{}
+	for _, n := range append(runners, directory.PeersOf(d.settings.Name, dispatchers)...) {
+		n.Revision = 0
+		wanted[n] = true
+	}
+	return wanted
+}
+
+// startConnection keeps a connection to the node until the returned function is
+// called.
+func (d *Dispatcher) startConnection(ctx context.Context, n directory.Node) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	if n.Role == directory.Runner {
+		go d.maintainRunnerConnection(ctx, d.link(n))
+	} else {
+		go d.maintainPeerStream(ctx, n)
+	}
+	return cancel
+}
+
+// link returns the state of a runner that is assigned to this dispatcher.
+func (d *Dispatcher) link(n directory.Node) *runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.runners[n.Name]
+	if r == nil {
+		r = newRunner(n)
+		d.runners[n.Name] = r
+	}
+	r.node, r.unlinked = n, false
+	return r
+}
+
+// unlink stops placing work at a runner that is no longer assigned to this
+// dispatcher, and reports whether its connection can be closed: no run is left
+// there, or the runner is linked at another address.
+func (d *Dispatcher) unlink(n directory.Node) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.runners[n.Name]
+	if r == nil || r.node != n {
+		return true
+	}
+	r.unlinked = true
+	if len(r.runs) > 0 {
+		return false
+	}
+	delete(d.runners, n.Name)
+	return true
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,10 +53,8 @@
 	// waiting holds the jobs with tasks that are not placed yet.
 	waiting map[string]*job
 	runners map[string]*runner
-	// load measures the work that arrived here recently, peerLoads that of
-	// other dispatchers, by name.
-	load      placement.Load
-	peerLoads map[string]peerLoad
+	// load measures the work that arrived here recently.
+	load placement.Load
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
 	// runCtx ends with the process.
@@ -82,7 +80,6 @@
 		jobs:             map[string]*job{},
 		waiting:          map[string]*job{},
 		runners:          map[string]*runner{},
-		peerLoads:        map[string]peerLoad{},
 		meanTaskDuration: initialMeanTaskDuration,
 	}
 	d.metrics, err = newMetrics(debug.Meter)
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -64,7 +65,7 @@
 	client, closeClient := newPeerClient(d.network, n.Address)
 	defer closeClient()
 	stream := client.Gossip(ctx)
-	g := &gossipStream{dispatcher: d, send: stream.Send, receive: stream.Receive}
+	g := newGossipStream(d, stream.Send, stream.Receive)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -82,7 +83,7 @@
 func (d *Dispatcher) Gossip(ctx context.Context, stream *connect.BidiStream[pb.GossipFrame, pb.GossipFrame]) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	g := &gossipStream{dispatcher: d, send: stream.Send, receive: stream.Receive}
+	g := newGossipStream(d, stream.Send, stream.Receive)
 	go func() { cancel(g.receiveLoop(ctx, cancel)) }()
 	return g.sendLoop(ctx)
 }
@@ -95,15 +96,24 @@
 	// peerRevision is the newest policy revision that the peer is known to
 	// have.
 	peerRevision monotonicRevision
-	// sentDirectoryChange is the directory's change channel as of the last
-	// frame with nodes; another channel means that the directory has changed
-	// since.
-	sentDirectoryChange <-chan struct{}
+	// peerDigest is the directory digest in the peer's last frame, zero before
+	// its first.
+	peerDigest atomic.Uint64
+	// received receives a value after each of the peer's frames.
+	received chan struct{}
+	// sentVersion is the version of the directory up to which the peer has been
+	// sent the records.
+	sentVersion uint64
 }
 
-// sendLoop sends a frame whenever the policy has changed, and every
-// gossipInterval. The first frame after a change only holds the policy's
-// revision, because most peers read the policy from the store themselves.
+func newGossipStream(d *Dispatcher, send func(*pb.GossipFrame) error, receive func() (*pb.GossipFrame, error)) *gossipStream {
+	return &gossipStream{dispatcher: d, send: send, receive: receive, received: make(chan struct{}, 1)}
+}
+
+// sendLoop sends a frame whenever the policy has changed, whenever the peer
+// turns out to have another directory, and every gossipInterval. The first frame
+// after a change of the policy only holds its revision, because most peers read
+// the policy from the store themselves.
 func (g *gossipStream) sendLoop(ctx context.Context) error {
 	for {
 		changed := g.dispatcher.policy.Changed()
@@ -115,33 +125,56 @@
 		if f.GetPolicy() == nil && g.peerRevision.behind(f.GetPolicyRevision()) {
 			pause = storePropagationDelay
 		}
+		if err := g.waitUntilDue(ctx, changed, pause); err != nil {
+			return err
+		}
+	}
+}
+
+// waitUntilDue waits until the next frame is due.
+func (g *gossipStream) waitUntilDue(ctx context.Context, policyChanged <-chan struct{}, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-changed:
-		case <-time.After(pause):
+		case <-policyChanged:
+			return nil
+		case <-timer.C:
+			return nil
+		case <-g.received:
+			if g.sentVersion == 0 && g.directoryDiffers() {
+				return nil
+			}
 		}
 	}
 }
 
-// nextFrame returns a frame with the policy's revision, the load, and what the
-// peer is not known to have: the policy, and the directory if it has changed. A
-// dispatcher that starts while the store is unavailable gets both from those
-// peers whose directory has its record already: they open streams to it.
+// directoryDiffers reports whether the peer is known to have another directory.
+func (g *gossipStream) directoryDiffers() bool {
+	digest := g.peerDigest.Load()
+	return digest != 0 && digest != g.dispatcher.directory.Digest()
+}
+
+// nextFrame returns a frame with the policy's revision and the directory's
+// digest, and with what the peer is not known to have: the policy, and the
+// records that have changed since they were last sent. A dispatcher that starts
+// while the store is unavailable gets both from those peers whose directory has
+// its record already: they open streams to it.
 func (g *gossipStream) nextFrame() *pb.GossipFrame {
-	f := &pb.GossipFrame{Dispatcher: g.dispatcher.settings.Name, PolicyRevision: g.dispatcher.policy.Revision(), Load: g.dispatcher.ownLoad()}
-	if s := g.dispatcher.policy.Current(); s != nil && g.dispatcher.policy.Age() >= storePropagationDelay && g.peerRevision.advance(s.Revision) {
+	d := g.dispatcher
+	f := &pb.GossipFrame{Dispatcher: d.settings.Name, PolicyRevision: d.policy.Revision(), DirectoryDigest: d.directory.Digest()}
+	if s := d.policy.Current(); s != nil && d.policy.Age() >= storePropagationDelay && g.peerRevision.advance(s.Revision) {
 		f.Policy = codec.Encode(s)
 	}
-	changed := g.dispatcher.directory.Changed()
-	if changed == g.sentDirectoryChange {
+	if !g.directoryDiffers() {
 		return f
 	}
-	g.sentDirectoryChange = changed
-	for _, role := range []directory.Role{directory.Runner, directory.Dispatcher} {
-		for _, n := range g.dispatcher.directory.Nodes(role) {
-			f.Nodes = append(f.Nodes, &pb.Node{Name: n.Name, Role: string(n.Role), Address: n.Address, Revision: n.Revision})
-		}
+	nodes, version := d.directory.ChangedSince(g.sentVersion)
+	g.sentVersion = version
+	for _, n := range nodes {
+		f.Nodes = append(f.Nodes, &pb.Node{Name: n.Name, Role: string(n.Role), Address: n.Address, Revision: n.Revision})
 	}
 	return f
 }
@@ -155,13 +188,22 @@
 			return causeOr(ctx, err)
 		}
 		watchdog.Reset(gossipTimeout)
-		g.peerRevision.advance(f.GetPolicyRevision())
-		g.dispatcher.recordPeerLoad(f.GetDispatcher(), f.GetLoad())
-		codec.Apply(g.dispatcher.policy, f.GetPolicy(), g.dispatcher.log)
-		var nodes []directory.Node
-		for _, n := range f.GetNodes() {
-			nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
-		}
-		g.dispatcher.directory.Merge(nodes)
+		g.handleFrame(f)
+	}
+}
+
+// handleFrame applies the peer's frame.
+func (g *gossipStream) handleFrame(f *pb.GossipFrame) {
+	g.peerRevision.advance(f.GetPolicyRevision())
+	codec.Apply(g.dispatcher.policy, f.GetPolicy(), g.dispatcher.log)
+	var nodes []directory.Node
+	for _, n := range f.GetNodes() {
+		nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
+	}
+	g.dispatcher.directory.Merge(nodes)
+	g.peerDigest.Store(f.GetDirectoryDigest())
+	select {
+	case g.received <- struct{}{}:
+	default:
 	}
 }
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/directory"
@@ -43,18 +41,6 @@
 // each one sends to few runners at once; this matters where the policy is large
 // and the hosts' network is slow.
 func pushDelay(self, runner string, dispatchers []directory.Node) time.Duration {
-	turn := 0
-	own := pushRank(self, runner)
-	for _, n := range dispatchers {
-		if pushRank(n.Name, runner) < own {
-			turn++
-		}
-	}
+	turn := directory.Rank(self, runner, dispatchers)
 	return time.Duration(min(turn, maxPushTurns)) * pushTurnInterval
 }
-
-// pushRank returns the value that orders dispatchers for a runner.
-func pushRank(dispatcher, runner string) uint64 {
-	sum := sha256.Sum256([]byte(dispatcher + " " + runner))
-	return binary.BigEndian.Uint64(sum[:])
-}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -24,6 +24,8 @@
 // fields.
 type runner struct {
 	node directory.Node
+	// unlinked is set once the runner is no longer assigned to the dispatcher.
+	unlinked bool
 	// incarnation is that of the runner's process, empty before the first
 	// connection.
 	incarnation string
@@ -65,7 +67,7 @@
 
 // usable reports whether the runner may get work.
 func (r *runner) usable(now time.Duration) bool {
-	return r.outbox != nil && r.state.GetReady() && now-r.lastFrameAt < placementTimeout
+	return r.outbox != nil && !r.unlinked && r.state.GetReady() && now-r.lastFrameAt < placementTimeout
 }
 
 // reserve reserves resources for a start request until the runner's state
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
-	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
@@ -18,15 +17,11 @@
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
-// maintainRunnerConnection keeps a connection to a runner until ctx ends.
-func (d *Dispatcher) maintainRunnerConnection(ctx context.Context, n directory.Node) {
+// maintainRunnerConnection keeps a connection to a runner at its present
+// address until ctx ends.
+func (d *Dispatcher) maintainRunnerConnection(ctx context.Context, r *runner) {
 	d.mu.Lock()
-	r := d.runners[n.Name]
-	if r == nil {
-		r = newRunner(n)
-		d.runners[n.Name] = r
-	}
-	r.node = n
+	n := r.node
 	d.mu.Unlock()
 	pause := minRedialDelay
 	for ctx.Err() == nil {
@@ -249,7 +244,10 @@
 // newHeartbeat returns a heartbeat, with the policy if the runner's is older.
 // It is called with the lock held.
 func (d *Dispatcher) newHeartbeat(r *runner) *pb.DispatcherFrame {
-	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: r.heartbeatSentNs, PolicyRevision: d.policy.Revision(), StateGapUs: d.stateInterval().Microseconds()}}
+	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{
+		EchoNs: r.heartbeatSentNs, PolicyRevision: d.policy.Revision(),
+		StateGapUs: d.stateInterval().Microseconds(), LinkLoad: d.linkLoad(clock.SinceBoot()),
+	}}
 	f.Policy = d.policyFor(r)
 	return f
 }
--- a/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
+++ b/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
@@ -39,7 +39,7 @@
 
 // PeerServiceClient is a client for the pomelosill.v1.PeerService service.
 type PeerServiceClient interface {
-	// Gossip exchanges the policy, the directory and the load in both directions.
+	// Gossip exchanges the policy and the directory in both directions.
 	Gossip(context.Context) *connect.BidiStreamForClient[v1.GossipFrame, v1.GossipFrame]
 }
 
@@ -75,7 +75,7 @@
 
 // PeerServiceHandler is an implementation of the pomelosill.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Gossip exchanges the policy, the directory and the load in both directions.
+	// Gossip exchanges the policy and the directory in both directions.
 	Gossip(context.Context, *connect.BidiStream[v1.GossipFrame, v1.GossipFrame]) error
 }
 
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -31,18 +31,14 @@
 	return l.sum * math.Exp(-float64(now-l.updatedAt)/float64(loadTimeConstant))
 }
 
-// Share returns a dispatcher's fraction of all arriving work, from its own load
-// and the known loads of the others; each unknown load is assumed to equal its
-// own. Callers may be spread unevenly over dispatchers: a busy dispatcher that
-// assumed the others' queues to be as long as its own would refuse jobs for
-// which there is capacity.
-func Share(own float64, others []float64, unknown int) float64 {
-	total := own * float64(1+unknown)
-	for _, load := range others {
-		total += load
+// Share returns a dispatcher's fraction of the work that arrives for its
+// runners, from its own load and that of the other dispatchers there. Callers
+// may be spread unevenly over dispatchers: a busy dispatcher that assumed the
+// others' queues to be as long as its own would refuse jobs for which there is
+// capacity.
+func Share(own, others float64) float64 {
+	if own+others <= 0 {
+		return 1
 	}
-	if total <= 0 {
-		return 1 / float64(1+unknown+len(others))
-	}
-	return max(own/total, minShare)
+	return max(own/(own+others), minShare)
 }
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -58,6 +58,8 @@
 	// stateInterval is the minimum time between a frame and a later frame that
 	// carries only the state. The dispatcher sets it.
 	stateInterval time.Duration
+	// linkLoad is the load in the dispatcher's last heartbeat.
+	linkLoad float64
 	// policyRevision is the newest policy revision that the dispatcher is known
 	// to have; policyStaleSince is since when it has been older than the
 	// runner's own.
@@ -234,6 +236,7 @@
 	}
 	d.policyRevision = max(d.policyRevision, b.GetPolicyRevision())
 	d.stateInterval = time.Duration(b.GetStateGapUs()) * time.Microsecond
+	d.linkLoad = b.GetLinkLoad()
 	r.pushPolicy(d, now)
 }
 
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -22,6 +22,11 @@
 func (r *Runner) stateFor(d *dispatcher) *pb.RunnerState {
 	out := r.endpointState()
 	out.Handled = d.lastOrder
+	for _, other := range r.dispatchers {
+		if other != d && other.outbox != nil {
+			out.OtherLoad += other.linkLoad
+		}
+	}
 	return out
 }
 
