Links: frequent heartbeats and states only on links in use

Cause: on each link, used or not, a heartbeat went every 100 ms and was answered, and each change of an endpoint's state went to every dispatcher: 264,000 heartbeat frames a second at 55 dispatchers and 240 runners, and up to 2,500 states a second at each dispatcher.

Change: a runner sends a heartbeat every 100 ms, and its state soon after each change, to a dispatcher that has runs or queued orders there or had within the last 500 ms. Others get both every 300 ms, and a change of the endpoint's availability at once. A dispatcher echoes heartbeats of idle links every 900 ms and with each order, so a lease may expire while nothing depends on it; the first order after that is judged by its own echo. Silence is watched by the dispatcher's tick instead of a timer a link, with longer limits on idle links.

--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -165,6 +165,16 @@
 	return all
 }
 
+// HasRunOf reports whether the owner requested any of the runs.
+func (t *Tracker) HasRunOf(owner string) bool {
+	for _, res := range t.reservations {
+		if res.Owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
 // StartAccepted records that the endpoint accepted the start.
 func (t *Tracker) StartAccepted(run workload.RunID, now time.Duration) {
 	res, found := t.reservations[run]
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/workload"
@@ -13,11 +15,16 @@
 
 const (
 	// placementTimeout is the time without a frame after which a runner gets no
-	// more work.
-	placementTimeout = 220 * time.Millisecond
-	// connectionTimeout is the time without a frame after which a connection is
-	// closed.
-	connectionTimeout = 400 * time.Millisecond
+	// more work, and connectionTimeout that after which the connection is
+	// closed. Both are longer while the runner has none of the dispatcher's
+	// runs, because it then sends fewer heartbeats.
+	placementTimeout      = 220 * time.Millisecond
+	connectionTimeout     = 400 * time.Millisecond
+	idlePlacementTimeout  = lease.IdleHeartbeatInterval + 120*time.Millisecond
+	idleConnectionTimeout = 3 * lease.IdleHeartbeatInterval
+	// idleEchoInterval is the minimum time between two echoes of heartbeats to a
+	// runner that has none of the dispatcher's runs.
+	idleEchoInterval = 900 * time.Millisecond
 )
 
 // runner is a dispatcher's view of one runner. The dispatcher's lock guards its
@@ -35,8 +42,14 @@
 	// hasInheritedRuns is set while the runs were requested from an earlier
 	// process of the runner and may not have been stopped yet.
 	hasInheritedRuns bool
-	// lastFrameAt is when the last frame was received.
+	// cancel closes the current connection.
+	cancel context.CancelCauseFunc
+	// lastFrameAt is when the last frame was received, usedSince when a run was
+	// requested while there was none, and lastEchoAt when a heartbeat was last
+	// echoed.
 	lastFrameAt time.Duration
+	usedSince   time.Duration
+	lastEchoAt  time.Duration
 	// heartbeatSentNs is the runner's clock in its last heartbeat, in
 	// nanoseconds. heartbeatReceivedAt is when that was received: the
 	// dispatcher's lease at the runner counts from then at the latest.
@@ -65,9 +78,43 @@
 	}
 }
 
+// inUse reports whether the runner has runs of the dispatcher.
+func (r *runner) inUse() bool { return len(r.runs) > 0 }
+
+// silence returns how long a frame has been missing: since the last one, or
+// since the runner came into use and had to send more frequent heartbeats.
+func (r *runner) silence(now time.Duration) time.Duration {
+	if r.inUse() {
+		return now - max(r.lastFrameAt, r.usedSince)
+	}
+	return now - r.lastFrameAt
+}
+
 // usable reports whether the runner may get work.
 func (r *runner) usable(now time.Duration) bool {
-	return r.outbox != nil && !r.unlinked && r.state.GetReady() && now-r.lastFrameAt < placementTimeout
+	timeout := idlePlacementTimeout
+	if r.inUse() {
+		timeout = placementTimeout
+	}
+	return r.outbox != nil && !r.unlinked && r.state.GetReady() && r.silence(now) < timeout
+}
+
+// closeIfSilent closes the connection if no frame was received for too long.
+func (r *runner) closeIfSilent(now time.Duration) {
+	timeout := idleConnectionTimeout
+	if r.inUse() {
+		timeout = connectionTimeout
+	}
+	if r.outbox != nil && r.silence(now) > timeout {
+		r.cancel(errPeerSilent)
+	}
+}
+
+// echoDue reports whether the last heartbeat must be echoed: while runs depend
+// on the dispatcher's lease, when one of the two processes has an older policy,
+// and from time to time on an idle connection.
+func (r *runner) echoDue(policyRevision uint64, now time.Duration) bool {
+	return r.inUse() || r.policyRevision != policyRevision || now-r.lastEchoAt >= idleEchoInterval
 }
 
 // reserve reserves resources for a start request until the runner's state
--- /dev/null
+++ b/internal/dispatch/runner_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/directory"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/lease"
+	"github.com/pomelosill/pomelosill/internal/outbox"
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
+// newConnectedRunner returns a ready runner that sent its last frame at the
+// given time.
+func newConnectedRunner(lastFrameAt time.Duration) *runner {
+	r := newRunner(directory.Node{Name: "r", Role: directory.Runner})
+	r.state = &pb.RunnerState{Ready: true}
+	r.outbox = outbox.New[*pb.DispatcherFrame]()
+	r.lastFrameAt = lastFrameAt
+	return r
+}
+
+// An idle runner sends few heartbeats. Its connection must be neither closed
+// nor avoided between two of them, and a runner that has just got work must have
+// time to send its next one.
+func TestSilenceOfIdleRunnerIsAllowed(t *testing.T) {
+	const last = time.Hour
+	r := newConnectedRunner(last)
+	closed := false
+	r.cancel = func(error) { closed = true }
+	must.True(t, r.usable(last+lease.IdleHeartbeatInterval+50*time.Millisecond))
+	usedSince := last + lease.IdleHeartbeatInterval
+	r.usedSince = usedSince
+	r.runs[workload.RunID{Task: "t", Attempt: 1}] = &task{}
+	must.True(t, r.usable(usedSince+placementTimeout-1))
+	r.closeIfSilent(usedSince + connectionTimeout)
+	must.False(t, closed)
+	must.False(t, r.usable(usedSince+placementTimeout))
+	r.closeIfSilent(usedSince + connectionTimeout + 1)
+	must.True(t, closed)
+}
+
+// A runner that is lost while it is idle must be noticed without any work being
+// sent to it.
+func TestSilentIdleRunnerIsDisconnected(t *testing.T) {
+	const last = time.Hour
+	r := newConnectedRunner(last)
+	var cause error
+	ctx, cancel := context.WithCancelCause(t.Context())
+	r.cancel = cancel
+	must.False(t, r.usable(last+idlePlacementTimeout))
+	r.closeIfSilent(last + idleConnectionTimeout + 1)
+	cause = context.Cause(ctx)
+	must.ErrorIs(t, cause, errPeerSilent)
+}
+
+// Idle links would cost as much as used ones if each heartbeat were answered,
+// but a policy must not wait for the next occasional answer.
+func TestIdleHeartbeatsAreEchoedOnlyIfNeeded(t *testing.T) {
+	const now = time.Hour
+	r := newConnectedRunner(now)
+	r.lastEchoAt, r.policyRevision = now, 4
+	must.False(t, r.echoDue(4, now+lease.IdleHeartbeatInterval))
+	must.True(t, r.echoDue(4, now+idleEchoInterval))
+	must.True(t, r.echoDue(5, now), must.Sprint("the runner's policy is older"))
+	must.True(t, r.echoDue(3, now), must.Sprint("the dispatcher's policy is older"))
+	r.runs[workload.RunID{Task: "t", Attempt: 1}] = &task{}
+	must.True(t, r.echoDue(4, now))
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -55,7 +55,8 @@
 	if err := c.Receive(first); err != nil {
 		return causeOr(ctx, err)
 	}
-	out := d.onConnected(r, first)
+	watchdog.Stop()
+	out := d.onConnected(r, first, cancel)
 	defer d.onDisconnected(r, out)
 	written := make(chan struct{})
 	go func() {
@@ -63,7 +64,6 @@
 		cancel(d.writeFrames(ctx, r, out, c))
 	}()
 	for {
-		watchdog.Reset(connectionTimeout)
 		f := &pb.RunnerFrame{}
 		if err := c.Receive(f); err != nil {
 			cancel(err)
@@ -77,7 +77,7 @@
 
 // onConnected sets up the runner's state for a new connection and reconciles
 // its runs.
-func (d *Dispatcher) onConnected(r *runner, first *pb.RunnerFrame) *outbox.Outbox[*pb.DispatcherFrame] {
+func (d *Dispatcher) onConnected(r *runner, first *pb.RunnerFrame, cancel context.CancelCauseFunc) *outbox.Outbox[*pb.DispatcherFrame] {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
@@ -92,7 +92,8 @@
 	}
 	r.incarnation = first.GetIncarnation()
 	r.connectionCount.Add(1)
-	r.outbox = outbox.New[*pb.DispatcherFrame]()
+	r.outbox, r.cancel = outbox.New[*pb.DispatcherFrame](), cancel
+	r.lastEchoAt = 0
 	r.unaccounted, r.lastOrderNumber, r.policyRevision = map[uint64]workload.Resources{}, 0, 0
 	d.applyHeartbeat(r, first, now)
 	for run := range r.stopping {
@@ -150,14 +151,17 @@
 	}
 }
 
-// applyHeartbeat records when a frame was received, and echoes its heartbeat:
-// the dispatcher's lease at the runner counts from the newest echoed one.
+// applyHeartbeat records when a frame was received, and echoes its heartbeat if
+// that is due: the dispatcher's lease at the runner counts from the newest
+// echoed one.
 func (d *Dispatcher) applyHeartbeat(r *runner, f *pb.RunnerFrame, now time.Duration) {
 	r.lastFrameAt = now
 	if b := f.GetBeat(); b != nil {
 		r.heartbeatSentNs, r.heartbeatReceivedAt = b.GetSentNs(), now
 		r.policyRevision = b.GetPolicyRevision()
-		r.outbox.Put(d.newHeartbeat(r))
+		if r.echoDue(d.policy.Revision(), now) {
+			r.outbox.Put(d.newHeartbeat(r, now))
+		}
 	}
 }
 
@@ -225,7 +229,7 @@
 		case <-out.Ready():
 		case <-changed:
 			d.mu.Lock()
-			out.Put(d.newHeartbeat(r))
+			out.Put(d.newHeartbeat(r, clock.SinceBoot()))
 			d.mu.Unlock()
 		}
 	}
@@ -241,12 +245,13 @@
 	return time.Duration(len(d.runners)) * time.Second / maxStatesPerSecond
 }
 
-// newHeartbeat returns a heartbeat, with the policy if the runner's is older.
-// It is called with the lock held.
-func (d *Dispatcher) newHeartbeat(r *runner) *pb.DispatcherFrame {
+// newHeartbeat returns a frame that echoes the runner's last heartbeat, with the
+// policy if the runner's is older. It is called with the lock held.
+func (d *Dispatcher) newHeartbeat(r *runner, now time.Duration) *pb.DispatcherFrame {
+	r.lastEchoAt = now
 	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{
 		EchoNs: r.heartbeatSentNs, PolicyRevision: d.policy.Revision(),
-		StateGapUs: d.stateInterval().Microseconds(), LinkLoad: d.linkLoad(clock.SinceBoot()),
+		StateGapUs: d.stateInterval().Microseconds(), LinkLoad: d.linkLoad(now),
 	}}
 	f.Policy = d.policyFor(r)
 	return f
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -162,7 +162,11 @@
 
 // sendStarts requests runs of tasks of one job from a runner.
 func (d *Dispatcher) sendStarts(r *runner, tasks []*task, now time.Duration) {
-	frame := &pb.DispatcherFrame{}
+	// The echo proves to the runner that the orders are new.
+	frame := d.newHeartbeat(r, now)
+	if !r.inUse() {
+		r.usedSince = now
+	}
 	j := tasks[0].job
 	slack := j.urgency().Slack(now)
 	for _, t := range tasks {
@@ -199,6 +203,7 @@
 		d.mu.Lock()
 		now := clock.SinceBoot()
 		for _, r := range d.runners {
+			r.closeIfSilent(now)
 			d.dropRunsOfLostRunner(r, now)
 		}
 		for _, j := range d.jobs {
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,8 +17,16 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats on a connection.
-	heartbeatInterval = 100 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats on a connection in
+	// use, and idleHeartbeatInterval on any other.
+	heartbeatInterval     = lease.HeartbeatInterval
+	idleHeartbeatInterval = lease.IdleHeartbeatInterval
+	// useRetention is how long a connection counts as in use after the last
+	// order: a dispatcher comes back to the runners whose state it knows.
+	useRetention = 500 * time.Millisecond
+	// silenceTimeout is the time without a frame after which a connection is
+	// closed.
+	silenceTimeout = 3 * time.Second
 	// eventRetention is how long events are kept for a disconnected dispatcher
 	// after its lease has expired.
 	eventRetention = 5 * time.Second
@@ -49,14 +58,20 @@
 	// connection. It is sent with the state, which includes all orders up to
 	// it.
 	lastOrder uint64
+	// lastOrderAt is when the last order was received, and lastReceivedAt when
+	// the last frame was.
+	lastOrderAt    time.Duration
+	lastReceivedAt time.Duration
 	// stateChanged is set while the state has changed since it was last sent;
-	// lastFrameAt is when the last frame was sent.
+	// stateUrgent while the endpoint's availability has. lastFrameAt is when the
+	// last frame was sent.
 	stateChanged bool
+	stateUrgent  bool
 	lastFrameAt  time.Duration
 	// lastHeartbeatAt is when the last heartbeat was sent.
 	lastHeartbeatAt time.Duration
 	// stateInterval is the minimum time between a frame and a later frame that
-	// carries only the state. The dispatcher sets it.
+	// carries only the state, on a connection in use. The dispatcher sets it.
 	stateInterval time.Duration
 	// linkLoad is the load in the dispatcher's last heartbeat.
 	linkLoad float64
@@ -107,7 +122,8 @@
 	d.outbox = outbox.New[*pb.RunnerFrame]()
 	d.cancel, d.ended = cancel, ended
 	d.lastOrder, d.expired, d.policyRevision = 0, false, 0
-	r.grantLease(d, clock.SinceBoot())
+	d.lastReceivedAt = clock.SinceBoot()
+	r.grantLease(d, d.lastReceivedAt)
 	d.outbox.Put(&pb.RunnerFrame{
 		Runner: r.settings.Name, Incarnation: r.incarnation,
 		Held: r.heldRuns(d), Beat: r.newHeartbeat(),
@@ -116,7 +132,7 @@
 		d.outbox.Put(&pb.RunnerFrame{Events: d.unsent})
 		d.unsent = nil
 	}
-	d.stateChanged = true
+	d.stateUrgent = true
 	r.markStateChanged()
 	return d, d.outbox, ended
 }
@@ -157,6 +173,21 @@
 // owner returns the name under which the dispatcher's runs are accounted.
 func (d *dispatcher) owner() string { return d.name + "/" + d.incarnation }
 
+// holdsRuns reports whether the dispatcher has runs or queued orders here.
+func (r *Runner) holdsRuns(d *dispatcher) bool {
+	owner := d.owner()
+	if s := r.session; s != nil && s.tracker.HasRunOf(owner) {
+		return true
+	}
+	return slices.ContainsFunc(r.queue, func(o *order) bool { return o.owner == owner })
+}
+
+// inUse reports whether the dispatcher has runs or queued orders here, or had
+// recently. Only then it needs frequent heartbeats and the state at once.
+func (r *Runner) inUse(d *dispatcher, now time.Duration) bool {
+	return (d.lastOrderAt > 0 && now-d.lastOrderAt < useRetention) || r.holdsRuns(d)
+}
+
 // heldRuns lists the dispatcher's runs, including queued orders and runs whose
 // end has not been reported yet.
 func (r *Runner) heldRuns(d *dispatcher) []*pb.RunRef {
@@ -214,6 +245,10 @@
 		return
 	}
 	now := clock.SinceBoot()
+	d.lastReceivedAt = now
+	if len(f.GetStarts()) > 0 {
+		d.lastOrderAt = now
+	}
 	r.applyDispatcherHeartbeat(d, f.GetBeat(), now)
 	r.applyPolicy(f.GetPolicy())
 	r.acceptOrders(d, f.GetStarts(), now)
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
@@ -96,6 +98,59 @@
 	must.Eq(t, 1, d.lastOrder)
 }
 
+// A dispatcher without runs is echoed too rarely to keep its lease. Its next
+// order must be judged by the echo that comes with it: one that the network, or
+// a suspension of the dispatcher, has delayed carries an old echo.
+func TestFirstOrderAfterIdleTimeNeedsNewEcho(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		echoAge time.Duration
+		want    result.Code
+	}{
+		{"new", lease.IdleHeartbeatInterval, result.NoPolicy},
+		{"old", lease.DispatcherTTL + time.Millisecond, result.LeaseLapsed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newTestRunner(t)
+			closed := false
+			d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() { closed = true })
+			out.TryTakeAll()
+			now := clock.SinceBoot()
+			d.leaseEnd = now - time.Second
+			r.checkDispatcherLease(d, now)
+			must.False(t, closed, must.Sprint("no run depends on the lease"))
+			r.handleFrame(d, out, &pb.DispatcherFrame{
+				Beat:   &pb.DispatcherBeat{EchoNs: int64(now - c.echoAge)},
+				Starts: []*pb.RunOrder{{Run: &pb.RunRef{Task: "j.0.0.0", Attempt: 1}, Number: 1}},
+			})
+			items, _ := out.TryTakeAll()
+			must.Len(t, 1, items)
+			must.Eq(t, uint32(c.want), items[0].GetEvents()[0].GetCode())
+		})
+	}
+}
+
+// The cost of a link that isn't used must stay small however often the
+// endpoint's state changes; a change of its availability is told at once.
+func TestIdleDispatcherGetsStateWithHeartbeat(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	f, _ := r.nextFrame(d, out)
+	must.NotNil(t, f.GetState())
+	r.markStateChanged()
+	f, wait := r.nextFrame(d, out)
+	must.Nil(t, f)
+	must.Between(t, idleHeartbeatInterval/2, wait, idleHeartbeatInterval)
+	d.lastOrderAt = clock.SinceBoot()
+	f, _ = r.nextFrame(d, out)
+	must.NotNil(t, f.GetState(), must.Sprint("the connection is in use"))
+	d.lastOrderAt = 0
+	r.lastAvailability.ready = true
+	r.markStateChanged()
+	f, _ = r.nextFrame(d, out)
+	must.NotNil(t, f.GetState(), must.Sprint("the availability has changed"))
+}
+
 // An event that is still queued when its connection ends must be sent on the
 // next one, and until then its run must be in the list of held runs. Otherwise
 // the dispatcher would never learn how the run ended, or would take it for
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -25,16 +25,22 @@
 }
 
 // checkDispatcherLease stops the runs of a dispatcher whose lease has expired
-// and closes its connection. It discards the state of a dispatcher that has not
-// reconnected within eventRetention.
+// and closes its connection. A dispatcher without runs may let its lease expire:
+// its next order carries a newer echo, or is refused. A connection on which
+// nothing was received for silenceTimeout is closed. The state of a dispatcher
+// that has not reconnected within eventRetention is discarded.
 func (r *Runner) checkDispatcherLease(d *dispatcher, now time.Duration) {
-	if now > d.leaseEnd && !d.expired {
+	if now > d.leaseEnd && !d.expired && r.holdsRuns(d) {
 		d.expired = true
 		r.stopRunsOf(d, "dispatcher lease expired")
 		if d.cancel != nil {
 			d.cancel()
 		}
 	}
+	if d.cancel != nil && now > d.lastReceivedAt+silenceTimeout {
+		r.log.Info("dispatcher: connection closed, it is silent", zap.String("dispatcher", d.name))
+		d.cancel()
+	}
 	if d.cancel == nil && now > d.leaseEnd+eventRetention {
 		delete(r.dispatchers, d.name)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -52,6 +52,8 @@
 	// lastState is the endpoint's state at the last periodic check, to detect
 	// changes that only the passing of time causes.
 	lastState *pb.RunnerState
+	// lastAvailability is the availability when the state last changed.
+	lastAvailability availability
 	// fencingToken is the highest fencing token that has been used; a new
 	// session uses a higher one. It is initially the runner's start time in
 	// Unix milliseconds, which is normally above the tokens of its predecessor.
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -18,7 +18,8 @@
 
 // sendFrames is the connection's only writer. Events are sent at once, together
 // with the newest state; a state alone is sent no sooner than stateInterval
-// after the last frame.
+// after the last frame, and on a connection that is not in use with the next
+// heartbeat.
 func (r *Runner) sendFrames(ctx context.Context, d *dispatcher, out *frameOutbox, c *stream.Conn) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -60,13 +61,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.SinceBoot()
-	heartbeatIn := d.lastHeartbeatAt + heartbeatInterval - now
+	heartbeatIn := r.heartbeatDueAt(d, now) - now
 	items, _ := out.TryTakeAll()
 	if len(items) == 0 {
-		wait := heartbeatIn
-		if d.stateChanged {
-			wait = min(wait, d.lastFrameAt+d.stateInterval-now)
-		}
+		wait := min(heartbeatIn, r.stateDueAt(d, now)-now)
 		if wait > 0 {
 			return nil, wait
 		}
@@ -76,7 +74,7 @@
 		mergeFrame(f, item)
 	}
 	if d.stateChanged {
-		d.stateChanged = false
+		d.stateChanged, d.stateUrgent = false, false
 		f.State = r.stateFor(d)
 	}
 	d.lastFrameAt = now
@@ -89,6 +87,25 @@
 	return f, 0
 }
 
+// heartbeatDueAt returns when the next heartbeat is due.
+func (r *Runner) heartbeatDueAt(d *dispatcher, now time.Duration) time.Duration {
+	if r.inUse(d, now) {
+		return d.lastHeartbeatAt + heartbeatInterval
+	}
+	return d.lastHeartbeatAt + idleHeartbeatInterval
+}
+
+// stateDueAt returns when a frame with only the state is due.
+func (r *Runner) stateDueAt(d *dispatcher, now time.Duration) time.Duration {
+	switch {
+	case d.stateUrgent:
+		return now
+	case d.stateChanged && r.inUse(d, now):
+		return d.lastFrameAt + d.stateInterval
+	}
+	return d.lastHeartbeatAt + idleHeartbeatInterval
+}
+
 func mergeFrame(f, item *pb.RunnerFrame) {
 	if item.GetRunner() != "" {
 		f.Runner, f.Incarnation, f.Held = item.GetRunner(), item.GetIncarnation(), item.GetHeld()
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -5,11 +5,26 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 )
 
-// markStateChanged schedules the state to be sent to every dispatcher.
+// availability is the part of the state that decides whether a dispatcher may
+// use the endpoint at all.
+type availability struct {
+	life, service  string
+	ready, healthy bool
+}
+
+// markStateChanged schedules the state to be sent to every dispatcher: at once
+// if the endpoint's availability has changed, soon to the dispatchers that use
+// it, and to the others with the next heartbeat.
 func (r *Runner) markStateChanged() {
+	now := clock.SinceBoot()
+	state := r.endpointState()
+	available := availability{life: state.GetLife(), service: state.GetService(), ready: state.GetReady(), healthy: state.GetHealthy()}
+	urgent := available != r.lastAvailability
+	r.lastAvailability = available
 	for _, d := range r.dispatchers {
 		d.stateChanged = true
-		if d.outbox != nil {
+		d.stateUrgent = d.stateUrgent || urgent
+		if d.outbox != nil && (d.stateUrgent || r.inUse(d, now)) {
 			d.outbox.Wake()
 		}
 	}
