Orders: a job's spec goes to a runner once a frame

Cause: each order carried its job's spec, up to 4,000 bytes: a job of eight tasks was 10 KB of orders, 40 ms on a link of 2 Mbit/s.

Change: an order that has the spec of the one before it in the same frame says so instead of repeating it.

Test: TestOrderRepeatsSpecOfPreviousOrder.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -169,14 +169,13 @@
 	}
 	j := tasks[0].job
 	slack := j.urgency().Slack(now)
-	for _, t := range tasks {
+	for i, t := range tasks {
 		t.attempt++
 		t.state, t.runnerName, t.placedAt, t.moving = taskPlaced, r.node.Name, now, false
 		step := &j.spec.Steps[t.id.Step]
-		frame.Starts = append(frame.Starts, &pb.RunOrder{
+		order := &pb.RunOrder{
 			Run:        runref.Encode(t.runID()),
 			Service:    j.route.Service,
-			Spec:       j.spec.Spec,
 			CpuMilli:   uint64(step.Resources.MilliCPU),
 			MemoryMb:   uint64(step.Resources.MemoryMB),
 			Gpus:       uint64(step.Resources.GPUs),
@@ -184,7 +183,13 @@
 			PatienceUs: maxRunnerWait.Microseconds(),
 			Number:     r.reserve(step.Resources),
 			SlackUs:    slack.Microseconds(),
-		})
+		}
+		if i == 0 {
+			order.Spec = j.spec.Spec
+		} else {
+			order.RepeatsSpec = true
+		}
+		frame.Starts = append(frame.Starts, order)
 		r.runs[t.runID()] = t
 		d.updateMeanTaskDuration(step.Estimate)
 	}
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -282,9 +282,8 @@
 	if expired && len(starts) > 0 {
 		r.log.Warn("dispatcher: orders refused, its lease has expired", zap.String("dispatcher", d.name), zap.Int("orders", len(starts)))
 	}
-	for _, s := range starts {
-		o := newOrder(d.owner(), s, now)
-		d.lastOrder = s.GetNumber()
+	for i, o := range newOrders(d.owner(), starts, now) {
+		d.lastOrder = starts[i].GetNumber()
 		if expired {
 			r.refuse(o, result.LeaseLapsed)
 			continue
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -175,3 +175,14 @@
 	must.Len(t, 1, f.GetEvents())
 	must.Eq(t, run, runref.Decode(f.GetEvents()[0].GetRun()))
 }
+
+// A frame may hold orders of several jobs, each job's spec only once.
+func TestOrderRepeatsSpecOfPreviousOrder(t *testing.T) {
+	var specs []string
+	for _, o := range newOrders("d/1", []*pb.RunOrder{
+		{Spec: "a"}, {RepeatsSpec: true}, {Spec: ""}, {RepeatsSpec: true}, {Spec: "b"}, {RepeatsSpec: true},
+	}, 0) {
+		specs = append(specs, o.spec)
+	}
+	must.Eq(t, []string{"a", "a", "", "", "b", "b"}, specs)
+}
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -31,12 +31,26 @@
 	startDeadline time.Duration
 }
 
-func newOrder(owner string, o *pb.RunOrder, now time.Duration) *order {
+// newOrders returns the orders of one frame, in which an order may repeat the
+// spec of the one before.
+func newOrders(owner string, starts []*pb.RunOrder, now time.Duration) []*order {
+	orders := make([]*order, 0, len(starts))
+	spec := ""
+	for _, s := range starts {
+		if !s.GetRepeatsSpec() {
+			spec = s.GetSpec()
+		}
+		orders = append(orders, newOrder(owner, spec, s, now))
+	}
+	return orders
+}
+
+func newOrder(owner, spec string, o *pb.RunOrder, now time.Duration) *order {
 	return &order{
 		owner:         owner,
 		runID:         runref.Decode(o.GetRun()),
 		service:       o.GetService(),
-		spec:          o.GetSpec(),
+		spec:          spec,
 		resources:     workload.Resources{MilliCPU: int64(o.GetCpuMilli()), MemoryMB: int64(o.GetMemoryMb()), GPUs: int64(o.GetGpus())},
 		estimate:      time.Duration(o.GetEstimateUs()) * time.Microsecond,
 		waitDeadline:  now + time.Duration(o.GetPatienceUs())*time.Microsecond,
