Links: idle links get changed states at a fifth of the rate

Change: a changed state goes to an idle link five times the interval of a used one after the last frame, so within the dispatcher's budget of states a second.

--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -248,6 +248,7 @@
 	d.lastReceivedAt = now
 	if len(f.GetStarts()) > 0 {
 		d.lastOrderAt = now
+		out.Wake()
 	}
 	r.applyDispatcherHeartbeat(d, f.GetBeat(), now)
 	r.applyPolicy(f.GetPolicy())
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -18,8 +18,8 @@
 
 // sendFrames is the connection's only writer. Events are sent at once, together
 // with the newest state; a state alone is sent no sooner than stateInterval
-// after the last frame, and on a connection that is not in use with the next
-// heartbeat.
+// after the last frame, or idleStateFactor times that on a connection that is
+// not in use.
 func (r *Runner) sendFrames(ctx context.Context, d *dispatcher, out *frameOutbox, c *stream.Conn) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -50,6 +50,10 @@
 	d.unsent = append(d.unsent, f.GetEvents()...)
 }
 
+// idleStateFactor is how many times longer the interval between two states is on
+// a connection that is not in use.
+const idleStateFactor = 5
+
 // heartbeatSlack is how long before it is due a heartbeat may be added to a
 // frame that is sent anyway.
 const heartbeatSlack = heartbeatInterval / 4
@@ -95,15 +99,18 @@
 	return d.lastHeartbeatAt + idleHeartbeatInterval
 }
 
-// stateDueAt returns when a frame with only the state is due.
+// stateDueAt returns when a frame with only the state is due, which is after the
+// next heartbeat if the state has not changed.
 func (r *Runner) stateDueAt(d *dispatcher, now time.Duration) time.Duration {
 	switch {
 	case d.stateUrgent:
 		return now
-	case d.stateChanged && r.inUse(d, now):
+	case !d.stateChanged:
+		return d.lastHeartbeatAt + idleHeartbeatInterval
+	case r.inUse(d, now):
 		return d.lastFrameAt + d.stateInterval
 	}
-	return d.lastHeartbeatAt + idleHeartbeatInterval
+	return d.lastFrameAt + idleStateFactor*d.stateInterval
 }
 
 func mergeFrame(f, item *pb.RunnerFrame) {
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -14,17 +14,17 @@
 
 // markStateChanged schedules the state to be sent to every dispatcher: at once
 // if the endpoint's availability has changed, soon to the dispatchers that use
-// it, and to the others with the next heartbeat.
+// it, and later to the others.
 func (r *Runner) markStateChanged() {
-	now := clock.SinceBoot()
 	state := r.endpointState()
 	available := availability{life: state.GetLife(), service: state.GetService(), ready: state.GetReady(), healthy: state.GetHealthy()}
 	urgent := available != r.lastAvailability
 	r.lastAvailability = available
 	for _, d := range r.dispatchers {
+		wake := urgent || !d.stateChanged
 		d.stateChanged = true
 		d.stateUrgent = d.stateUrgent || urgent
-		if d.outbox != nil && (d.stateUrgent || r.inUse(d, now)) {
+		if wake && d.outbox != nil {
 			d.outbox.Wake()
 		}
 	}
