Placement: a task that meets no free capacity is redirected at once

Load pattern: many dispatchers at the same endpoints, each with a view of their free capacity that is some tens of milliseconds old.

Change: placement.RunnerWait: a task that is sent to free capacity is refused at once if there is none, and goes elsewhere by the state that comes with the refusal; after two refusals, or where it is sent in order to wait, it waits.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -76,7 +76,9 @@
 	switch code {
 	case result.AlreadyStarted:
 		t.attempt += attemptSkip
-	case result.NoFreeSlot, result.LeaseLapsed:
+	case result.NoFreeSlot:
+		t.redirects++
+	case result.LeaseLapsed:
 	default:
 		t.job.avoid[r.node.Name] = true
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -35,6 +35,8 @@
 	runnerName string
 	placedAt   time.Duration
 	failures   int
+	// redirects counts the starts that were refused for lack of capacity.
+	redirects int
 	// moving is set while the run is being stopped in order to start elsewhere.
 	moving bool
 	// moves counts the runs that were stopped in order to start elsewhere.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// maxRunnerWait is how long a start request may wait for capacity at its
-	// runner.
-	maxRunnerWait = 150 * time.Millisecond
 	// maxTaskAttempts bounds the runs of one task.
 	maxTaskAttempts = 40
 	// attemptSkip is added to a task's attempt when the endpoint refuses it
@@ -135,7 +132,7 @@
 				continue
 			}
 			for _, a := range placement.Assign(j.placementRequest(s, len(queued)), endpoints, rand.IntN) {
-				d.sendStarts(runners[a.EndpointIndex], queued[:a.Count], now)
+				d.sendStarts(runners[a.EndpointIndex], queued[:a.Count], a.Queued, now)
 				queued = queued[a.Count:]
 			}
 		}
@@ -160,8 +157,9 @@
 	return jobs
 }
 
-// sendStarts requests runs of tasks of one job from a runner.
-func (d *Dispatcher) sendStarts(r *runner, tasks []*task, now time.Duration) {
+// sendStarts requests runs of tasks of one job from a runner. The tasks are to
+// wait there if wait is set.
+func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, now time.Duration) {
 	// The echo proves to the runner that the orders are new.
 	frame := d.newHeartbeat(r, now)
 	if !r.inUse() {
@@ -180,7 +178,7 @@
 			MemoryMb:   uint64(step.Resources.MemoryMB),
 			Gpus:       uint64(step.Resources.GPUs),
 			EstimateUs: step.Estimate.Microseconds(),
-			PatienceUs: maxRunnerWait.Microseconds(),
+			PatienceUs: placement.RunnerWait(wait, t.redirects).Microseconds(),
 			Number:     r.reserve(step.Resources),
 			SlackUs:    slack.Microseconds(),
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,6 +62,9 @@
 type Assignment struct {
 	EndpointIndex int
 	Count         int
+	// Queued is set if the endpoint has no free capacity for the tasks, so that
+	// they are to wait at its runner.
+	Queued bool
 }
 
 // Tiers of endpoints, the best first.
@@ -135,20 +138,20 @@
 		}
 		remaining.Count--
 		endpoints[index].Reserve(r.Resources)
-		assignments = addTask(assignments, index)
+		assignments = addQueued(assignments, index)
 	}
 	return assignments
 }
 
-// addTask adds one task to the endpoint's assignment.
-func addTask(assignments []Assignment, index int) []Assignment {
+// addQueued adds one task to those that are to wait at the endpoint's runner.
+func addQueued(assignments []Assignment, index int) []Assignment {
 	for i := range assignments {
-		if assignments[i].EndpointIndex == index {
+		if assignments[i].EndpointIndex == index && assignments[i].Queued {
 			assignments[i].Count++
 			return assignments
 		}
 	}
-	return append(assignments, Assignment{EndpointIndex: index, Count: 1})
+	return append(assignments, Assignment{EndpointIndex: index, Count: 1, Queued: true})
 }
 
 // shortestQueue returns the index of the eligible endpoint with the most queue
--- /dev/null
+++ b/internal/placement/stale_test.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
+// This file replays several dispatchers that place tasks at the same endpoints,
+// each with a view of their free capacity that is up to viewAge old.
+
+const (
+	staleDispatchers = 6
+	staleEndpoints   = 18
+	staleSlots       = 4
+	viewAge          = 60 * ms
+	// hop is the latency between a dispatcher and a runner.
+	hop = 2 * ms
+)
+
+// staleTask is a task on its way to, or at, an endpoint's runner.
+type staleTask struct {
+	job        *staleJob
+	dispatcher int
+	endpoint   int
+	// arrivesAt is when the order reaches the runner, giveUpAt when it is
+	// refused there.
+	arrivesAt, giveUpAt time.Duration
+	refusals            int
+}
+
+// stalePending are tasks of a job for which a dispatcher knows no place.
+type stalePending struct {
+	job                         *staleJob
+	dispatcher, count, refusals int
+}
+
+type staleJob struct {
+	kind      int
+	arrivedAt time.Duration
+	duration  time.Duration
+	open      int
+}
+
+// staleReplay is the state of the replay. views holds each dispatcher's view of
+// the endpoints.
+type staleReplay struct {
+	rng         *rand.Rand
+	views       [staleDispatchers][]Endpoint
+	used        [staleEndpoints]int
+	pending     []stalePending
+	travelling  []*staleTask
+	waiting     []*staleTask
+	completions []completion
+	ends        []*staleJob
+	inTime      []int
+	submitted   []int
+	wait        func(queued bool, refusals int) time.Duration
+}
+
+func newStaleReplay(seed uint64, wait func(queued bool, refusals int) time.Duration) *staleReplay {
+	r := &staleReplay{
+		rng: rand.New(rand.NewPCG(seed, 1)), wait: wait,
+		inTime: make([]int, len(jobKinds)), submitted: make([]int, len(jobKinds)),
+	}
+	for d := range r.views {
+		for range staleEndpoints {
+			e := newEndpoint("e", staleSlots*replayTaskMilliCPU)
+			e.Capacity.MilliCPU = staleSlots * replayTaskMilliCPU
+			r.views[d] = append(r.views[d], e)
+		}
+	}
+	return r
+}
+
+// run returns the fraction of jobs answered in time by kind.
+func (r *staleReplay) run(load float64) []float64 {
+	factor := load * staleEndpoints * staleSlots / meanRunningTasks()
+	for now := time.Duration(0); now < replayDuration; now += ms {
+		r.complete(now)
+		r.refreshViews(now)
+		for k := range jobKinds {
+			if r.rng.Float64() < jobKinds[k].arrivalsPerSecond*factor*ms.Seconds() {
+				r.submit(k, now)
+			}
+		}
+		r.placePending(now)
+		r.deliver(now)
+		r.startWaiting(now)
+	}
+	fractions := make([]float64, len(jobKinds))
+	for k := range jobKinds {
+		fractions[k] = float64(r.inTime[k]) / float64(r.submitted[k])
+	}
+	return fractions
+}
+
+func (r *staleReplay) submit(k int, now time.Duration) {
+	if now < countedDuration {
+		r.submitted[k]++
+	}
+	j := &staleJob{kind: k, arrivedAt: now, duration: jobKinds[k].taskDuration, open: jobKinds[k].tasks}
+	r.pending = append(r.pending, stalePending{job: j, dispatcher: r.rng.IntN(staleDispatchers), count: j.open})
+}
+
+// placePending assigns tasks by their dispatchers' views.
+func (r *staleReplay) placePending(now time.Duration) {
+	pending := r.pending
+	r.pending = nil
+	for _, p := range pending {
+		p.count -= r.place(p, now)
+		if p.count > 0 {
+			r.pending = append(r.pending, p)
+		}
+	}
+}
+
+// place sends tasks to the endpoints that Assign chooses, and returns how many.
+func (r *staleReplay) place(p stalePending, now time.Duration) int {
+	req := &Request{Service: "s", Resources: workload.Resources{MilliCPU: replayTaskMilliCPU}, Count: p.count}
+	placed := 0
+	for _, a := range Assign(req, r.views[p.dispatcher], r.rng.IntN) {
+		placed += a.Count
+		for range a.Count {
+			r.travelling = append(r.travelling, &staleTask{
+				job: p.job, dispatcher: p.dispatcher, endpoint: a.EndpointIndex, refusals: p.refusals,
+				arrivesAt: now + hop, giveUpAt: now + hop + r.wait(a.Queued, p.refusals),
+			})
+		}
+	}
+	return placed
+}
+
+// deliver moves the orders that have reached their runner to its queue.
+func (r *staleReplay) deliver(now time.Duration) {
+	r.travelling = slices.DeleteFunc(r.travelling, func(t *staleTask) bool {
+		if t.arrivesAt <= now {
+			r.waiting = append(r.waiting, t)
+		}
+		return t.arrivesAt <= now
+	})
+}
+
+// startWaiting starts queued tasks where there is capacity, and returns those
+// that may wait no longer to their dispatcher, which learns the endpoint's
+// state.
+func (r *staleReplay) startWaiting(now time.Duration) {
+	queued := r.waiting
+	r.waiting = nil
+	for _, t := range queued {
+		switch {
+		case r.used[t.endpoint] < staleSlots:
+			r.used[t.endpoint]++
+			r.completions = append(r.completions, completion{at: now + t.job.duration, endpoint: t.endpoint})
+			r.ends = append(r.ends, t.job)
+		case now < t.giveUpAt:
+			r.waiting = append(r.waiting, t)
+		default:
+			r.view(t.dispatcher, t.endpoint)
+			r.pending = append(r.pending, stalePending{job: t.job, dispatcher: t.dispatcher, count: 1, refusals: t.refusals + 1})
+		}
+	}
+}
+
+// complete ends the tasks that are done.
+func (r *staleReplay) complete(now time.Duration) {
+	var completions []completion
+	var ends []*staleJob
+	for i, c := range r.completions {
+		if c.at > now {
+			completions, ends = append(completions, c), append(ends, r.ends[i])
+			continue
+		}
+		r.used[c.endpoint]--
+		j := r.ends[i]
+		j.open--
+		objective := j.duration*8/5 + 60*ms
+		if j.open == 0 && j.arrivedAt < countedDuration && now+hop <= j.arrivedAt+objective {
+			r.inTime[j.kind]++
+		}
+	}
+	r.completions, r.ends = completions, ends
+}
+
+// refreshViews updates one part of the views at each step, so that each is
+// updated once in viewAge.
+func (r *staleReplay) refreshViews(now time.Duration) {
+	for d := range r.views {
+		for e := range staleEndpoints {
+			if (int(now/ms)+7*d+3*e)%int(viewAge/ms) == 0 {
+				r.view(d, e)
+			}
+		}
+	}
+}
+
+// view updates a dispatcher's view of one endpoint.
+func (r *staleReplay) view(dispatcher, endpoint int) {
+	free := staleSlots - r.used[endpoint]
+	for _, t := range append(slices.Clone(r.waiting), r.travelling...) {
+		if t.endpoint == endpoint {
+			free--
+		}
+	}
+	r.views[dispatcher][endpoint].Free.MilliCPU = int64(free * replayTaskMilliCPU)
+}
+
+// At a load of 55%, with views of the free capacity up to 60 ms old, jobs of
+// many short tasks must be answered in time. If tasks waited wherever they were
+// sent, many jobs would wait for one task beside free capacity.
+func TestTasksSentByOldViewsAreRedirected(t *testing.T) {
+	const (
+		load  = 0.55
+		seeds = 16
+		// inTime is the fraction of jobs that must be answered in time.
+		inTime = 0.95
+	)
+	waitAnywhere := func(bool, int) time.Duration { return MaxRunnerWait }
+	var redirected, waiting []float64
+	for seed := range uint64(seeds) {
+		redirected = append(redirected, newStaleReplay(seed, RunnerWait).run(load)[0])
+		waiting = append(waiting, newStaleReplay(seed, waitAnywhere).run(load)[0])
+	}
+	t.Logf("in time: %.3f if redirected, %.3f if they wait anywhere", mean(redirected), mean(waiting))
+	must.Greater(t, inTime, mean(redirected))
+	must.Less(t, inTime, mean(waiting))
+}
--- /dev/null
+++ b/internal/placement/wait.go
@@ -0,0 +1,25 @@
+package placement
+
+import "time"
+
+const (
+	// MaxRunnerWait is how long a task may wait for capacity at a runner.
+	MaxRunnerWait = 150 * time.Millisecond
+	// maxRedirects is how often a task is redirected to another endpoint before
+	// it waits.
+	maxRedirects = 2
+)
+
+// RunnerWait returns how long a task may wait at its runner if there is no
+// capacity for it. A dispatcher's view of an endpoint that it rarely uses is
+// old, and other dispatchers place tasks there meanwhile. A task that is sent
+// to an endpoint as free is therefore refused at once if it isn't, and goes to
+// another endpoint with the newer view that comes with the refusal, instead of
+// waiting beside free capacity. Tasks that are sent in order to wait, or that
+// were refused before, wait.
+func RunnerWait(queued bool, refusals int) time.Duration {
+	if queued || refusals >= maxRedirects {
+		return MaxRunnerWait
+	}
+	return 0
+}
