Runner: a queued order is not started after its dispatcher's lease has expired

Cause: only the periodic check compared a lease with the time. After a suspension of the runner, a response of the endpoint may be handled first, and it started queued orders of dispatchers whose lease had expired meanwhile; their callers may have resent the job.

Change: startQueued checks the lease of each order.

Test: TestQueuedOrderIsNotStartedAfterLeaseExpiry, which fails before.

--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -7,13 +7,16 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/capacity"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/workload"
+	"github.com/pomelosill/pomelosill/platform"
 )
 
 // newTestRunner returns a runner that does not listen and has no endpoint.
@@ -178,6 +181,34 @@
 	must.Eq(t, run, runref.Decode(f.GetEvents()[0].GetRun()))
 }
 
+// After a suspension of the runner, a response of the endpoint may be handled
+// before the periodic check of the leases. An order that was queued before must
+// not start then if its dispatcher's lease has expired meanwhile: the caller may
+// have resent the job, and the task would run twice.
+func TestQueuedOrderIsNotStartedAfterLeaseExpiry(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	out.TryTakeAll()
+	now := clock.SinceBoot()
+	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
+	resources := workload.Resources{MilliCPU: 1000}
+	r.session = &session{
+		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(network.TCP, "127.0.0.1:1", "e"),
+		tracker: capacity.New(resources), health: capacity.NewHealth(), cancel: func() {}, lastResponseAt: now,
+	}
+	r.session.tracker.Reconcile(workload.RenewalResponse{}, now, now)
+	r.queue = []*order{{
+		owner: d.owner(), runID: workload.RunID{Task: "j.0.0.0", Attempt: 1}, service: "svc", resources: resources,
+		waitDeadline: now + time.Second,
+	}}
+	d.leaseEnd = now - 1
+	r.startQueued(now)
+	must.Eq(t, 0, r.session.tracker.RunCount())
+	items, _ := out.TryTakeAll()
+	must.Len(t, 1, items)
+	must.Eq(t, uint32(result.LeaseLapsed), items[0].GetEvents()[0].GetCode())
+}
+
 // A frame may hold orders of several jobs, each job's spec only once.
 func TestOrderRepeatsSpecOfPreviousOrder(t *testing.T) {
 	var specs []string
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// leaseValid reports whether the lease of the dispatcher with this owner name is
+// still valid.
+func (r *Runner) leaseValid(owner string, now time.Duration) bool {
+	for _, d := range r.dispatchers {
+		if d.owner() == owner {
+			return now <= d.leaseEnd
+		}
+	}
+	return false
+}
+
 // stopRunsOf stops all runs of a dispatcher and refuses its queued orders.
 func (r *Runner) stopRunsOf(d *dispatcher, reason string) {
 	owner := d.owner()
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -142,7 +142,9 @@
 }
 
 // startQueued starts the queued orders for which there is capacity, the most
-// urgent first, and refuses those whose wait deadline has passed.
+// urgent first, and refuses those whose wait deadline has passed. It checks the
+// leases of their dispatchers itself: after the process was suspended it may run
+// before the periodic check.
 func (r *Runner) startQueued(now time.Duration) {
 	if len(r.queue) == 0 {
 		return
@@ -153,6 +155,9 @@
 	r.queue = nil
 	for _, o := range queued {
 		code := r.checkOrder(o)
+		if code == result.OK && !r.leaseValid(o.owner, now) {
+			code = result.LeaseLapsed
+		}
 		switch {
 		case code != result.OK:
 			r.refuse(o, code)
