--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	// useRetention is how long a connection counts as in use after the last
 	// order: a dispatcher comes back to the runners whose state it knows.
 	useRetention = 500 * time.Millisecond
+	// maxStateInterval bounds the interval that a dispatcher may ask for.
+	maxStateInterval = time.Second
 	// silenceTimeout is the time without a frame after which a connection is
 	// closed.
 	silenceTimeout = 3 * time.Second
@@ -271,8 +274,10 @@
 		d.leaseEnd = max(d.leaseEnd, time.Duration(b.GetEchoNs())+lease.DispatcherTTL)
 	}
 	d.policyRevision = max(d.policyRevision, b.GetPolicyRevision())
-	d.stateInterval = time.Duration(b.GetStateGapUs()) * time.Microsecond
-	d.linkLoad = b.GetLinkLoad()
+	d.stateInterval = time.Duration(min(max(b.GetStateGapUs(), 0), maxStateInterval.Microseconds())) * time.Microsecond
+	if load := b.GetLinkLoad(); load >= 0 && !math.IsInf(load, 0) {
+		d.linkLoad = load
+	}
 	r.pushPolicy(d, now)
 }
 
