--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -52,11 +52,15 @@
 
 // idleStateFactor is how many times longer the interval between two states is on
 // a connection that is not in use.
-const idleStateFactor = 5
+const idleStateFactor = 10
 
-// heartbeatSlack is how long before it is due a heartbeat may be added to a
-// frame that is sent anyway.
-const heartbeatSlack = heartbeatInterval / 4
+// heartbeatSlack and idleHeartbeatSlack are how long before it is due a heartbeat
+// may be added to a frame that is sent anyway, on a connection in use and on any
+// other.
+const (
+	heartbeatSlack     = heartbeatInterval / 4
+	idleHeartbeatSlack = idleHeartbeatInterval / 2
+)
 
 // nextFrame merges everything that is queued into one frame, and adds the state
 // if it has changed and a heartbeat if one is due. If there is nothing to send
@@ -65,7 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.SinceBoot()
-	heartbeatIn := r.heartbeatDueAt(d, now) - now
+	heartbeatIn, slack := r.nextHeartbeat(d, now)
 	items, _ := out.TryTakeAll()
 	if len(items) == 0 {
 		wait := min(heartbeatIn, r.stateDueAt(d, now)-now)
@@ -82,7 +86,7 @@
 		f.State = r.stateFor(d)
 	}
 	d.lastFrameAt = now
-	if f.GetBeat() == nil && heartbeatIn <= heartbeatSlack {
+	if f.GetBeat() == nil && heartbeatIn <= slack {
 		f.Beat = r.newHeartbeat()
 	}
 	if f.GetBeat() != nil {
@@ -91,12 +95,13 @@
 	return f, 0
 }
 
-// heartbeatDueAt returns when the next heartbeat is due.
-func (r *Runner) heartbeatDueAt(d *dispatcher, now time.Duration) time.Duration {
+// nextHeartbeat returns the time until the next heartbeat is due, and how long
+// before that it may be added to another frame.
+func (r *Runner) nextHeartbeat(d *dispatcher, now time.Duration) (in, slack time.Duration) {
 	if r.inUse(d, now) {
-		return d.lastHeartbeatAt + heartbeatInterval
+		return d.lastHeartbeatAt + heartbeatInterval - now, heartbeatSlack
 	}
-	return d.lastHeartbeatAt + idleHeartbeatInterval
+	return d.lastHeartbeatAt + idleHeartbeatInterval - now, idleHeartbeatSlack
 }
 
 // stateDueAt returns when a frame with only the state is due, which is after the
