Dispatcher: jobs wait while it is starting

Load pattern: all processes have been restarted at once, and callers send the jobs that were lost again.

Change: placement.CapacityKnown: until most runners are usable, at most for 1 s, jobs are admitted and wait for the runners; for 0.3 s they wait for the first policy.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -25,6 +26,10 @@
 	// defaultCallerTimeout is how long a caller waits whose request sets no
 	// deadline.
 	defaultCallerTimeout = 10 * time.Second
+	// firstPolicyTimeout is how long after the start of the dispatcher callers'
+	// requests wait for its first policy. Reading it from the store takes a few
+	// milliseconds.
+	firstPolicyTimeout = 300 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused
 	// caller may retry. The delay is random, so that callers refused together
 	// don't return together.
@@ -36,7 +41,7 @@
 
 // handleCaller serves callers' requests.
 func (d *Dispatcher) handleCaller(w http.ResponseWriter, r *http.Request) {
-	p := d.policy.Current()
+	p := d.awaitPolicy(r.Context())
 	if p == nil {
 		d.refuse(w, r, result.Errorf(result.NoPolicy, "no configuration received yet"))
 		return
@@ -62,6 +67,26 @@
 	}
 }
 
+// awaitPolicy returns the current policy. A dispatcher that has just started may
+// not have received one: then it waits for it, at most until firstPolicyTimeout
+// after its start, and returns nil if there still is none.
+func (d *Dispatcher) awaitPolicy(ctx context.Context) *policy.Snapshot {
+	changed := d.policy.Changed()
+	p := d.policy.Current()
+	remaining := d.startedAt + firstPolicyTimeout - clock.SinceBoot()
+	if p != nil || remaining <= 0 {
+		return p
+	}
+	timer := time.NewTimer(remaining)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.policy.Current()
+}
+
 func requestHost(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.Host)
 	if err != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,6 +43,8 @@
 	policy      *policy.Holder
 	directory   *directory.Cache
 	incarnation string
+	// startedAt is when the process started to serve.
+	startedAt time.Duration
 	// shuttingDown is set from SIGTERM on. refusingJobs is set later, once the
 	// load balancer has had time to send new connections elsewhere.
 	shuttingDown atomic.Bool
@@ -57,6 +59,8 @@
 	load placement.Load
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
+	// capacityKnown is set once most of the runners have been connected.
+	capacityKnown bool
 	// runCtx ends with the process.
 	runCtx context.Context
 }
@@ -91,7 +95,7 @@
 func (d *Dispatcher) Run(ctx context.Context) error {
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
-	d.runCtx = base
+	d.runCtx, d.startedAt = base, clock.SinceBoot()
 	servers, err := d.serve(ctx)
 	if err != nil {
 		return err
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -103,3 +103,19 @@
 	must.Eq(t, http.StatusGatewayTimeout, status, must.Sprint(body))
 	must.StrContains(t, body, `"code":209`)
 }
+
+// A job that arrives at a dispatcher that has just started, as callers send it
+// again after a failure, must wait for the policy and the runners instead of
+// being refused.
+func TestJobAtStartingDispatcherWaits(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 1, endpoints: 2, runDuration: constantDuration(20 * time.Millisecond)})
+	sys.addDispatcher(1)
+	d := sys.dispatchers[1]
+	var status int
+	var body string
+	must.True(t, eventually(func() bool {
+		status, body = sys.post(t.Context(), d, "/p/"+jobID(1), fmt.Sprintf(jobTemplate, 2, 400))
+		return status != 0
+	}))
+	must.Eq(t, http.StatusOK, status, must.Sprint(body))
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -29,11 +29,15 @@
 
 // checkServable returns an error if too many jobs are open, if no endpoint
 // could run one of the job's steps, or if the job would have to wait too long.
+// While the dispatcher is starting it does not know the last two.
 func (d *Dispatcher) checkServable(j *job, now time.Duration) error {
 	if len(d.jobs) >= maxJobs {
 		return result.Errorf(result.QueueFull, "%d jobs are open, which is the limit", len(d.jobs))
 	}
 	endpoints, _ := d.usableEndpoints(now)
+	if d.starting(len(endpoints), now) {
+		return nil
+	}
 	for s := range j.spec.Steps {
 		req := j.placementRequest(s, 1)
 		possible := slices.ContainsFunc(endpoints, func(e placement.Endpoint) bool { return req.CanEverFit(&e) })
@@ -44,6 +48,15 @@
 	return d.checkBacklog(j, endpoints, now)
 }
 
+// starting reports whether the dispatcher has not yet connected to most of its
+// runners. It is called with the lock held.
+func (d *Dispatcher) starting(usable int, now time.Duration) bool {
+	if !d.capacityKnown {
+		d.capacityKnown = placement.CapacityKnown(usable, len(d.runners), now-d.startedAt)
+	}
+	return !d.capacityKnown
+}
+
 // checkBacklog returns an error for a job that would have to wait for longer
 // than its objective allows.
 func (d *Dispatcher) checkBacklog(j *job, endpoints []placement.Endpoint, now time.Duration) error {
