Dispatcher: while it starts, the backlog is judged by the capacity it expects

Change: placement.StartingCapacity: the capacity of the usable runners is extrapolated to all that the dispatcher is linked to, and jobs are admitted without a limit only until the first one is usable.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,8 +59,6 @@
 	load placement.Load
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
-	// capacityKnown is set once most of the runners have been connected.
-	capacityKnown bool
 	// runCtx ends with the process.
 	runCtx context.Context
 }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -29,13 +29,14 @@
 
 // checkServable returns an error if too many jobs are open, if no endpoint
 // could run one of the job's steps, or if the job would have to wait too long.
-// While the dispatcher is starting it does not know the last two.
+// The last two are unknown while the dispatcher is starting.
 func (d *Dispatcher) checkServable(j *job, now time.Duration) error {
 	if len(d.jobs) >= maxJobs {
 		return result.Errorf(result.QueueFull, "%d jobs are open, which is the limit", len(d.jobs))
 	}
 	endpoints, _ := d.usableEndpoints(now)
-	if d.starting(len(endpoints), now) {
+	capacity, known := placement.StartingCapacity(totalMilliCPU(endpoints), len(endpoints), len(d.runners), now-d.startedAt)
+	if !known {
 		return nil
 	}
 	for s := range j.spec.Steps {
@@ -45,23 +46,14 @@
 			return result.Errorf(result.NoEndpoint, "no endpoint can run step %d of job %s; %d are usable", s, j.spec.ID, len(endpoints))
 		}
 	}
-	return d.checkBacklog(j, endpoints, now)
-}
-
-// starting reports whether the dispatcher has not yet connected to most of its
-// runners. It is called with the lock held.
-func (d *Dispatcher) starting(usable int, now time.Duration) bool {
-	if !d.capacityKnown {
-		d.capacityKnown = placement.CapacityKnown(usable, len(d.runners), now-d.startedAt)
-	}
-	return !d.capacityKnown
+	return d.checkBacklog(j, capacity, now)
 }
 
 // checkBacklog returns an error for a job that would have to wait for longer
 // than its objective allows.
-func (d *Dispatcher) checkBacklog(j *job, endpoints []placement.Endpoint, now time.Duration) error {
+func (d *Dispatcher) checkBacklog(j *job, capacityMilliCPU int64, now time.Duration) error {
 	u := j.urgency()
-	b := placement.Backlog{QueuedMilliCPU: d.queuedAtRunners(), CapacityMilliCPU: totalMilliCPU(endpoints), MeanTaskDuration: d.meanTaskDuration}
+	b := placement.Backlog{QueuedMilliCPU: d.queuedAtRunners(), CapacityMilliCPU: capacityMilliCPU, MeanTaskDuration: d.meanTaskDuration}
 	var ownQueued int64
 	for _, other := range d.waiting {
 		if !other.urgency().LateUnstarted(now) {
--- a/internal/placement/startup.go
+++ b/internal/placement/startup.go
@@ -2,22 +2,22 @@
 
 import "time"
 
-const (
-	// startupTimeout bounds how long a dispatcher counts as starting.
-	startupTimeout = time.Second
-	// minKnownFraction is the fraction of a dispatcher's runners that must be
-	// usable before their capacity is representative.
-	minKnownFraction = 0.8
-)
+// startupTimeout is how long after its start a dispatcher expects runners that
+// it has not connected to yet.
+const startupTimeout = time.Second
 
-// CapacityKnown reports whether a dispatcher knows the capacity of enough of its
-// runners to refuse jobs for lack of it. After all processes have been restarted
-// at once, callers send the jobs that were lost again while each dispatcher has
-// connections to a few runners only: judged by those, most jobs would be refused
-// although all endpoints are empty.
-func CapacityKnown(usable, linked int, sinceStart time.Duration) bool {
-	if sinceStart >= startupTimeout {
-		return true
+// StartingCapacity returns the capacity that a dispatcher expects to have, in
+// thousandths of a core, from the capacity of those of its linked runners that
+// are usable, and whether anything is known of it. After all processes have been
+// restarted at once, callers send the jobs that were lost again while each
+// dispatcher has connections to a few runners only: judged by those, most jobs
+// would be refused although all endpoints are empty.
+func StartingCapacity(usableMilliCPU int64, usable, linked int, sinceStart time.Duration) (int64, bool) {
+	switch {
+	case sinceStart >= startupTimeout:
+		return usableMilliCPU, true
+	case usable == 0:
+		return 0, false
 	}
-	return usable > 0 && float64(usable) >= minKnownFraction*float64(linked)
+	return usableMilliCPU / int64(usable) * int64(max(linked, usable)), true
 }
