--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -237,7 +237,7 @@
 
 // maxStatesPerSecond bounds the frames with only a state that a dispatcher
 // receives from all runners together.
-const maxStatesPerSecond = 2500
+const maxStatesPerSecond = 1200
 
 // stateInterval returns the minimum time between a frame of one runner and a
 // later one with only a state. It is called with the lock held.
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -24,7 +24,7 @@
 	idleHeartbeatInterval = lease.IdleHeartbeatInterval
 	// useRetention is how long a connection counts as in use after the last
 	// order: a dispatcher comes back to the runners whose state it knows.
-	useRetention = 500 * time.Millisecond
+	useRetention = 250 * time.Millisecond
 	// maxStateInterval bounds the interval that a dispatcher may ask for.
 	maxStateInterval = time.Second
 	// silenceTimeout is the time without a frame after which a connection is
