Gossip: a record goes only to a peer that lacks it

Cause: the first change after a stream was opened sent the whole directory, also to a peer whose directory had been equal until then.

Change: while the digests are equal the peer counts as having everything.

Tests: TestGossipSendsOnlyMissingRecords, TestGossipFillsEmptyDirectory; and TestRunnerAssignedElsewhereKeepsItsRuns, TestMovedRunnerStaysLinked for links.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -122,11 +122,12 @@
 	return nodes, c.version
 }
 
-// Digest returns a value that is equal for caches with the same records.
-func (c *Cache) Digest() uint64 {
+// Summary returns a digest, which is equal for caches with the same records, and
+// the current version of the cache.
+func (c *Cache) Summary() (digest, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.digest
+	return c.digest, c.version
 }
 
 // recordDigest returns the digest of one record.
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -101,8 +101,8 @@
 	peerDigest atomic.Uint64
 	// received receives a value after each of the peer's frames.
 	received chan struct{}
-	// sentVersion is the version of the directory up to which the peer has been
-	// sent the records.
+	// sentVersion is the version of the directory up to which the peer has the
+	// records or has been sent them.
 	sentVersion uint64
 }
 
@@ -153,8 +153,9 @@
 
 // directoryDiffers reports whether the peer is known to have another directory.
 func (g *gossipStream) directoryDiffers() bool {
-	digest := g.peerDigest.Load()
-	return digest != 0 && digest != g.dispatcher.directory.Digest()
+	digest, _ := g.dispatcher.directory.Summary()
+	peer := g.peerDigest.Load()
+	return peer != 0 && peer != digest
 }
 
 // nextFrame returns a frame with the policy's revision and the directory's
@@ -164,11 +165,16 @@
 // its record already: they open streams to it.
 func (g *gossipStream) nextFrame() *pb.GossipFrame {
 	d := g.dispatcher
-	f := &pb.GossipFrame{Dispatcher: d.settings.Name, PolicyRevision: d.policy.Revision(), DirectoryDigest: d.directory.Digest()}
+	digest, version := d.directory.Summary()
+	f := &pb.GossipFrame{Dispatcher: d.settings.Name, PolicyRevision: d.policy.Revision(), DirectoryDigest: digest}
 	if s := d.policy.Current(); s != nil && d.policy.Age() >= storePropagationDelay && g.peerRevision.advance(s.Revision) {
 		f.Policy = codec.Encode(s)
 	}
-	if !g.directoryDiffers() {
+	switch g.peerDigest.Load() {
+	case 0:
+		return f
+	case digest:
+		g.sentVersion = version
 		return f
 	}
 	nodes, version := d.directory.ChangedSince(g.sentVersion)
