--- a/internal/dispatch/links_test.go
+++ b/internal/dispatch/links_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
@@ -25,11 +24,11 @@
 // When dispatchers are added, a runner may be assigned to others. The runs that
 // it has must neither be stopped nor be started elsewhere.
 func TestRunnerAssignedElsewhereKeepsItsRuns(t *testing.T) {
-	const now = time.Hour
+	const now = lastFrameTime
 	d := newTestDispatcher("d-0")
 	node := directory.Node{Name: "r", Role: directory.Runner, Address: "a:1"}
 	r := d.link(node)
-	*r = *newConnectedRunner(now)
+	*r = *newConnectedRunner()
 	r.node = node
 	run := workload.RunID{Task: "t", Attempt: 1}
 	r.runs[run] = &task{}
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -14,13 +14,15 @@
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
-// newConnectedRunner returns a ready runner that sent its last frame at the
-// given time.
-func newConnectedRunner(lastFrameAt time.Duration) *runner {
+// lastFrameTime is when the test runners sent their last frame.
+const lastFrameTime = time.Hour
+
+// newConnectedRunner returns a ready runner.
+func newConnectedRunner() *runner {
 	r := newRunner(directory.Node{Name: "r", Role: directory.Runner})
 	r.state = &pb.RunnerState{Ready: true}
 	r.outbox = outbox.New[*pb.DispatcherFrame]()
-	r.lastFrameAt = lastFrameAt
+	r.lastFrameAt = lastFrameTime
 	return r
 }
 
@@ -28,8 +30,8 @@
 // nor avoided between two of them, and a runner that has just got work must have
 // time to send its next one.
 func TestSilenceOfIdleRunnerIsAllowed(t *testing.T) {
-	const last = time.Hour
-	r := newConnectedRunner(last)
+	const last = lastFrameTime
+	r := newConnectedRunner()
 	closed := false
 	r.cancel = func(error) { closed = true }
 	must.True(t, r.usable(last+lease.IdleHeartbeatInterval+50*time.Millisecond))
@@ -47,22 +49,20 @@
 // A runner that is lost while it is idle must be noticed without any work being
 // sent to it.
 func TestSilentIdleRunnerIsDisconnected(t *testing.T) {
-	const last = time.Hour
-	r := newConnectedRunner(last)
-	var cause error
+	const last = lastFrameTime
+	r := newConnectedRunner()
 	ctx, cancel := context.WithCancelCause(t.Context())
 	r.cancel = cancel
 	must.False(t, r.usable(last+idlePlacementTimeout))
 	r.closeIfSilent(last + idleConnectionTimeout + 1)
-	cause = context.Cause(ctx)
-	must.ErrorIs(t, cause, errPeerSilent)
+	must.ErrorIs(t, context.Cause(ctx), errPeerSilent)
 }
 
 // Idle links would cost as much as used ones if each heartbeat were answered,
 // but a policy must not wait for the next occasional answer.
 func TestIdleHeartbeatsAreEchoedOnlyIfNeeded(t *testing.T) {
-	const now = time.Hour
-	r := newConnectedRunner(now)
+	const now = lastFrameTime
+	r := newConnectedRunner()
 	r.lastEchoAt, r.policyRevision = now, 4
 	must.False(t, r.echoDue(4, now+lease.IdleHeartbeatInterval))
 	must.True(t, r.echoDue(4, now+idleEchoInterval))
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,10 +6,11 @@
 
 const (
 	// HeartbeatInterval is the time between two heartbeats of a runner to a
-	// dispatcher that has runs there, and IdleHeartbeatInterval to any other.
-	// An order must reach the runner within DispatcherTTL of the heartbeat that
-	// it echoes, so the idle interval is well below that.
-	HeartbeatInterval     = 100 * time.Millisecond
+	// dispatcher that has runs there.
+	HeartbeatInterval = 100 * time.Millisecond
+	// IdleHeartbeatInterval is the time between two heartbeats of a runner to
+	// any other dispatcher. An order must reach the runner within DispatcherTTL
+	// of the heartbeat that it echoes, so it is well below that.
 	IdleHeartbeatInterval = 300 * time.Millisecond
 	// DispatcherTTL is how long a runner lets a dispatcher's runs continue
 	// after it sent the newest of its heartbeats that the dispatcher has
