--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -61,8 +61,11 @@
 	stopping map[workload.RunID]bool
 	// unaccounted holds the resources of requested starts that the runner's
 	// state doesn't include yet, by number.
-	unaccounted     map[uint64]workload.Resources
-	lastOrderNumber uint64
+	unaccounted map[uint64]workload.Resources
+	// unaccountedSince is when the first of them was requested, or when the
+	// runner's state last included an earlier one.
+	unaccountedSince time.Duration
+	lastOrderNumber  uint64
 	// policyRevision is the runner's policy revision in its last heartbeat, or
 	// that of the policy that was sent to it since.
 	policyRevision uint64
@@ -81,13 +84,19 @@
 // inUse reports whether the runner has runs of the dispatcher.
 func (r *runner) inUse() bool { return len(r.runs) > 0 }
 
-// silence returns how long a frame has been missing: since the last one, or
-// since the runner came into use and had to send more frequent heartbeats.
+// silence returns how long the runner has not responded: since its last frame,
+// or since it came into use and had to send more frequent heartbeats. If frames
+// arrive but don't account for requested starts, those may not reach the runner:
+// a network can fail in one direction.
 func (r *runner) silence(now time.Duration) time.Duration {
-	if r.inUse() {
-		return now - max(r.lastFrameAt, r.usedSince)
+	if !r.inUse() {
+		return now - r.lastFrameAt
+	}
+	silence := now - max(r.lastFrameAt, r.usedSince)
+	if len(r.unaccounted) > 0 {
+		silence = max(silence, now-r.unaccountedSince)
 	}
-	return now - r.lastFrameAt
+	return silence
 }
 
 // usable reports whether the runner may get work.
@@ -119,12 +128,25 @@
 
 // reserve reserves resources for a start request until the runner's state
 // includes it, and returns the request's number.
-func (r *runner) reserve(resources workload.Resources) uint64 {
+func (r *runner) reserve(resources workload.Resources, now time.Duration) uint64 {
+	if len(r.unaccounted) == 0 {
+		r.unaccountedSince = now
+	}
 	r.lastOrderNumber++
 	r.unaccounted[r.lastOrderNumber] = resources
 	return r.lastOrderNumber
 }
 
+// account removes the starts that the runner's state includes.
+func (r *runner) account(handled uint64, now time.Duration) {
+	for n := range r.unaccounted {
+		if n <= handled {
+			delete(r.unaccounted, n)
+			r.unaccountedSince = now
+		}
+	}
+}
+
 func (r *runner) capacity() workload.Resources {
 	return workload.Resources{
 		MilliCPU: int64(r.state.GetCapacityCpu()), MemoryMB: int64(r.state.GetCapacityMemory()), GPUs: int64(r.state.GetCapacityGpus()),
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -46,6 +46,29 @@
 	must.True(t, closed)
 }
 
+// If the network fails in one direction, a runner's heartbeats may arrive while
+// orders to it don't. The tasks must not wait there as long as it is silent to
+// nobody, and no more may be sent.
+func TestRunnerThatGetsNoOrdersIsDisconnected(t *testing.T) {
+	const requestedAt = lastFrameTime
+	r := newConnectedRunner()
+	closed := false
+	r.cancel = func(error) { closed = true }
+	r.usedSince = requestedAt
+	r.runs[workload.RunID{Task: "t", Attempt: 1}] = &task{}
+	first := r.reserve(workload.Resources{MilliCPU: 1}, requestedAt)
+	r.reserve(workload.Resources{MilliCPU: 1}, requestedAt)
+	r.lastFrameAt = requestedAt + placementTimeout
+	must.False(t, r.usable(requestedAt+placementTimeout))
+	r.account(first, requestedAt+placementTimeout)
+	must.True(t, r.usable(requestedAt+placementTimeout), must.Sprint("orders arrive, but slowly"))
+	r.lastFrameAt = requestedAt + placementTimeout + connectionTimeout
+	r.closeIfSilent(requestedAt + placementTimeout + connectionTimeout)
+	must.False(t, closed)
+	r.closeIfSilent(requestedAt + placementTimeout + connectionTimeout + 1)
+	must.True(t, closed)
+}
+
 // A runner that is lost while it is idle must be noticed without any work being
 // sent to it.
 func TestSilentIdleRunnerIsDisconnected(t *testing.T) {
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -168,11 +168,7 @@
 // applyState records the endpoint's state. The first ready state of a new
 // runner process confirms that it has stopped the runs of its predecessor.
 func (d *Dispatcher) applyState(r *runner, s *pb.RunnerState) {
-	for n := range r.unaccounted {
-		if n <= s.GetHandled() {
-			delete(r.unaccounted, n)
-		}
-	}
+	r.account(s.GetHandled(), r.lastFrameAt)
 	before := r.state
 	r.state = s
 	if before.GetReady() != s.GetReady() || before.GetHealthy() != s.GetHealthy() {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -184,7 +184,7 @@
 			Gpus:       uint64(step.Resources.GPUs),
 			EstimateUs: step.Estimate.Microseconds(),
 			PatienceUs: placement.RunnerWait(wait, t.redirects).Microseconds(),
-			Number:     r.reserve(step.Resources),
+			Number:     r.reserve(step.Resources, now),
 			SlackUs:    slack.Microseconds(),
 		}
 		if i == 0 {
