Links: heartbeats go with states, and runners check half as often

A runner's periodic checks and separate heartbeat frames are a third of its wake-ups.

Change: a heartbeat may go with another frame up to 50 ms before it is due (25 ms before); a dispatcher echoes at most every 80 ms; a runner checks leases and queued orders every 50 ms (25 ms before), which the 250 ms that both sides allow for stopping cover.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -22,8 +22,9 @@
 	connectionTimeout     = 400 * time.Millisecond
 	idlePlacementTimeout  = lease.IdleHeartbeatInterval + 120*time.Millisecond
 	idleConnectionTimeout = 3 * lease.IdleHeartbeatInterval
-	// idleEchoInterval is the minimum time between two echoes of heartbeats to a
-	// runner that has none of the dispatcher's runs.
+	// echoInterval is the minimum time between two echoes of heartbeats to a
+	// runner that has the dispatcher's runs, and idleEchoInterval to any other.
+	echoInterval     = 80 * time.Millisecond
 	idleEchoInterval = 900 * time.Millisecond
 )
 
@@ -123,7 +124,11 @@
 // on the dispatcher's lease, when one of the two processes has an older policy,
 // and from time to time on an idle connection.
 func (r *runner) echoDue(policyRevision uint64, now time.Duration) bool {
-	return r.inUse() || r.policyRevision != policyRevision || now-r.lastEchoAt >= idleEchoInterval
+	interval := idleEchoInterval
+	if r.inUse() {
+		interval = echoInterval
+	}
+	return r.policyRevision != policyRevision || now-r.lastEchoAt >= interval
 }
 
 // reserve reserves resources for a start request until the runner's state
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,7 +30,7 @@
 
 // checkInterval is the time between two checks of leases, queued orders and
 // stalled runs.
-const checkInterval = 25 * time.Millisecond
+const checkInterval = 50 * time.Millisecond
 
 // Runner is one runner process.
 type Runner struct {
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -58,7 +58,7 @@
 // may be added to a frame that is sent anyway, on a connection in use and on any
 // other.
 const (
-	heartbeatSlack     = heartbeatInterval / 4
+	heartbeatSlack     = heartbeatInterval / 2
 	idleHeartbeatSlack = idleHeartbeatInterval / 2
 )
 
