Links: a runner that is assigned again gets work again

Cause: a link whose assignment ended is kept until its runs have ended. If the assignment came back meanwhile, the kept link was not made available again, and the runner got no work from this dispatcher until the link broke.

Change: updateConnections links each assigned runner anew.

Test: TestRunnerAssignedAgainGetsWork.

--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -44,23 +44,9 @@
 	connections := map[directory.Node]context.CancelFunc{}
 	for ctx.Err() == nil {
 		changed := d.directory.Changed()
-		wanted := d.wantedConnections()
-		for n := range wanted {
-			if connections[n] == nil {
-				connections[n] = d.startConnection(ctx, n)
-			}
-		}
 		var recheck <-chan time.Time
-		for n, cancel := range connections {
-			if wanted[n] {
-				continue
-			}
-			if n.Role == directory.Runner && !d.unlink(n) {
-				recheck = time.After(unlinkCheckInterval)
-				continue
-			}
-			cancel()
-			delete(connections, n)
+		if !d.updateConnections(ctx, connections, d.wantedConnections()) {
+			recheck = time.After(unlinkCheckInterval)
 		}
 		select {
 		case <-changed:
@@ -70,8 +56,34 @@
 	}
 }
 
+// updateConnections opens the wanted connections and closes the others. It
+// reports false if connections remain that it can't close yet.
+func (d *Dispatcher) updateConnections(ctx context.Context, connections map[directory.Node]context.CancelFunc, wanted map[directory.Node]bool) bool {
+	for n := range wanted {
+		if n.Role == directory.Runner {
+			d.link(n)
+		}
+		if connections[n] == nil {
+			connections[n] = d.startConnection(ctx, n)
+		}
+	}
+	complete := true
+	for n, cancel := range connections {
+		if wanted[n] {
+			continue
+		}
+		if n.Role == directory.Runner && !d.unlink(n) {
+			complete = false
+			continue
+		}
+		cancel()
+		delete(connections, n)
+	}
+	return complete
+}
+
 // wantedConnections returns the nodes to which this dispatcher connects, without
-// the revisions of their records. It marks the runners among them as linked.
+// the revisions of their records.
 func (d *Dispatcher) wantedConnections() map[directory.Node]bool {
 	dispatchers := d.directory.Nodes(directory.Dispatcher)
 	runners := directory.RunnersOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner))
@@ -84,18 +96,19 @@
 }
 
 // startConnection keeps a connection to the node until the returned function is
-// called.
+// called. A runner must be linked.
 func (d *Dispatcher) startConnection(ctx context.Context, n directory.Node) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	if n.Role == directory.Runner {
-		go d.maintainRunnerConnection(ctx, d.link(n))
+		go d.maintainRunnerConnection(ctx, n)
 	} else {
 		go d.maintainPeerStream(ctx, n)
 	}
 	return cancel
 }
 
-// link returns the state of a runner that is assigned to this dispatcher.
+// link makes a runner that is assigned to this dispatcher available for work, and
+// returns its state.
 func (d *Dispatcher) link(n directory.Node) *runner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/links_test.go
+++ b/internal/dispatch/links_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"net"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -42,6 +44,34 @@
 	must.MapEmpty(t, d.runners)
 }
 
+// unreachable is a network without any other host.
+type unreachable struct{}
+
+func (unreachable) Dial(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+
+func (unreachable) Listen(context.Context, string) (net.Listener, error) { return nil, net.ErrClosed }
+
+// A runner whose assignment comes back before its runs have ended must get work
+// again on the connection that was kept.
+func TestRunnerAssignedAgainGetsWork(t *testing.T) {
+	d := newTestDispatcher("d-0")
+	d.network = unreachable{}
+	node := directory.Node{Name: "r", Role: directory.Runner, Address: "a:1"}
+	wanted := map[directory.Node]bool{node: true}
+	connections := map[directory.Node]context.CancelFunc{}
+	must.True(t, d.updateConnections(t.Context(), connections, wanted))
+	r := d.runners["r"]
+	r.runs[workload.RunID{Task: "t", Attempt: 1}] = &task{}
+	must.False(t, d.updateConnections(t.Context(), connections, nil))
+	must.True(t, r.unlinked)
+	must.True(t, d.updateConnections(t.Context(), connections, wanted))
+	must.False(t, r.unlinked)
+	must.MapLen(t, 1, connections)
+	clear(r.runs)
+	must.True(t, d.updateConnections(t.Context(), connections, nil))
+	must.MapEmpty(t, connections)
+}
+
 // A runner that has moved to another address must not lose its new connection
 // when the old one is closed.
 func TestMovedRunnerStaysLinked(t *testing.T) {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// placementTimeout is the time without a frame after which a runner gets no
-	// more work, and connectionTimeout that after which the connection is
+	// placementTimeout is the time without a response after which a runner gets
+	// no more work, and connectionTimeout that after which the connection is
 	// closed. Both are longer while the runner has none of the dispatcher's
 	// runs, because it then sends fewer heartbeats.
 	placementTimeout      = 220 * time.Millisecond
@@ -109,7 +109,8 @@
 	return r.outbox != nil && !r.unlinked && r.state.GetReady() && r.silence(now) < timeout
 }
 
-// closeIfSilent closes the connection if no frame was received for too long.
+// closeIfSilent closes the connection if the runner has not responded for too
+// long.
 func (r *runner) closeIfSilent(now time.Duration) {
 	timeout := idleConnectionTimeout
 	if r.inUse() {
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
@@ -17,12 +18,14 @@
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
-// maintainRunnerConnection keeps a connection to a runner at its present
-// address until ctx ends.
-func (d *Dispatcher) maintainRunnerConnection(ctx context.Context, r *runner) {
+// maintainRunnerConnection keeps a connection to a linked runner until ctx ends.
+func (d *Dispatcher) maintainRunnerConnection(ctx context.Context, n directory.Node) {
 	d.mu.Lock()
-	n := r.node
+	r := d.runners[n.Name]
 	d.mu.Unlock()
+	if r == nil {
+		return
+	}
 	pause := minRedialDelay
 	for ctx.Err() == nil {
 		before := r.connectionCount.Load()
