Links: a dispatcher's rank at a runner is chosen with the link

Cause: whenever a policy was newer than a runner's, the dispatcher sorted and hashed all dispatchers for each of its runners, under its lock: work that grows with the fleet. Sorting the ring of peers hashed each name again and again.

Change: directory.LinksOf returns the rank with each link, and the runner keeps it. Names are hashed once. directory.Cache.Count, used by tests only, is gone.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -95,19 +95,6 @@
 	return nodes
 }
 
-// Count returns the number of nodes with a role.
-func (c *Cache) Count(role Role) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, cached := range c.nodes {
-		if cached.node.Role == role {
-			n++
-		}
-	}
-	return n
-}
-
 // ChangedSince returns the nodes that were added or replaced after a version of
 // the cache, and the current version.
 func (c *Cache) ChangedSince(version uint64) ([]Node, uint64) {
--- a/internal/directory/subset.go
+++ b/internal/directory/subset.go
@@ -11,26 +11,28 @@
 // don't grow with the fleet, as long as both kinds of process grow alike.
 const dispatchersPerRunner = 12
 
-// RunnersOf returns the runners to which the dispatcher with the given name
-// links. Each runner is linked to the dispatchers that rank first for it
-// (rendezvous hashing). So all dispatchers with the same directory choose
-// alike, each runner has dispatchersPerRunner links, and a dispatcher that
-// comes or goes moves only its own links.
-func RunnersOf(name string, dispatchers, runners []Node) []Node {
+// Link is a runner to which a dispatcher is linked.
+type Link struct {
+	Runner Node
+	// Rank is the number of dispatchers that rank before this one for the
+	// runner. It differs between the runner's dispatchers.
+	Rank int
+}
+
+// LinksOf returns the links of the dispatcher with the given name. Each runner
+// is linked to the dispatchers that rank first for it (rendezvous hashing). So
+// all dispatchers with the same directory choose alike, each runner has
+// dispatchersPerRunner links, and a dispatcher that comes or goes moves only its
+// own links.
+func LinksOf(name string, dispatchers, runners []Node) []Link {
 	ranking := newRanking(name, dispatchers)
-	var linked []Node
+	var links []Link
 	for _, n := range runners {
-		if ranking.rank(n.Name, dispatchersPerRunner) < dispatchersPerRunner {
-			linked = append(linked, n)
+		if rank := ranking.rank(n.Name); rank < dispatchersPerRunner {
+			links = append(links, Link{Runner: n, Rank: rank})
 		}
 	}
-	return linked
-}
-
-// Rank returns how many of the dispatchers rank before the one with the given
-// name for the runner.
-func Rank(name, runner string, dispatchers []Node) int {
-	return newRanking(name, dispatchers).rank(runner, len(dispatchers))
+	return links
 }
 
 // ranking holds the hashes of one dispatcher and of the others.
@@ -50,8 +52,8 @@
 }
 
 // rank counts the other dispatchers that rank before self for the runner, up to
-// limit.
-func (r *ranking) rank(runner string, limit int) int {
+// dispatchersPerRunner.
+func (r *ranking) rank(runner string) int {
 	h := hashName(runner)
 	own := mix(r.self ^ h)
 	before := 0
@@ -60,7 +62,7 @@
 			continue
 		}
 		before++
-		if before == limit {
+		if before == dispatchersPerRunner {
 			break
 		}
 	}
@@ -73,9 +75,13 @@
 // directions, so a change reaches all n dispatchers in about log2(n)/2 hops, and
 // no single loss separates the ring.
 func PeersOf(name string, dispatchers []Node) []Node {
+	hashes := make(map[string]uint64, len(dispatchers))
+	for _, n := range dispatchers {
+		hashes[n.Name] = hashName(n.Name)
+	}
 	ring := slices.Clone(dispatchers)
 	slices.SortFunc(ring, func(a, b Node) int {
-		return cmp.Or(cmp.Compare(hashName(a.Name), hashName(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(hashes[a.Name], hashes[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	self := slices.IndexFunc(ring, func(n Node) bool { return n.Name == name })
 	if self < 0 {
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -45,7 +45,7 @@
 	for ctx.Err() == nil {
 		changed := d.directory.Changed()
 		var recheck <-chan time.Time
-		if !d.updateConnections(ctx, connections, d.wantedConnections()) {
+		if !d.updateConnections(ctx, connections, d.newWantedConnections()) {
 			recheck = time.After(unlinkCheckInterval)
 		}
 		select {
@@ -56,13 +56,40 @@
 	}
 }
 
+// wantedConnections are the connections that the directory asks of a dispatcher.
+// The nodes don't have the revisions of their records.
+type wantedConnections struct {
+	links []directory.Link
+	peers []directory.Node
+}
+
+func (d *Dispatcher) newWantedConnections() *wantedConnections {
+	dispatchers := d.directory.Nodes(directory.Dispatcher)
+	w := &wantedConnections{
+		links: directory.LinksOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner)),
+		peers: directory.PeersOf(d.settings.Name, dispatchers),
+	}
+	for i := range w.links {
+		w.links[i].Runner.Revision = 0
+	}
+	for i := range w.peers {
+		w.peers[i].Revision = 0
+	}
+	return w
+}
+
 // updateConnections opens the wanted connections and closes the others. It
 // reports false if connections remain that it can't close yet.
-func (d *Dispatcher) updateConnections(ctx context.Context, connections map[directory.Node]context.CancelFunc, wanted map[directory.Node]bool) bool {
+func (d *Dispatcher) updateConnections(ctx context.Context, connections map[directory.Node]context.CancelFunc, w *wantedConnections) bool {
+	wanted := map[directory.Node]bool{}
+	for _, l := range w.links {
+		wanted[l.Runner] = true
+		d.link(l)
+	}
+	for _, n := range w.peers {
+		wanted[n] = true
+	}
 	for n := range wanted {
-		if n.Role == directory.Runner {
-			d.link(n)
-		}
 		if connections[n] == nil {
 			connections[n] = d.startConnection(ctx, n)
 		}
@@ -82,19 +109,6 @@
 	return complete
 }
 
-// wantedConnections returns the nodes to which this dispatcher connects, without
-// the revisions of their records.
-func (d *Dispatcher) wantedConnections() map[directory.Node]bool {
-	dispatchers := d.directory.Nodes(directory.Dispatcher)
-	runners := directory.RunnersOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner))
-	wanted := map[directory.Node]bool{}
-	for _, n := range append(runners, directory.PeersOf(d.settings.Name, dispatchers)...) {
-		n.Revision = 0
-		wanted[n] = true
-	}
-	return wanted
-}
-
 // startConnection keeps a connection to the node until the returned function is
 // called. A runner must be linked.
 func (d *Dispatcher) startConnection(ctx context.Context, n directory.Node) context.CancelFunc {
@@ -109,15 +123,15 @@
 
 // link makes a runner that is assigned to this dispatcher available for work, and
 // returns its state.
-func (d *Dispatcher) link(n directory.Node) *runner {
+func (d *Dispatcher) link(l directory.Link) *runner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.runners[n.Name]
+	r := d.runners[l.Runner.Name]
 	if r == nil {
-		r = newRunner(n)
-		d.runners[n.Name] = r
+		r = newRunner(l.Runner)
+		d.runners[l.Runner.Name] = r
 	}
-	r.node, r.unlinked = n, false
+	r.node, r.rank, r.unlinked = l.Runner, l.Rank, false
 	return r
 }
 
--- a/internal/dispatch/links_test.go
+++ b/internal/dispatch/links_test.go
@@ -29,7 +29,7 @@
 	const now = lastFrameTime
 	d := newTestDispatcher("d-0")
 	node := directory.Node{Name: "r", Role: directory.Runner, Address: "a:1"}
-	r := d.link(node)
+	r := d.link(directory.Link{Runner: node})
 	*r = *newConnectedRunner()
 	r.node = node
 	run := workload.RunID{Task: "t", Attempt: 1}
@@ -37,7 +37,7 @@
 	must.True(t, r.usable(now))
 	must.False(t, d.unlink(node), must.Sprint("a run is left"))
 	must.False(t, r.usable(now), must.Sprint("it gets no more work"))
-	must.True(t, d.link(node) == r && r.usable(now), must.Sprint("assigned again"))
+	must.True(t, d.link(directory.Link{Runner: node}) == r && r.usable(now), must.Sprint("assigned again"))
 	must.False(t, d.unlink(node))
 	delete(r.runs, run)
 	must.True(t, d.unlink(node))
@@ -57,18 +57,18 @@
 	d := newTestDispatcher("d-0")
 	d.network = unreachable{}
 	node := directory.Node{Name: "r", Role: directory.Runner, Address: "a:1"}
-	wanted := map[directory.Node]bool{node: true}
+	wanted := &wantedConnections{links: []directory.Link{{Runner: node}}}
 	connections := map[directory.Node]context.CancelFunc{}
 	must.True(t, d.updateConnections(t.Context(), connections, wanted))
 	r := d.runners["r"]
 	r.runs[workload.RunID{Task: "t", Attempt: 1}] = &task{}
-	must.False(t, d.updateConnections(t.Context(), connections, nil))
+	must.False(t, d.updateConnections(t.Context(), connections, &wantedConnections{}))
 	must.True(t, r.unlinked)
 	must.True(t, d.updateConnections(t.Context(), connections, wanted))
 	must.False(t, r.unlinked)
 	must.MapLen(t, 1, connections)
 	clear(r.runs)
-	must.True(t, d.updateConnections(t.Context(), connections, nil))
+	must.True(t, d.updateConnections(t.Context(), connections, &wantedConnections{}))
 	must.MapEmpty(t, connections)
 }
 
@@ -78,8 +78,8 @@
 	d := newTestDispatcher("d-0")
 	old := directory.Node{Name: "r", Role: directory.Runner, Address: "a:1"}
 	moved := directory.Node{Name: "r", Role: directory.Runner, Address: "b:1"}
-	d.link(old)
-	r := d.link(moved)
+	d.link(directory.Link{Runner: old})
+	r := d.link(directory.Link{Runner: moved})
 	must.True(t, d.unlink(old))
 	must.True(t, d.runners["r"] == r && !r.unlinked)
 }
@@ -117,7 +117,7 @@
 
 	a.directory.Merge([]directory.Node{{Name: "d-new", Role: directory.Dispatcher, Address: "x", Revision: 2}})
 	must.Between(t, 1, exchange(atA, atB), 2, must.Sprint("the other records are not sent"))
-	must.Eq(t, 41, b.directory.Count(directory.Dispatcher))
+	must.Len(t, 41, b.directory.Nodes(directory.Dispatcher))
 }
 
 // A dispatcher that starts while the store is unavailable knows nobody.
@@ -126,5 +126,5 @@
 	a.directory.Merge(newDispatcherNodes(40))
 	atA, atB := newTestStreams(a, b)
 	exchange(atA, atB)
-	must.Eq(t, 40, b.directory.Count(directory.Dispatcher))
+	must.Len(t, 40, b.directory.Nodes(directory.Dispatcher))
 }
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/policy/codec"
 )
@@ -29,7 +28,7 @@
 		return nil
 	}
 	withoutPolicy := r.policyRevision == 0
-	if !withoutPolicy && d.policy.Age() < pushDelay(d.settings.Name, r.node.Name, d.directory.Nodes(directory.Dispatcher)) {
+	if !withoutPolicy && d.policy.Age() < pushDelay(r.rank) {
 		return nil
 	}
 	r.policyRevision = s.Revision
@@ -37,10 +36,9 @@
 }
 
 // pushDelay returns how long a dispatcher waits for others to send a new policy
-// to a runner. The order of dispatchers differs from runner to runner, so that
-// each one sends to few runners at once; this matters where the policy is large
-// and the hosts' network is slow.
-func pushDelay(self, runner string, dispatchers []directory.Node) time.Duration {
-	turn := directory.Rank(self, runner, dispatchers)
-	return time.Duration(min(turn, maxPushTurns)) * pushTurnInterval
+// to a runner, from its rank among the runner's dispatchers. The ranks differ
+// from runner to runner, so that each dispatcher sends to few runners at once;
+// this matters where the policy is large and the hosts' network is slow.
+func pushDelay(rank int) time.Duration {
+	return time.Duration(min(rank, maxPushTurns)) * pushTurnInterval
 }
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -26,39 +26,50 @@
 // four seconds.
 func TestPolicyIsSentByOneDispatcherFirst(t *testing.T) {
 	all := newDispatcherNodes(12)
-	firstTurns := map[string]int{}
+	var runners []directory.Node
 	for i := range 70 {
-		immediate := 0
-		for _, n := range all {
-			if pushDelay(n.Name, fmt.Sprintf("r-%d", i), all) == 0 {
-				immediate++
+		runners = append(runners, directory.Node{Name: fmt.Sprintf("r-%d", i), Role: directory.Runner})
+	}
+	firstTurns, immediate := map[string]int{}, map[string]int{}
+	for _, n := range all {
+		for _, l := range directory.LinksOf(n.Name, all, runners) {
+			if pushDelay(l.Rank) == 0 {
+				immediate[l.Runner.Name]++
 				firstTurns[n.Name]++
 			}
 		}
-		must.Eq(t, 1, immediate)
 	}
-	for name, runners := range firstTurns {
-		must.Less(t, 20, runners, must.Sprint(name))
+	for _, n := range runners {
+		must.Eq(t, 1, immediate[n.Name])
+	}
+	for name, count := range firstTurns {
+		must.Less(t, 20, count, must.Sprint(name))
 	}
 }
 
 // A dispatcher that knows no others, or has the last turn, must still send
 // soon.
 func TestPushDelayIsBounded(t *testing.T) {
-	must.Eq(t, 0, pushDelay("d-0", "r", nil))
+	runners := []directory.Node{{Name: "r", Role: directory.Runner}}
+	must.Eq(t, []directory.Link{{Runner: runners[0], Rank: 0}}, directory.LinksOf("d-0", nil, runners))
+	must.Eq(t, 0, pushDelay(0))
 	all := newDispatcherNodes(40)
 	for _, n := range all {
-		must.LessEq(t, 500*time.Millisecond, pushDelay(n.Name, "r", all))
+		for _, l := range directory.LinksOf(n.Name, all, runners) {
+			must.LessEq(t, 500*time.Millisecond, pushDelay(l.Rank))
+		}
 	}
 }
 
 func TestRunnerWithoutPolicyGetsItAtOnce(t *testing.T) {
 	d := &Dispatcher{settings: &Settings{Service: settings.Service{Name: "d-0"}}, policy: policy.NewHolder(), directory: directory.NewCache(), log: zap.NewNop()}
-	d.directory.Merge(newDispatcherNodes(12))
+	dispatchers := newDispatcherNodes(12)
 	d.policy.Apply(&policy.Snapshot{Revision: 7, Config: &policy.Config{}})
 	delayed := 0
 	for i := range 30 {
-		r := newRunner(directory.Node{Name: fmt.Sprintf("r-%d", i)})
+		links := directory.LinksOf("d-0", dispatchers, []directory.Node{{Name: fmt.Sprintf("r-%d", i)}})
+		r := newRunner(links[0].Runner)
+		r.rank = links[0].Rank
 		must.NotNil(t, d.policyFor(r))
 		must.Eq(t, 7, r.policyRevision)
 		must.Nil(t, d.policyFor(r))
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -32,6 +32,8 @@
 // fields.
 type runner struct {
 	node directory.Node
+	// rank is the dispatcher's rank among those that are linked to the runner.
+	rank int
 	// unlinked is set once the runner is no longer assigned to the dispatcher.
 	unlinked bool
 	// incarnation is that of the runner's process, empty before the first
--- a/internal/placement/stale_test.go
+++ b/internal/placement/stale_test.go
@@ -220,7 +220,7 @@
 		// inTime is the fraction of jobs that must be answered in time.
 		inTime = 0.95
 	)
-	waitAnywhere := func(bool, int) time.Duration { return MaxRunnerWait }
+	waitAnywhere := func(bool, int) time.Duration { return maxRunnerWait }
 	var redirected, waiting []float64
 	for seed := range uint64(seeds) {
 		redirected = append(redirected, newStaleReplay(seed, RunnerWait).run(load)[0])
--- a/internal/placement/wait.go
+++ b/internal/placement/wait.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// MaxRunnerWait is how long a task may wait for capacity at a runner.
-	MaxRunnerWait = 150 * time.Millisecond
+	// maxRunnerWait is how long a task may wait for capacity at a runner.
+	maxRunnerWait = 150 * time.Millisecond
 	// maxRedirects is how often a task is redirected to another endpoint before
 	// it waits.
 	maxRedirects = 2
@@ -19,7 +19,7 @@
 // were refused before, wait.
 func RunnerWait(queued bool, refusals int) time.Duration {
 	if queued || refusals >= maxRedirects {
-		return MaxRunnerWait
+		return maxRunnerWait
 	}
 	return 0
 }
