Directory: a record written again moves no links

Cause: after a restart of all processes each writes its record again, and each record made every dispatcher sort and rank the whole directory: work with the square of the fleet, in the second in which callers wait for the weakest hosts. Found by reading the change for work that grows with the fleet.

Change: only a node that comes, goes or moves to another address makes dispatchers choose their links, at most every 20 ms.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -42,7 +42,7 @@
 type Cache struct {
 	mu    sync.Mutex
 	nodes map[string]cachedNode
-	// changed is closed and replaced when the nodes change.
+	// changed is closed and replaced when a node comes, goes or moves.
 	changed chan struct{}
 	// version counts the records that were added or replaced.
 	version uint64
@@ -74,7 +74,9 @@
 	return &Cache{nodes: map[string]cachedNode{}, changed: make(chan struct{}), digest: emptyDigest}
 }
 
-// Changed returns a channel that is closed when the nodes next change.
+// Changed returns a channel that is closed when a node next comes, goes or moves.
+// A new record with the same address doesn't count: after a restart of all
+// processes each of them writes one.
 func (c *Cache) Changed() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,7 +151,9 @@
 	c.digest ^= recordDigest(n)
 	c.version++
 	c.nodes[n.Name] = cachedNode{node: n, version: c.version}
-	c.notifyChanged()
+	if !found || cached.node.Address != n.Address || cached.node.Role != n.Role {
+		c.notifyChanged()
+	}
 }
 
 func (c *Cache) notifyChanged() {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -68,3 +68,24 @@
 	c.Merge([]Node{{Name: "n", Role: Runner, Address: "1.2.3.4:6", Revision: 9}})
 	must.Len(t, 1, c.Nodes(Runner), must.Sprint("the process has written a new record"))
 }
+
+// After a restart of all processes each writes its record again, at the same
+// address. If each record made every dispatcher choose its links anew, the work
+// for a restart would grow with the square of the fleet.
+func TestRewrittenRecordMovesNoNode(t *testing.T) {
+	c := NewCache()
+	c.Merge([]Node{{Name: "n", Role: Runner, Address: "a:1", Revision: 5}})
+	digest, version := c.Summary()
+	changed := c.Changed()
+	c.Merge([]Node{{Name: "n", Role: Runner, Address: "a:1", Revision: 6}})
+	select {
+	case <-changed:
+		t.Fatal("no node has moved")
+	default:
+	}
+	newDigest, newVersion := c.Summary()
+	must.NotEq(t, digest, newDigest, must.Sprint("peers must get the new record"))
+	must.Greater(t, version, newVersion)
+	c.Merge([]Node{{Name: "n", Role: Runner, Address: "b:1", Revision: 7}})
+	<-changed
+}
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	"github.com/pomelosill/pomelosill/internal/store"
 )
@@ -36,6 +37,10 @@
 // are no longer assigned to the dispatcher have finished its runs.
 const unlinkCheckInterval = 200 * time.Millisecond
 
+// minUpdateInterval is the minimum time between two choices of the connections,
+// so that many hosts that come together cause few of them.
+const minUpdateInterval = 20 * time.Millisecond
+
 // maintainConnections keeps a connection to every runner that the directory
 // assigns to this dispatcher, and a stream to its peers. A runner that is no
 // longer assigned gets no more work, and its connection is kept until the runs
@@ -48,6 +53,7 @@
 		if !d.updateConnections(ctx, connections, d.newWantedConnections()) {
 			recheck = time.After(unlinkCheckInterval)
 		}
+		clock.Sleep(ctx, minUpdateInterval)
 		select {
 		case <-changed:
 		case <-recheck:
