Dispatcher: malformed states and records change nothing; fuzzing of its frames

Cause: a runner's state with a negative load of others gave the dispatcher a share above 1, and amounts beyond 2^63 became negative capacity; gossip could add a record without a name or an address. Found by the first seeds of two fuzz targets.

Change: amounts and loads are bounded where they are decoded, by the same functions on both sides (workload.DecodeResources, placement.ValidLoad); a record that can't be dialled is ignored.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -35,6 +35,11 @@
 	Revision uint64 `json:"-"`
 }
 
+// valid reports whether the node can be dialled.
+func (n *Node) valid() bool {
+	return n.Name != "" && n.Address != "" && (n.Role == Dispatcher || n.Role == Runner)
+}
+
 // Cache holds the nodes that a process knows. A node is kept for
 // removedRetention after its record was removed, because the store may also
 // remove the record of a running process when it loses a lease. Its methods are
@@ -122,14 +127,14 @@
 // recordDigest returns the digest of one record.
 func recordDigest(n Node) uint64 { return mix(hashName(n.Name) ^ mix(n.Revision)) }
 
-// Merge adds the nodes that another process knows. It ignores a record that is
-// no newer than what was read from the store: that reading included the record,
-// or the record had been removed.
+// Merge adds the nodes that another process knows. It ignores malformed ones, and
+// a record that is no newer than what was read from the store: that reading
+// included the record, or the record had been removed.
 func (c *Cache) Merge(nodes []Node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, n := range nodes {
-		if n.Revision > c.storeRevision {
+		if n.valid() && n.Revision > c.storeRevision {
 			c.put(n)
 		}
 	}
@@ -171,7 +176,7 @@
 	seen := map[string]bool{}
 	for _, e := range changes.Entries {
 		var n Node
-		if err := json.Unmarshal(e.Value, &n); err != nil || n.Address == "" || Prefix+n.Name != e.Key {
+		if err := json.Unmarshal(e.Value, &n); err != nil || !n.valid() || Prefix+n.Name != e.Key {
 			errs = append(errs, result.Errorf(result.Malformed, "store key %s does not hold a valid process record", e.Key))
 			continue
 		}
--- /dev/null
+++ b/internal/dispatch/fuzz_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
+// addSeeds adds the encoded messages as seeds.
+func addSeeds(f *testing.F, messages ...proto.Message) {
+	for _, m := range messages {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+}
+
+// newServingDispatcher returns a dispatcher with a policy, a linked runner and
+// its connection, which neither listens nor dials.
+func newServingDispatcher(t *testing.T) (*Dispatcher, *runner) {
+	s := DefaultSettings()
+	s.Name = "d-0"
+	d, err := New(network.TCP, &s, zap.NewNop())
+	must.NoError(t, err)
+	d.runCtx, d.startedAt = t.Context(), clock.SinceBoot()
+	route := policy.Route{Name: "r", Prefix: "/p/", Service: "svc", MaxAttempts: 2, Stretch: 1.6}
+	d.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{route}}})
+	r := d.link(directory.Link{Runner: directory.Node{Name: "r-0", Role: directory.Runner, Address: "a:1"}})
+	_, cancel := context.WithCancelCause(t.Context())
+	d.onConnected(r, &pb.RunnerFrame{Incarnation: "1"}, cancel)
+	return d, r
+}
+
+// FuzzRunnerFrame applies frames with arbitrary content. None may end the
+// process, and a job must still be admitted or refused afterwards.
+func FuzzRunnerFrame(f *testing.F) {
+	run := &pb.RunRef{Task: workload.TaskID{Job: "j"}.String(), Attempt: 1}
+	addSeeds(f,
+		&pb.RunnerFrame{},
+		&pb.RunnerFrame{Events: []*pb.RunEvent{{}, {Run: run, End: pb.RunEnd_RUN_END_DONE}, {Run: run, End: 99, Code: 1 << 31}}},
+		&pb.RunnerFrame{Beat: &pb.RunnerBeat{SentNs: -1 << 63, PolicyRevision: 1 << 63}, Held: []*pb.RunRef{{}}},
+		&pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 1 << 63, UsedCpu: 1<<64 - 1, SpeedPercent: 1 << 63, Handled: 1<<64 - 1, OtherLoad: -1, WaitingCpu: 1 << 63}},
+		&pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}, Policy: &pb.Policy{Revision: 9, Config: []byte("{")}},
+	)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame := &pb.RunnerFrame{}
+		if proto.Unmarshal(data, frame) != nil {
+			return
+		}
+		d, r := newServingDispatcher(t)
+		job := &workload.Job{ID: "j", Steps: []workload.Step{{Count: 2, Resources: workload.Resources{MilliCPU: 1000}}}}
+		now := clock.SinceBoot()
+		route := &d.policy.Current().Config.Routes[0]
+		_, _ = d.admit(job, route, now, now+defaultCallerTimeout)
+		d.onFrame(r, r.outbox, frame)
+		second := *job
+		second.ID = "k"
+		_, _ = d.admit(&second, route, now, now+defaultCallerTimeout)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if share := d.loadShare(now); !(share > 0 && share <= 1) {
+			t.Fatalf("the share of the load is %v", share)
+		}
+	})
+}
+
+// FuzzGossipFrame applies frames with arbitrary content.
+func FuzzGossipFrame(f *testing.F) {
+	addSeeds(f,
+		&pb.GossipFrame{},
+		&pb.GossipFrame{Dispatcher: "d-1", PolicyRevision: 1<<64 - 1, DirectoryDigest: 1<<64 - 1},
+		&pb.GossipFrame{Policy: &pb.Policy{Revision: 1 << 63, Config: []byte(`{"version":-1,"routes":[null]}`)}, Nodes: []*pb.Node{{}, {Name: "d-0", Role: "dispatcher", Revision: 1 << 63}, {Name: "x", Role: "?", Address: "y"}}},
+	)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame := &pb.GossipFrame{}
+		if proto.Unmarshal(data, frame) != nil {
+			return
+		}
+		d, _ := newServingDispatcher(t)
+		g := newGossipStream(d, func(*pb.GossipFrame) error { return nil }, nil)
+		g.handleFrame(frame)
+		g.nextFrame()
+		for _, n := range d.directory.Nodes(directory.Runner) {
+			must.NotEq(t, "", n.Address, must.Sprint("a node that can't be dialled"))
+		}
+		d.newWantedConnections()
+	})
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -13,8 +13,8 @@
 func (d *Dispatcher) loadShare(now time.Duration) float64 {
 	var others float64
 	for _, r := range d.runners {
-		if r.usable(now) {
-			others += r.state.GetOtherLoad()
+		if load := r.state.GetOtherLoad(); r.usable(now) && placement.ValidLoad(load) {
+			others += load
 		}
 	}
 	return placement.Share(d.load.Value(now), others)
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -156,16 +156,12 @@
 }
 
 func (r *runner) capacity() workload.Resources {
-	return workload.Resources{
-		MilliCPU: int64(r.state.GetCapacityCpu()), MemoryMB: int64(r.state.GetCapacityMemory()), GPUs: int64(r.state.GetCapacityGpus()),
-	}
+	return workload.DecodeResources(r.state.GetCapacityCpu(), r.state.GetCapacityMemory(), r.state.GetCapacityGpus())
 }
 
 // free returns the unused capacity, as far as the dispatcher knows.
 func (r *runner) free() workload.Resources {
-	free := r.capacity().Minus(workload.Resources{
-		MilliCPU: int64(r.state.GetUsedCpu()), MemoryMB: int64(r.state.GetUsedMemory()), GPUs: int64(r.state.GetUsedGpus()),
-	})
+	free := r.capacity().Minus(workload.DecodeResources(r.state.GetUsedCpu(), r.state.GetUsedMemory(), r.state.GetUsedGpus()))
 	for _, resources := range r.unaccounted {
 		free = free.Minus(resources)
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -13,6 +13,7 @@
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
+	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform"
 )
 
@@ -85,7 +86,7 @@
 func (d *Dispatcher) queuedAtRunners() int64 {
 	var all int64
 	for _, r := range d.runners {
-		all += int64(r.state.GetWaitingCpu())
+		all += workload.DecodeAmount(r.state.GetWaitingCpu())
 	}
 	return all
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -31,6 +31,9 @@
 	return l.sum * math.Exp(-float64(now-l.updatedAt)/float64(loadTimeConstant))
 }
 
+// ValidLoad reports whether a load from a message can be one.
+func ValidLoad(load float64) bool { return load >= 0 && !math.IsInf(load, 0) }
+
 // Share returns a dispatcher's fraction of the work that arrives for its
 // runners, from its own load and that of the other dispatchers there. Callers
 // may be spread unevenly over dispatchers: a busy dispatcher that assumed the
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
@@ -12,6 +11,7 @@
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
+	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/stream"
@@ -275,7 +275,7 @@
 	}
 	d.policyRevision = max(d.policyRevision, b.GetPolicyRevision())
 	d.stateInterval = time.Duration(min(max(b.GetStateGapUs(), 0), maxStateInterval.Microseconds())) * time.Microsecond
-	if load := b.GetLinkLoad(); load >= 0 && !math.IsInf(load, 0) {
+	if load := b.GetLinkLoad(); placement.ValidLoad(load) {
 		d.linkLoad = load
 	}
 	r.pushPolicy(d, now)
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -51,19 +51,13 @@
 		runID:         runref.Decode(o.GetRun()),
 		service:       o.GetService(),
 		spec:          spec,
-		resources:     workload.Resources{MilliCPU: decodeAmount(o.GetCpuMilli()), MemoryMB: decodeAmount(o.GetMemoryMb()), GPUs: decodeAmount(o.GetGpus())},
+		resources:     workload.DecodeResources(o.GetCpuMilli(), o.GetMemoryMb(), o.GetGpus()),
 		estimate:      time.Duration(o.GetEstimateUs()) * time.Microsecond,
 		waitDeadline:  now + time.Duration(o.GetPatienceUs())*time.Microsecond,
 		startDeadline: now + time.Duration(o.GetSlackUs())*time.Microsecond,
 	}
 }
 
-// maxAmount bounds the amount of a resource in an order, so that sums of them
-// don't overflow. It exceeds the capacity of any endpoint.
-const maxAmount = 1 << 40
-
-func decodeAmount(amount uint64) int64 { return int64(min(amount, maxAmount)) }
-
 // compareUrgency sorts orders that can still meet their start deadline before
 // those that can't, and within both groups by start deadline.
 func (o *order) compareUrgency(other *order, now time.Duration) int {
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -10,6 +10,20 @@
 	"time"
 )
 
+// maxAmount bounds the amount of a resource in a message, so that sums of
+// amounts don't overflow. It exceeds the capacity of any endpoint.
+const maxAmount = 1 << 40
+
+// DecodeAmount returns an amount from a message, in the message's unit and at
+// most maxAmount.
+func DecodeAmount(amount uint64) int64 { return int64(min(amount, maxAmount)) }
+
+// DecodeResources returns the resources from a message: thousandths of a core,
+// megabytes and GPUs.
+func DecodeResources(milliCPU, memoryMB, gpus uint64) Resources {
+	return Resources{MilliCPU: DecodeAmount(milliCPU), MemoryMB: DecodeAmount(memoryMB), GPUs: DecodeAmount(gpus)}
+}
+
 // Resources are the needs of a task or the capacity of an endpoint.
 type Resources struct {
 	// MilliCPU is in thousandths of a core.
