--- a/scripts/deployments.sh
+++ b/scripts/deployments.sh
@@ -34,7 +34,7 @@
   name=$(basename "$site" .toml)
   "$bench" score "$site" "${quick[@]}" --jobs "${JOBS:-2}" --why "${WHY:-regression run}" > "$out/$name" 2>&1 || true
   gate=$(grep -o 'GATE [a-z]*' "$out/$name" | tail -1 || true)
-  score=$(sed -n 's/.*score \([0-9.]*\).*/\1/p' "$out/$name" | tail -1)
+  score=$(sed -n 's/.*standard days of [^:]*: \([0-9.]*\).*/\1/p' "$out/$name" | tail -1)
   days=$(awk '$2 ~ /^[0-9]+\/[0-9]+$/ { printf "%s %s  ", $1, $4 }' "$out/$name")
   printf '%-28s %-12s %-7s %s\n' "$name" "${gate:-not played}" "${score:--}" "$days"
   if [ "$gate" != 'GATE passed' ]; then
