Runner: runs that are lost in a crash of the endpoint are told apart, and counted

Cause: a run lost with its endpoint was logged like one whose start never arrived; crashes under a task couldn't be counted over all runners. Runs given up while the endpoint was unreachable count once a new process shows that the old one ended. Nothing is decided by it yet.

--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -45,6 +45,11 @@
 	// For a run whose start request got no response, it is when the renewal
 	// request was sent whose response listed the run.
 	AcceptedAt time.Duration
+	// listed is set once the endpoint has listed the run as running.
+	listed bool
+	// processEnded is set when the endpoint's process was replaced after the run
+	// had begun there.
+	processEnded bool
 	// StopAcked is set once a stop request has been acknowledged, at
 	// StopAckedAt.
 	StopAcked   bool
@@ -64,11 +69,14 @@
 	Stalled bool
 }
 
+// Begun reports whether the run is known to have begun.
+func (res *Reservation) Begun() bool { return res.AcceptedAt > 0 || res.listed }
+
 // ReleasedRun is a run that no longer holds capacity.
 type ReleasedRun struct {
 	Reservation Reservation
-	// Outcome is zero for a run whose end was not listed: it never started, or
-	// its end was not reported.
+	// Outcome is zero for a run whose end was not listed and is not known: it
+	// never started, or its end was not reported.
 	Outcome workload.Outcome
 	// Elapsed is the time from the start request to the release.
 	Elapsed time.Duration
@@ -280,6 +288,7 @@
 			}
 			continue
 		}
+		res.listed, res.processEnded = true, false
 		if res.State == StartUnanswered {
 			res.State = Running
 			res.AcceptedAt = sentAt
@@ -308,12 +317,21 @@
 		stopped := res.StopAcked && res.StopAckedAt < sentAt
 		if accepted || stopped {
 			t.release(res, now)
-			released = append(released, ReleasedRun{Reservation: *res, Elapsed: now - res.StartSentAt})
+			released = append(released, ReleasedRun{Reservation: *res, Outcome: res.inferredOutcome(), Elapsed: now - res.StartSentAt})
 		}
 	}
 	return released
 }
 
+// inferredOutcome returns the outcome of a run that the endpoint lists neither
+// as running nor as ended.
+func (res *Reservation) inferredOutcome() workload.Outcome {
+	if res.processEnded {
+		return workload.OutcomeCrashed
+	}
+	return 0
+}
+
 // ReleaseAll releases every run of an endpoint whose process has ended or whose
 // lease has expired.
 func (t *Tracker) ReleaseAll(now time.Duration) []ReleasedRun {
@@ -329,11 +347,15 @@
 // EndpointRestarted records that the endpoint's process was replaced under the
 // same name. Ends are numbered from one again, and no start is requested until
 // the next response has listed the runs, including those that were requested
-// meanwhile.
-func (t *Tracker) EndpointRestarted() {
+// meanwhile. The runs that had begun are lost in a crash, unless the new process
+// lists them or the old one had announced its end.
+func (t *Tracker) EndpointRestarted(crashed bool) {
 	t.lastEndSequence = 0
 	t.synced = false
 	t.unknown = map[workload.RunID]bool{}
+	for _, res := range t.reservations {
+		res.processEnded = crashed && res.Begun()
+	}
 }
 
 // RequireSync blocks starts until the endpoint has listed its runs again, after
--- a/internal/runner/event.go
+++ b/internal/runner/event.go
@@ -40,7 +40,10 @@
 	case workload.OutcomeFailed:
 		end, code = endFailed, result.TaskFailed
 	}
-	if end == endLost && released.Reservation.AcceptedAt == 0 && code == result.OK {
+	switch {
+	case released.Outcome == workload.OutcomeCrashed:
+		code = result.EndpointGone
+	case end == endLost && released.Reservation.AcceptedAt == 0 && code == result.OK:
 		code = result.EndpointUnreachable
 	}
 	r.counters.countEnd(r.baseCtx, released.Outcome)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -64,6 +64,15 @@
 	// gone or was unreachable until its lease had expired, and cleared when the
 	// endpoint responds again.
 	down bool
+	// failingSince is when the endpoint began not to respond, zero while it
+	// responds.
+	failingSince time.Duration
+	// unreachableRuns are the begun runs that were reported as lost when the
+	// endpoint was unreachable: lost in a crash, if its process turns out to have
+	// ended.
+	unreachableRuns []capacity.ReleasedRun
+	// previousIncarnation is the process before a restart under the same ID.
+	previousIncarnation string
 }
 
 // startSession starts the session of a new endpoint process and ends the
@@ -97,8 +106,13 @@
 // has. A higher fencing token makes the endpoint refuse older requests.
 func (r *Runner) restartSession(s *session, ep *workload.Endpoint, now time.Duration) {
 	r.log.Warn("endpoint: restarted under the same id", zap.String("life", ep.Incarnation()), zap.String("before", s.endpoint.Incarnation()), zap.Int("running", s.tracker.RunCount()))
+	if !s.endpoint.Draining {
+		r.recordCrash(s, s.endpoint.Incarnation(), s.unreachableRuns, now)
+	}
+	s.unreachableRuns = nil
+	s.previousIncarnation = s.endpoint.Incarnation()
+	s.tracker.EndpointRestarted(!s.endpoint.Draining)
 	s.endpoint = ep
-	s.tracker.EndpointRestarted()
 	r.fencingToken = max(r.fencingToken, s.fencingToken) + 1
 	s.fencingToken = r.fencingToken
 	s.leaseEndMS, s.clockMS, s.clockAt = 0, ep.ClockMS, now
@@ -111,15 +125,7 @@
 	s.client.Close()
 	r.log.Info("endpoint: session ended", zap.String("life", s.endpoint.Incarnation()), zap.String("reason", reason),
 		zap.Int("lost", s.tracker.RunCount()))
-	r.loseRuns(s, now, result.EndpointGone)
-}
-
-// loseRuns reports every run of the session as lost.
-func (r *Runner) loseRuns(s *session, now time.Duration, code result.Code) {
-	for _, released := range s.tracker.ReleaseAll(now) {
-		r.reportEnd(released, code)
-	}
-	s.tracker.RequireSync()
+	r.processEnded(s, now)
 }
 
 // renewLoop renews the lease and applies the run lists in the responses.
@@ -184,9 +190,14 @@
 		return
 	}
 	now := clock.SinceBoot()
-	switch result.CodeOf(err) {
+	code := result.CodeOf(err)
+	if err != nil && code != result.StaleFence && s.failingSince == 0 {
+		s.failingSince = now
+	}
+	switch code {
 	case result.OK:
 		r.applyRenewal(s, resp, requestedAt, now)
+		s.failingSince = 0
 	case result.StaleFence:
 		s.fencingToken += fencingTokenStep
 		r.fencingToken = max(r.fencingToken, s.fencingToken)
@@ -195,7 +206,7 @@
 		if !s.down {
 			s.down = true
 			r.log.Warn("endpoint: process gone", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
-			r.loseRuns(s, now, result.EndpointGone)
+			r.processEnded(s, now)
 		}
 	default:
 		r.log.Debug("endpoint: renewal failed", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
@@ -220,13 +231,16 @@
 		r.fencingToken = max(r.fencingToken, s.fencingToken) + 1
 		s.fencingToken = r.fencingToken
 		s.lastResponseAt, s.clockMS, s.clockAt = now, resp.ClockMS, now
+		s.unreachableRuns = nil
 		r.log.Info("endpoint: reachable again", zap.String("life", s.endpoint.Incarnation()), zap.Int64("fence", s.fencingToken))
 		return
 	}
 	s.lastResponseAt, s.clockMS, s.clockAt = now, resp.ClockMS, now
-	for _, released := range s.tracker.Reconcile(resp, requestedAt, now) {
-		r.updateHealth(s, released, now)
-		r.reportEnd(released, result.OK)
+	released := s.tracker.Reconcile(resp, requestedAt, now)
+	r.recordCrash(s, s.previousIncarnation, crashedRuns(released), now)
+	for _, run := range released {
+		r.updateHealth(s, run, now)
+		r.reportEnd(run, result.OK)
 	}
 	r.startQueued(now)
 }
@@ -257,7 +271,7 @@
 	s.down = true
 	r.log.Warn("endpoint: unreachable until its lease expired, runs lost", zap.String("life", s.endpoint.Incarnation()),
 		zap.Duration("silent", now-s.lastResponseAt), zap.Int("lost", s.tracker.RunCount()))
-	r.loseRuns(s, now, result.EndpointUnreachable)
+	r.processUnreachable(s, now)
 }
 
 // checkSpeed suspends an endpoint that is too slow, and measures the speed
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -139,6 +139,9 @@
 	OutcomeLeaseExpired
 	// OutcomeGroupEnded means that another member of the run's group ended.
 	OutcomeGroupEnded
+	// OutcomeCrashed means that the run had begun when the endpoint's process
+	// ended without notice. Endpoints don't report it; runners infer it.
+	OutcomeCrashed
 )
 
 // String returns the outcome's name in logs.
@@ -154,6 +157,8 @@
 		return "lapsed"
 	case OutcomeGroupEnded:
 		return "broken"
+	case OutcomeCrashed:
+		return "crashed"
 	}
 	return "unknown"
 }
