--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -49,6 +49,11 @@
 	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.GPUs * int64(n)}
 }
 
+// Max returns the larger of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.GPUs, o.GPUs)}
+}
+
 // Fits reports whether no resource of r exceeds that of capacity.
 func (r Resources) Fits(capacity Resources) bool {
 	return r.MilliCPU <= capacity.MilliCPU && r.MemoryMB <= capacity.MemoryMB && r.GPUs <= capacity.GPUs
--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -18,13 +18,15 @@
 )
 
 const (
-	// Config is a configuration with one route, which the callers use.
-	Config = `{"version":1,"routes":[{"name":"r","hostname":"` + host + `","prefix":"` + prefix + `","service":"` + Service + `",
+	// Config is a configuration with the two routes that the callers use.
+	Config = `{"version":1,"routes":[{"name":"steady","hostname":"` + host + `","prefix":"` + steadyPrefix + `","service":"` + Service + `",
+		"stretch":1.6,"target_latency_ms":60,"max_attempts":3},{"name":"quick","hostname":"` + host + `","prefix":"` + quickPrefix + `","service":"` + Service + `",
 		"stretch":1.6,"target_latency_ms":60,"max_attempts":3}],"services":[{"name":"` + Service + `"}]}`
 	// Service is the service that the callers' tasks run on.
-	Service = "svc"
-	host    = "app.example"
-	prefix  = "/p/"
+	Service      = "svc"
+	host         = "app.example"
+	steadyPrefix = "/p/"
+	quickPrefix  = "/q/"
 	// TaskCPU is the CPU that each task needs, in thousandths of a core.
 	TaskCPU = 1000
 	// JobInterval is the time between two jobs of a normal load.
@@ -43,6 +45,13 @@
 	TaskDuration time.Duration
 }
 
+// Quick reports whether the job with the number is a quick one. These are sent
+// to a route of their own.
+func Quick(number uint64) bool { return ShapeOf(number).TaskDuration < quickDuration }
+
+// quickDuration is the duration below which a task is a quick one.
+const quickDuration = 100 * time.Millisecond
+
 // shapes are the kinds of jobs that callers send. The longest task runs longer
 // than resendDelay, so that a run that the system has lost track of overlaps
 // the run of the resent job.
@@ -65,6 +74,22 @@
 	return ShapeOf(number).TaskDuration
 }
 
+// crashingJobInterval is the number of jobs of which one crashes the endpoints
+// that start its first task. Its factor of len(shapes) makes these quick jobs.
+const crashingJobInterval = 24
+
+// CrashesEndpoint reports whether a run crashes its endpoint, which follows from
+// its task. Jobs that are sent after the main load have no such task.
+func CrashesEndpoint(run workload.RunID) bool {
+	task, _ := workload.ParseTaskID(run.Task)
+	number, err := strconv.ParseUint(task.Job, 16, 64)
+	return err == nil && number < loadNumberOffset && task.Index == 0 && Crashing(number)
+}
+
+// Crashing reports whether the job with the number has a task that crashes its
+// endpoints.
+func Crashing(number uint64) bool { return number%crashingJobInterval == 0 }
+
 // JobResult holds the answers to one job: the status of each send, zero if
 // there was no answer, and the last body.
 type JobResult struct {
@@ -80,6 +105,11 @@
 	return r.lastStatus() == http.StatusOK && strings.Contains(r.Body, "completed")
 }
 
+// Failed reports whether the caller was told that the job can't be done.
+func (r *JobResult) Failed() bool {
+	return r.lastStatus() == http.StatusOK && strings.Contains(r.Body, "failed")
+}
+
 // Refused reports whether every send was answered with a refusal, which means
 // that the job did not run.
 func (r *JobResult) Refused() bool {
@@ -139,6 +169,10 @@
 	shape := ShapeOf(number)
 	text := fmt.Sprintf(`{"best_effort":true,"spec":"s","steps":[{"count":%d,"cpu":%d,"mem_mb":1,"estimated_ms":%d}]}`,
 		shape.Tasks, TaskCPU, shape.TaskDuration.Milliseconds())
+	prefix := steadyPrefix
+	if Quick(number) {
+		prefix = quickPrefix
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dispatcher+prefix+JobID(number), strings.NewReader(text))
--- a/test/caller/check.go
+++ b/test/caller/check.go
@@ -34,7 +34,7 @@
 // CheckResults checks the answers against what the endpoints did.
 func CheckResults(t *testing.T, checker *platformtest.Checker, results []*JobResult) {
 	t.Helper()
-	completed, refused := 0, 0
+	completed, refused, failed := 0, 0, 0
 	for _, r := range results {
 		id := JobID(r.Number)
 		if r.Completed() {
@@ -43,6 +43,12 @@
 				t.Errorf("job %s was reported as completed, but only %d of %d tasks were done", id, n, ShapeOf(r.Number).Tasks)
 			}
 		}
+		if r.Failed() {
+			failed++
+			if n := checker.Crashes(id); n < platformtest.GiveUpCrashes {
+				t.Errorf("job %s was reported as failed after %d crashes under its tasks", id, n)
+			}
+		}
 		if r.Refused() {
 			refused++
 			if n := checker.Starts(id); n > 0 {
@@ -50,7 +56,7 @@
 			}
 		}
 	}
-	t.Logf("%d jobs: %d completed, %d refused", len(results), completed, refused)
+	t.Logf("%d jobs: %d completed, %d refused, %d failed", len(results), completed, refused, failed)
 }
 
 // CheckRecovery checks that every dispatcher completes jobs again within the given
--- a/test/simulate/cluster.go
+++ b/test/simulate/cluster.go
@@ -24,6 +24,7 @@
 	"github.com/pomelosill/pomelosill/internal/runner"
 	"github.com/pomelosill/pomelosill/internal/settings"
 	"github.com/pomelosill/pomelosill/internal/standin/kvstore"
+	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/caller"
@@ -82,6 +83,8 @@
 	log                 *logbuf.Buffer
 	// jobInterval is the time between two jobs.
 	jobInterval time.Duration
+	// crashingJobs is set if some jobs crash the endpoints that start them.
+	crashingJobs bool
 }
 
 // logger returns the logger of one process.
@@ -201,6 +204,8 @@
 	address := fmt.Sprintf("end-%d:1", i)
 	h.endpoint = caller.NewEndpoint(domainName(i), endpointTasks, c.checker)
 	h.endpoint.ID, h.endpoint.StopDelay, h.endpoint.ChooseFault = address, stopDelay, h.faults.Choose
+	h.endpoint.OnProcess = func(running bool) { c.network.setRunning(h.endpointName(), running) }
+	h.endpoint.Crashes = func(run workload.RunID) bool { return c.crashingJobs && caller.CrashesEndpoint(run) }
 	h.endpoint.Init()
 	c.serve(h.endpointName(), address, h.endpoint.Handler())
 	h.runner = c.addProc(h.name, func(n network.Network, log *zap.Logger) func(context.Context) error {
--- a/test/simulate/network.go
+++ b/test/simulate/network.go
@@ -15,6 +15,8 @@
 	conns     map[*conn]bool
 	// blocked are the routes on which nothing is delivered.
 	blocked map[route]bool
+	// refusing are the nodes without a process, whose hosts refuse connections.
+	refusing map[string]bool
 	// delays are added to the latency of routes.
 	delays  map[route]time.Duration
 	changed chan struct{}
@@ -25,7 +27,7 @@
 
 func newSimNetwork() *simNetwork {
 	return &simNetwork{
-		listeners: map[string]*listener{}, conns: map[*conn]bool{}, blocked: map[route]bool{},
+		listeners: map[string]*listener{}, conns: map[*conn]bool{}, blocked: map[route]bool{}, refusing: map[string]bool{},
 		delays: map[route]time.Duration{}, changed: make(chan struct{}),
 	}
 }
@@ -61,6 +63,33 @@
 	})
 }
 
+// setRunning makes a node's host refuse connections while its process is not
+// running, and closes the process's connections when it ends.
+func (n *simNetwork) setRunning(name string, running bool) {
+	n.mu.Lock()
+	n.refusing[name] = !running
+	n.mu.Unlock()
+	if running {
+		return
+	}
+	n.closeConnsOf(name)
+}
+
+// closeConnsOf closes every connection of a node.
+func (n *simNetwork) closeConnsOf(name string) {
+	n.mu.Lock()
+	var conns []*conn
+	for c := range n.conns {
+		if c.from == name || c.to == name {
+			conns = append(conns, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		c.close()
+	}
+}
+
 // waitOpen waits until a route is not blocked, and reports whether that happened
 // before stop was closed.
 func (n *simNetwork) waitOpen(r route, stop <-chan struct{}) bool {
--- a/test/simulate/stack.go
+++ b/test/simulate/stack.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,7 +12,7 @@
 
 var (
 	errUnreachable  = errors.New("host unreachable")
-	errRefused      = errors.New("connection refused")
+	errRefused      = errors.Wrap(syscall.ECONNREFUSED, "dial")
 	errAddressInUse = errors.New("address already in use")
 )
 
@@ -83,8 +84,9 @@
 	}
 	s.network.mu.Lock()
 	l := s.network.listeners[addr]
+	refused := l == nil || s.network.refusing[l.owner]
 	s.network.mu.Unlock()
-	if l == nil {
+	if refused {
 		time.Sleep(2 * baseLatency)
 		return nil, errRefused
 	}
