Tasks that crash endpoints are contained, told from bystanders and given up

Cause: a task whose endpoint was lost was started again at once, anywhere, up to 40 times, and its count began anew when its job came again through another dispatcher. Change: runners report the runs that had begun when their endpoint crashed to all their dispatchers, which pass the reports on (internal/crash). A task that may be the cause runs contained: on a quarter of the endpoints (placement.Area), of which each runs one such job at a time, so that the next crash has one suspect. After a crash by a contained job its route is contained until some of its jobs were done without one; other work runs elsewhere. A task with two crashes, in one of them the only suspect, is given up and its job answered as failed at once; a probable cause is answered as of unknown outcome while its route is contained. A run that had not begun counts for nothing; runs that are lost for any cause are bounded by five. Ruled out: a cap on lost runs alone fails bystanders; strict isolation of all suspects waits for an endpoint to become empty.

--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -36,6 +36,10 @@
 	// run.
 	Owner     string
 	Resources workload.Resources
+	// Route is the route of the run's job. Contained is set if the job may crash
+	// the endpoint.
+	Route     string
+	Contained bool
 	// Estimate is the expected duration at speed 1.
 	Estimate time.Duration
 	State    RunState
@@ -183,6 +187,17 @@
 	return false
 }
 
+// HasContained reports whether a contained run of another job than the given one
+// holds capacity.
+func (t *Tracker) HasContained(exceptJob string) bool {
+	for run, res := range t.reservations {
+		if task, _ := workload.ParseTaskID(run.Task); res.Contained && task.Job != exceptJob {
+			return true
+		}
+	}
+	return false
+}
+
 // StartAccepted records that the endpoint accepted the start.
 func (t *Tracker) StartAccepted(run workload.RunID, now time.Duration) {
 	res, found := t.reservations[run]
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -125,7 +125,7 @@
 }
 
 // recordDigest returns the digest of one record.
-func recordDigest(n Node) uint64 { return mix(hashName(n.Name) ^ mix(n.Revision)) }
+func recordDigest(n Node) uint64 { return mix(HashName(n.Name) ^ mix(n.Revision)) }
 
 // Merge adds the nodes that another process knows. It ignores malformed ones, and
 // a record that is no newer than what was read from the store: that reading
--- a/internal/directory/subset.go
+++ b/internal/directory/subset.go
@@ -42,10 +42,10 @@
 }
 
 func newRanking(name string, dispatchers []Node) *ranking {
-	r := &ranking{self: hashName(name)}
+	r := &ranking{self: HashName(name)}
 	for _, n := range dispatchers {
 		if n.Name != name {
-			r.others = append(r.others, hashName(n.Name))
+			r.others = append(r.others, HashName(n.Name))
 		}
 	}
 	return r
@@ -54,7 +54,7 @@
 // rank counts the other dispatchers that rank before self for the runner, up to
 // dispatchersPerRunner.
 func (r *ranking) rank(runner string) int {
-	h := hashName(runner)
+	h := HashName(runner)
 	own := mix(r.self ^ h)
 	before := 0
 	for _, other := range r.others {
@@ -77,7 +77,7 @@
 func PeersOf(name string, dispatchers []Node) []Node {
 	hashes := make(map[string]uint64, len(dispatchers))
 	for _, n := range dispatchers {
-		hashes[n.Name] = hashName(n.Name)
+		hashes[n.Name] = HashName(n.Name)
 	}
 	ring := slices.Clone(dispatchers)
 	slices.SortFunc(ring, func(a, b Node) int {
@@ -94,7 +94,9 @@
 	return peers
 }
 
-func hashName(name string) uint64 {
+// HashName returns a hash of a node's name, of which every bit depends on every
+// byte of the name.
+func HashName(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
 	return mix(h.Sum64())
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -169,6 +169,9 @@
 	}
 	j := newJob(spec, route, now, deadline)
 	j.callerCount = 1
+	if d.judge(j) {
+		return j, nil
+	}
 	d.load.Add(j.queuedMilliCPU(), now)
 	if err := d.checkServable(j, now); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/placement"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
+// crashReport returns the crash of a process during a run of the job's first task.
+func crashReport(life, job string, contained bool) []*pb.CrashReport {
+	run := &pb.CrashedRun{Task: workload.TaskID{Job: job}.String(), Route: "r", Contained: contained}
+	return []*pb.CrashReport{{Runner: "r-9", Life: life, Runs: []*pb.CrashedRun{run}}}
+}
+
+func (d *Dispatcher) admitTestJob(t *testing.T, id string) *job {
+	spec := &workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{MilliCPU: 1000}, Estimate: 50 * time.Millisecond}}}
+	now := clock.SinceBoot()
+	j, err := d.admit(spec, &policy.Route{Name: "r", Service: "svc", MaxAttempts: 2, Stretch: 1.6, TargetLatency: time.Second}, now, now+time.Second)
+	must.NoError(t, err)
+	return j
+}
+
+// A caller whose answer was lost sends its job again through another dispatcher,
+// which has heard of the crashes from the runners and the other dispatchers.
+func TestJobThatCrashedEndpointsElsewhereIsNotStartedAgain(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	g := newGossipStream(d, nil, nil)
+	g.handleFrame(&pb.GossipFrame{Crashes: crashReport("1", "j", false)})
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("2", "j", true)})
+	j := d.admitTestJob(t, "j")
+	a := <-j.answer
+	must.True(t, a.Failed && a.Code == result.OK, must.Sprintf("%+v", a))
+	must.MapEmpty(t, d.jobs)
+}
+
+// A dispatcher that learns of a second crash, even from another runner, must not
+// start the task again, and answers at once.
+func TestOpenJobIsGivenUpOnceItsTaskCrashesEndpoints(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	j := d.admitTestJob(t, "j")
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("1", "j", false)})
+	must.True(t, j.suspect && !j.answered)
+	must.Eq(t, placement.Inside, d.areaOf(j, clock.SinceBoot()))
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("2", "j", true)})
+	must.True(t, (<-j.answer).Failed)
+}
+
+// While jobs of a route crash endpoints, no endpoint is spent on confirming that a
+// job that did is the cause. It may have run, so it is neither refused nor failed.
+func TestProbableCauseIsAnsweredAtOnce(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	j := d.admitTestJob(t, "j")
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("1", "j", true)})
+	a := <-j.answer
+	must.True(t, a.Code == result.StillRunning && !a.Failed, must.Sprintf("%+v", a))
+	must.Eq(t, placement.Inside, d.areaOf(d.admitTestJob(t, "k"), clock.SinceBoot()), must.Sprint("another job of the route"))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
 	"github.com/pomelosill/pomelosill/internal/network"
@@ -34,14 +35,16 @@
 
 // Dispatcher is a dispatcher process.
 type Dispatcher struct {
-	settings    *Settings
-	log         *zap.Logger
-	debug       *process.Debug
-	metrics     *metrics
-	network     network.Network
-	store       store.Store
-	policy      *policy.Holder
-	directory   *directory.Cache
+	settings  *Settings
+	log       *zap.Logger
+	debug     *process.Debug
+	metrics   *metrics
+	network   network.Network
+	store     store.Store
+	policy    *policy.Holder
+	directory *directory.Cache
+	// crashes holds the crashes of endpoints that this dispatcher knows.
+	crashes     *crash.Log
 	incarnation string
 	// startedAt is when the process started to serve.
 	startedAt time.Duration
@@ -78,6 +81,7 @@
 		store:            platform.NewStore(n, s.Store),
 		policy:           policy.NewHolder(),
 		directory:        directory.NewCache(),
+		crashes:          crash.NewLog(),
 		incarnation:      strconv.FormatInt(time.Now().UnixNano(), 36),
 		jobs:             map[string]*job{},
 		waiting:          map[string]*job{},
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -48,6 +48,9 @@
 	t.state = taskDone
 	j.openTasks[t.id.Step]--
 	if j.done() {
+		if t.contained {
+			d.crashes.ContainedJobDone(j.route.Name)
+		}
 		d.finish(j, platform.Answer{Code: result.OK})
 		return
 	}
@@ -89,12 +92,16 @@
 	d.log.Info("task: run lost", zap.String("task", t.name), zap.Uint64("attempt", t.attempt),
 		zap.String("runner", r.node.Name), zap.Stringer("code", code), zap.Bool("moving", t.moving))
 	t.job.avoid[r.node.Name] = true
+	if !t.moving {
+		t.lostRuns++
+	}
 	d.retryTask(t)
 }
 
-// retryTask queues a task for another run, unless it has used all attempts.
+// retryTask queues a task for another run, unless it has used all attempts, or
+// its runs were lost so often that it may be the cause.
 func (d *Dispatcher) retryTask(t *task) {
-	if t.attempt >= maxTaskAttempts {
+	if t.attempt >= maxTaskAttempts || t.lostRuns >= maxLostRuns {
 		d.finish(t.job, platform.Answer{Code: result.StillRunning})
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -35,6 +35,10 @@
 	runnerName string
 	placedAt   time.Duration
 	failures   int
+	// contained is set if the last run was contained.
+	contained bool
+	// lostRuns counts the runs that were lost without being stopped.
+	lostRuns int
 	// redirects counts the starts that were refused for lack of capacity.
 	redirects int
 	// moving is set while the run is being stopped in order to start elsewhere.
@@ -62,7 +66,9 @@
 	// avoid holds the runners at which a run of the job failed, stalled or was
 	// lost, or a start was refused for another reason than lack of capacity, an
 	// expired lease or a used attempt; placement uses them last.
-	avoid    map[string]bool
+	avoid map[string]bool
+	// suspect is set if one of the tasks may crash endpoints.
+	suspect  bool
 	answer   chan platform.Answer
 	answered bool
 	// callerCount is the number of requests that wait for the answer.
@@ -162,11 +168,12 @@
 }
 
 // placementRequest returns the request for placing count of the step's tasks.
-func (j *job) placementRequest(step, count int) *placement.Request {
+func (j *job) placementRequest(step, count int, area placement.Area) *placement.Request {
 	s := &j.spec.Steps[step]
 	return &placement.Request{
 		Service: j.route.Service, Resources: s.Resources, Count: count, RequiredLabel: s.RequiredLabel,
 		MaxPerEndpoint: s.MaxPerEndpoint, PlacedByEndpoint: j.placedByRunner(step), Avoid: j.avoid,
+		Area: area,
 	}
 }
 
@@ -174,7 +181,7 @@
 func (j *job) urgency() *placement.Urgency {
 	return &placement.Urgency{
 		ArrivedAt: j.arrivedAt, Objective: j.objective, RemainingWork: j.remainingWork(),
-		Started: j.started(),
+		Started: j.started(), Suspect: j.suspect,
 	}
 }
 
--- a/internal/dispatch/links_test.go
+++ b/internal/dispatch/links_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/policy"
@@ -19,7 +20,7 @@
 func newTestDispatcher(name string) *Dispatcher {
 	return &Dispatcher{
 		settings: &Settings{Service: settings.Service{Name: name}}, policy: policy.NewHolder(),
-		directory: directory.NewCache(), log: zap.NewNop(), runners: map[string]*runner{},
+		directory: directory.NewCache(), crashes: crash.NewLog(), log: zap.NewNop(), runners: map[string]*runner{},
 	}
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -17,6 +17,8 @@
 	orders   metric.Int64Counter
 	refusals metric.Int64Counter
 	answers  metric.Int64Counter
+	crashes  metric.Int64Counter
+	givenUp  metric.Int64Counter
 	latency  metric.Float64Histogram
 }
 
@@ -32,6 +34,12 @@
 	if out.answers, err = m.Int64Counter("dispatcher_answers"); err != nil {
 		return nil, err
 	}
+	if out.crashes, err = m.Int64Counter("dispatcher_endpoint_crashes"); err != nil {
+		return nil, err
+	}
+	if out.givenUp, err = m.Int64Counter("dispatcher_jobs_given_up"); err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("dispatcher_answer_seconds", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4))
 	return out, err
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -104,6 +104,9 @@
 	// sentVersion is the version of the directory up to which the peer has the
 	// records or has been sent them.
 	sentVersion uint64
+	// sentCrashes is the version of the log of crashes up to which the peer has
+	// been sent the reports.
+	sentCrashes uint64
 }
 
 func newGossipStream(d *Dispatcher, send func(*pb.GossipFrame) error, receive func() (*pb.GossipFrame, error)) *gossipStream {
@@ -111,12 +114,12 @@
 }
 
 // sendLoop sends a frame whenever the policy has changed, whenever the peer
-// turns out to have another directory, and every gossipInterval. The first frame
-// after a change of the policy only holds its revision, because most peers read
-// the policy from the store themselves.
+// turns out to have another directory, whenever an endpoint has crashed, and every
+// gossipInterval. The first frame after a change of the policy only holds its
+// revision, because most peers read the policy from the store themselves.
 func (g *gossipStream) sendLoop(ctx context.Context) error {
 	for {
-		changed := g.dispatcher.policy.Changed()
+		changed, crashed := g.dispatcher.policy.Changed(), g.dispatcher.crashes.Changed()
 		f := g.nextFrame()
 		if err := g.send(f); err != nil {
 			return err
@@ -125,14 +128,14 @@
 		if f.GetPolicy() == nil && g.peerRevision.behind(f.GetPolicyRevision()) {
 			pause = storePropagationDelay
 		}
-		if err := g.waitUntilDue(ctx, changed, pause); err != nil {
+		if err := g.waitUntilDue(ctx, changed, crashed, pause); err != nil {
 			return err
 		}
 	}
 }
 
 // waitUntilDue waits until the next frame is due.
-func (g *gossipStream) waitUntilDue(ctx context.Context, policyChanged <-chan struct{}, pause time.Duration) error {
+func (g *gossipStream) waitUntilDue(ctx context.Context, policyChanged, crashed <-chan struct{}, pause time.Duration) error {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	for {
@@ -141,6 +144,8 @@
 			return ctx.Err()
 		case <-policyChanged:
 			return nil
+		case <-crashed:
+			return nil
 		case <-timer.C:
 			return nil
 		case <-g.received:
@@ -167,6 +172,7 @@
 	d := g.dispatcher
 	digest, version := d.directory.Summary()
 	f := &pb.GossipFrame{Dispatcher: d.settings.Name, PolicyRevision: d.policy.Revision(), DirectoryDigest: digest}
+	f.Crashes, g.sentCrashes = d.encodeCrashes(g.sentCrashes)
 	if s := d.policy.Current(); s != nil && d.policy.Age() >= storePropagationDelay && g.peerRevision.advance(s.Revision) {
 		f.Policy = codec.Encode(s)
 	}
@@ -207,6 +213,11 @@
 		nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
 	}
 	g.dispatcher.directory.Merge(nodes)
+	if len(f.GetCrashes()) > 0 {
+		g.dispatcher.mu.Lock()
+		g.dispatcher.applyCrashes(f.GetCrashes(), clock.SinceBoot())
+		g.dispatcher.mu.Unlock()
+	}
 	g.peerDigest.Store(f.GetDirectoryDigest())
 	select {
 	case g.received <- struct{}{}:
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -34,6 +34,8 @@
 	node directory.Node
 	// rank is the dispatcher's rank among those that are linked to the runner.
 	rank int
+	// hash is that of the runner's name.
+	hash uint64
 	// unlinked is set once the runner is no longer assigned to the dispatcher.
 	unlinked bool
 	// incarnation is that of the runner's process, empty before the first
@@ -79,7 +81,7 @@
 
 func newRunner(n directory.Node) *runner {
 	return &runner{
-		node: n, runs: map[workload.RunID]*task{}, stopping: map[workload.RunID]bool{},
+		node: n, hash: directory.HashName(n.Name), runs: map[workload.RunID]*task{}, stopping: map[workload.RunID]bool{},
 		unaccounted: map[uint64]workload.Resources{}, state: &pb.RunnerState{},
 	}
 }
@@ -177,5 +179,20 @@
 	return placement.Endpoint{
 		Name: r.node.Name, Service: r.state.GetService(), Labels: r.state.GetLabels(),
 		Free: r.free(), Capacity: r.capacity(), Speed: r.speed(), Healthy: r.state.GetHealthy(),
+		Rank: r.hash, HasContained: r.hasContained(),
 	}
 }
+
+// hasContained reports whether a contained job runs or waits at the runner, as
+// far as the dispatcher knows.
+func (r *runner) hasContained() bool {
+	if r.state.GetContained() {
+		return true
+	}
+	for _, t := range r.runs {
+		if t.contained {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -143,6 +143,7 @@
 	now := clock.SinceBoot()
 	d.applyHeartbeat(r, f, now)
 	codec.Apply(d.policy, f.GetPolicy(), d.log)
+	d.applyCrashes(f.GetCrashes(), now)
 	for _, e := range f.GetEvents() {
 		d.handleRunEvent(r, e)
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -20,6 +20,9 @@
 const (
 	// maxTaskAttempts bounds the runs of one task.
 	maxTaskAttempts = 40
+	// maxLostRuns bounds the runs of one task that are lost with their endpoint or
+	// runner, whether or not the endpoint is known to have crashed.
+	maxLostRuns = 5
 	// attemptSkip is added to a task's attempt when the endpoint refuses it
 	// because it knows the same or a later attempt, which an earlier submission
 	// of the job has used.
@@ -35,29 +38,34 @@
 	if len(d.jobs) >= maxJobs {
 		return result.Errorf(result.QueueFull, "%d jobs are open, which is the limit", len(d.jobs))
 	}
-	endpoints, _ := d.usableEndpoints(now)
+	all, _ := d.usableEndpoints(now)
+	area := d.areaOf(j, now)
+	endpoints := endpointsIn(all, area)
+	if area == placement.Inside && !placement.AdmitContained(d.openContainedJobs(now), len(endpoints), d.loadShare(now)) {
+		return result.Errorf(result.Overloaded, "job %s: other jobs of route %s crash endpoints, and the %d endpoints for them are in use", j.spec.ID, j.route.Name, len(endpoints))
+	}
 	capacity, known := placement.StartingCapacity(totalMilliCPU(endpoints), len(endpoints), len(d.runners), now-d.startedAt)
 	if !known {
 		return nil
 	}
 	for s := range j.spec.Steps {
-		req := j.placementRequest(s, 1)
+		req := j.placementRequest(s, 1, area)
 		possible := slices.ContainsFunc(endpoints, func(e placement.Endpoint) bool { return req.CanEverFit(&e) })
 		if !possible {
 			return result.Errorf(result.NoEndpoint, "no endpoint can run step %d of job %s; %d are usable", s, j.spec.ID, len(endpoints))
 		}
 	}
-	return d.checkBacklog(j, capacity, now)
+	return d.checkBacklog(j, area, capacity, now)
 }
 
 // checkBacklog returns an error for a job that would have to wait for longer
 // than its objective allows.
-func (d *Dispatcher) checkBacklog(j *job, capacityMilliCPU int64, now time.Duration) error {
+func (d *Dispatcher) checkBacklog(j *job, area placement.Area, capacityMilliCPU int64, now time.Duration) error {
 	u := j.urgency()
 	b := placement.Backlog{QueuedMilliCPU: d.queuedAtRunners(), CapacityMilliCPU: capacityMilliCPU, MeanTaskDuration: d.meanTaskDuration}
 	var ownQueued int64
 	for _, other := range d.waiting {
-		if !other.urgency().LateUnstarted(now) {
+		if d.areaOf(other, now) == area && !other.urgency().LateUnstarted(now) {
 			ownQueued += other.queuedMilliCPU()
 		}
 	}
@@ -110,14 +118,26 @@
 	p := d.policy.Current()
 	var all []placement.Endpoint
 	var runners []*runner
+	if p == nil {
+		return nil, nil
+	}
 	for _, r := range d.runners {
-		if !r.usable(now) || p == nil || p.OutOfService(r.state.GetFailureDomain()) {
-			continue
+		if !p.OutOfService(r.state.GetFailureDomain()) {
+			all = append(all, r.endpoint())
+			runners = append(runners, r)
+		}
+	}
+	if d.containing(now) {
+		placement.MarkContainment(all)
+	}
+	usable := 0
+	for i, r := range runners {
+		if r.usable(now) {
+			all[usable], runners[usable] = all[i], r
+			usable++
 		}
-		all = append(all, r.endpoint())
-		runners = append(runners, r)
 	}
-	return all, runners
+	return all[:usable], runners[:usable]
 }
 
 // schedule assigns free capacity to waiting jobs, the most urgent first. It is
@@ -137,8 +157,10 @@
 			if len(queued) == 0 {
 				continue
 			}
-			for _, a := range placement.Assign(j.placementRequest(s, len(queued)), endpoints, rand.IntN) {
-				d.sendStarts(runners[a.EndpointIndex], queued[:a.Count], a.Queued, now)
+			area := d.areaOf(j, now)
+			for _, a := range placement.Assign(j.placementRequest(s, len(queued), area), endpoints, rand.IntN) {
+				endpoints[a.EndpointIndex].HasContained = area == placement.Inside
+				d.sendStarts(runners[a.EndpointIndex], queued[:a.Count], a.Queued, area, now)
 				queued = queued[a.Count:]
 			}
 		}
@@ -165,7 +187,7 @@
 
 // sendStarts requests runs of tasks of one job from a runner. The tasks are to
 // wait there if wait is set.
-func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, now time.Duration) {
+func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, area placement.Area, now time.Duration) {
 	// The echo proves to the runner that the orders are new.
 	frame := d.newHeartbeat(r, now)
 	if !r.inUse() {
@@ -176,6 +198,7 @@
 	for i, t := range tasks {
 		t.attempt++
 		t.state, t.runnerName, t.placedAt, t.moving = taskPlaced, r.node.Name, now, false
+		t.contained = area == placement.Inside
 		step := &j.spec.Steps[t.id.Step]
 		order := &pb.RunOrder{
 			Run:        runref.Encode(t.runID()),
@@ -187,6 +210,8 @@
 			PatienceUs: placement.RunnerWait(wait, t.redirects).Microseconds(),
 			Number:     r.reserve(step.Resources, now),
 			SlackUs:    slack.Microseconds(),
+			Route:      j.route.Name,
+			Contained:  t.contained,
 		}
 		if i == 0 {
 			order.Spec = j.spec.Spec
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -19,6 +19,8 @@
 	RemainingWork time.Duration
 	// Started is set once a task of the job has been placed.
 	Started bool
+	// Suspect is set if the job may have crashed an endpoint.
+	Suspect bool
 }
 
 // Slack returns how long the job can still wait and meet its objective. It is
@@ -35,17 +37,21 @@
 
 // Classes of jobs, the most urgent first. Under overload, started work is
 // finished before other work is started, and no capacity is spent on late
-// answers while another job can still be answered in time.
+// answers while another job can still be answered in time. Jobs that probably
+// crash their endpoint again come last.
 const (
 	classStarted = iota
 	classUnstarted
 	classLateStarted
 	classLateUnstarted
+	classSuspect
 )
 
 func (u *Urgency) class(now time.Duration) int {
 	late := u.Slack(now) < 0
 	switch {
+	case u.Suspect:
+		return classSuspect
 	case u.Started && !late:
 		return classStarted
 	case !late:
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,6 +23,13 @@
 	Speed float64
 	// Healthy is false for an endpoint that gets probe tasks only.
 	Healthy bool
+	// Rank orders the endpoints alike at all dispatchers, and has nothing to do
+	// with where they are.
+	Rank uint64
+	// Containment is set for the endpoints that contained jobs use.
+	Containment bool
+	// HasContained is set while a contained job runs or waits there.
+	HasContained bool
 }
 
 // maxQueueFraction bounds the tasks queued at an endpoint's runner, as a
@@ -55,6 +62,8 @@
 	// Avoid holds endpoints on which the job has failed before; they are used
 	// last.
 	Avoid map[string]bool
+	// Area bounds the endpoints by their Containment.
+	Area Area
 }
 
 // Assignment assigns Count tasks to the endpoint with index EndpointIndex in
@@ -82,7 +91,7 @@
 
 func (r *Request) tier(e *Endpoint) int {
 	switch {
-	case e.Service != r.Service, r.RequiredLabel != "" && !slices.Contains(e.Labels, r.RequiredLabel):
+	case e.Service != r.Service, !r.Area.Includes(e), r.RequiredLabel != "" && !slices.Contains(e.Labels, r.RequiredLabel):
 		return tierIneligible
 	case r.Avoid[e.Name]:
 		return tierAvoided
@@ -96,6 +105,9 @@
 
 // FitCount returns how many of the tasks fit at the endpoint now.
 func (r *Request) FitCount(e *Endpoint) int {
+	if r.Area == Inside && e.HasContained {
+		return 0
+	}
 	n := r.Count
 	if r.MaxPerEndpoint > 0 {
 		n = min(n, r.MaxPerEndpoint-r.PlacedByEndpoint[e.Name])
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -6,22 +6,43 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/capacity"
+	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/crash"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
 // recordCrash records that a process of the endpoint has ended without notice
-// while the runs were there. The caller holds r.mu.
+// while the runs were there, and reports it to all dispatchers: a job may come
+// again through another one. The caller holds r.mu, and reports the ends of the
+// runs after it.
 func (r *Runner) recordCrash(s *session, incarnation string, runs []capacity.ReleasedRun, now time.Duration) {
 	if len(runs) == 0 {
 		return
 	}
-	since := s.crashTime(now)
+	report := crash.Report{Runner: r.settings.Name, Incarnation: incarnation, At: s.crashTime(now)}
 	for _, run := range runs {
-		r.log.Warn("run: lost in a crash of the endpoint", zap.String("task", run.Reservation.Run.Task),
-			zap.Uint64("attempt", run.Reservation.Run.Attempt), zap.String("life", incarnation),
-			zap.Duration("age", since-run.Reservation.StartSentAt), zap.Int("runs", len(runs)))
+		res := &run.Reservation
+		age := max(report.At-res.StartSentAt, 0)
+		r.log.Warn("run: lost in a crash of the endpoint", zap.String("task", res.Run.Task), zap.Uint64("attempt", res.Run.Attempt),
+			zap.String("life", incarnation), zap.Duration("age", age), zap.Bool("contained", res.Contained), zap.Int("runs", len(runs)))
+		report.Runs = append(report.Runs, crash.Run{Task: res.Run.Task, Route: res.Route, Age: age, Contained: res.Contained})
 	}
+	r.crashes.Add(report, now)
+	f := &pb.RunnerFrame{Crashes: crash.Encode([]crash.Report{report}, now)}
+	for _, d := range r.dispatchers {
+		// A dispatcher without a connection gets all reports with its next one.
+		if d.outbox != nil {
+			d.outbox.Put(f)
+		}
+	}
+}
+
+// encodeCrashes returns all crashes that are known.
+func (r *Runner) encodeCrashes() []*pb.CrashReport {
+	reports, _ := r.crashes.ChangedSince(0)
+	return crash.Encode(reports, clock.SinceBoot())
 }
 
 // crashTime returns when the endpoint stopped responding: its process ended then
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -129,7 +129,7 @@
 	r.grantLease(d, d.lastReceivedAt)
 	d.outbox.Put(&pb.RunnerFrame{
 		Runner: r.settings.Name, Incarnation: r.incarnation,
-		Held: r.heldRuns(d), Beat: r.newHeartbeat(),
+		Held: r.heldRuns(d), Beat: r.newHeartbeat(), Crashes: r.encodeCrashes(),
 	})
 	if len(d.unsent) > 0 {
 		d.outbox.Put(&pb.RunnerFrame{Events: d.unsent})
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -24,6 +24,9 @@
 	spec      string
 	resources workload.Resources
 	estimate  time.Duration
+	route     string
+	// contained is set if the job may crash the endpoint.
+	contained bool
 	// waitDeadline is the time until which the order may wait for capacity.
 	waitDeadline time.Duration
 	// startDeadline is the latest time at which the run can start and still end
@@ -53,6 +56,8 @@
 		spec:          spec,
 		resources:     workload.DecodeResources(o.GetCpuMilli(), o.GetMemoryMb(), o.GetGpus()),
 		estimate:      time.Duration(o.GetEstimateUs()) * time.Microsecond,
+		route:         o.GetRoute(),
+		contained:     o.GetContained(),
 		waitDeadline:  now + time.Duration(o.GetPatienceUs())*time.Microsecond,
 		startDeadline: now + time.Duration(o.GetSlackUs())*time.Microsecond,
 	}
@@ -96,8 +101,8 @@
 }
 
 // hasCapacity reports whether the order's run may start now: the endpoint has
-// responded recently, is neither suspended nor at its bound of probe runs, and
-// has free capacity.
+// responded recently, is neither suspended nor at its bound of probe runs, has free
+// capacity, and no contained run of another job if the order is contained.
 func (r *Runner) hasCapacity(o *order, now time.Duration) bool {
 	s := r.session
 	if now-s.lastResponseAt > maxResponseAge || s.health.Suspended(now) {
@@ -106,7 +111,13 @@
 	if limit := s.health.MaxRuns(); limit > 0 && s.tracker.RunCount() >= limit {
 		return false
 	}
-	return s.tracker.Fits(o.resources)
+	return s.tracker.Fits(o.resources) && !(o.contained && s.tracker.HasContained(o.job()))
+}
+
+// job returns the ID of the order's job.
+func (o *order) job() string {
+	task, _ := workload.ParseTaskID(o.runID.Task)
+	return task.Job
 }
 
 // handleOrder starts an order, queues it until there is capacity, or refuses
@@ -131,7 +142,9 @@
 // startRun reserves capacity for the order's run and requests its start.
 func (r *Runner) startRun(o *order, now time.Duration) {
 	s := r.session
-	reserved := s.tracker.Reserve(capacity.Reservation{Run: o.runID, Owner: o.owner, Resources: o.resources, Estimate: o.estimate}, now)
+	reserved := s.tracker.Reserve(capacity.Reservation{
+		Run: o.runID, Owner: o.owner, Resources: o.resources, Estimate: o.estimate, Route: o.route, Contained: o.contained,
+	}, now)
 	if !reserved {
 		r.refuse(o, result.AlreadyStarted)
 		return
@@ -226,8 +239,7 @@
 			r.fencingToken = max(r.fencingToken, s.fencingToken)
 		}
 		if code == result.Overloaded {
-			task, _ := workload.ParseTaskID(o.runID.Task)
-			s.health.RunFailed(task.Job, now)
+			s.health.RunFailed(o.job(), now)
 		}
 		s.tracker.StartRefused(o.runID, now)
 		r.sendEvent(o.owner, newRunEvent(o.runID, endRefused, code, 0))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/network"
@@ -47,8 +48,10 @@
 	// heartbeat.
 	session     *session
 	dispatchers map[string]*dispatcher
-	queue       []*order
-	draining    bool
+	// crashes holds the crashes of the endpoint's processes.
+	crashes  *crash.Log
+	queue    []*order
+	draining bool
 	// lastState is the endpoint's state at the last periodic check, to detect
 	// changes that only the passing of time causes.
 	lastState *pb.RunnerState
@@ -81,6 +84,7 @@
 		network:         n,
 		incarnation:     strconv.FormatInt(time.Now().UnixNano(), 36),
 		dispatchers:     map[string]*dispatcher{},
+		crashes:         crash.NewLog(),
 		fencingToken:    startedAtMS,
 		policyPushDelay: minPolicyPushDelay + rand.N(maxPolicyPushDelay-minPolicyPushDelay),
 	}
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -129,4 +129,5 @@
 		f.Policy = item.GetPolicy()
 	}
 	f.Events = append(f.Events, item.GetEvents()...)
+	f.Crashes = append(f.Crashes, item.GetCrashes()...)
 }
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -55,7 +55,9 @@
 	now := clock.SinceBoot()
 	used := s.tracker.Used()
 	var waitingCPU int64
+	out.Contained = s.tracker.HasContained("")
 	for _, o := range r.queue {
+		out.Contained = out.Contained || o.contained
 		used = used.Plus(o.resources)
 		waitingCPU += o.resources.MilliCPU
 	}
