Dispatcher: what the first frame of a connection holds is applied

What callers saw: a job whose last task ended while its runner was disconnected was answered as of unknown outcome when it expired, although it was done. Cause: a runner merges the ends, the state and the crash reports that it could not send into the first frame of the next connection; the dispatcher used that frame's heartbeat and list of runs only. The runs were listed as held, so nothing else gave them up. Class: an answer lost around a new connection. Change: the first frame is applied like any other. Evidence: TestEndsInTheFirstFrameAreApplied failed before ('the end of the run was not applied') and passes.

--- /dev/null
+++ b/internal/dispatch/reconnect_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
+	"github.com/pomelosill/pomelosill/internal/stream"
+)
+
+// A runner keeps the ends that it could not send, and sends them with the first
+// frame of the next connection. The job must not wait for them until it expires.
+func TestEndsInTheFirstFrameAreApplied(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	j := d.admitTestJob(t, "j")
+	run := j.tasks[0][0]
+	run.attempt, run.state = 1, taskPlaced
+	r.runs[run.runID()] = run
+	d.onDisconnected(r, r.outbox)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ref := runref.Encode(run.runID())
+	server := stream.Serve(l, func(c *stream.Conn) {
+		_ = c.Receive(&pb.DispatcherFrame{})
+		_ = c.Send(&pb.RunnerFrame{
+			Runner: "r-0", Incarnation: "1", Beat: &pb.RunnerBeat{SentNs: int64(clock.SinceBoot())}, Held: []*pb.RunRef{ref},
+			Events: []*pb.RunEvent{{Run: ref, End: pb.RunEnd_RUN_END_DONE}},
+		})
+		_ = c.Receive(&pb.DispatcherFrame{})
+		time.Sleep(time.Second)
+	}, zap.NewNop())
+	defer server.Close()
+	go func() { _ = d.serveRunnerConnection(t.Context(), r, l.Addr().String()) }()
+	select {
+	case a := <-j.answer:
+		must.Eq(t, result.OK, a.Code)
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the end of the run was not applied")
+	}
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -61,6 +61,8 @@
 	watchdog.Stop()
 	out := d.onConnected(r, first, cancel)
 	defer d.onDisconnected(r, out)
+	// The first frame may hold what the runner could not send before.
+	d.onFrame(r, out, first)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
