Runner: no run is started on a capacity that is not known to be current

What callers could see: an endpoint over its capacity, after it had shrunk or its process had been replaced. Cause: (1) a process that was started again under the same ID is first seen by its answer to a renewal, which doesn't tell the capacity; runs were started on that of the process before. (2) Its heartbeats are numbered from one again and were ignored until they passed the old number. (3) A capacity counted however old the heartbeat that told it: a runner that was suspended, or got none, went on with it. Class: a permission used after it had run out. Change: starts need a heartbeat of this process that is at most 2.5 intervals old (setting heartbeat_interval).

--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -39,7 +40,7 @@
 	switch {
 	case s != nil && s.endpoint.ID == ep.ID && s.endpoint.Address == ep.Address && ep.StartedAtMS > s.endpoint.StartedAtMS:
 		r.restartSession(s, ep, clock.SinceBoot())
-		s.tracker.SetCapacity(ep.Capacity)
+		s.applyHeartbeat(ep, clock.SinceBoot())
 	case s == nil || (s.endpoint.Incarnation() != ep.Incarnation() && ep.Newer(s.endpoint)):
 		r.startSession(ep)
 	case s.endpoint.Incarnation() == ep.Incarnation() && ep.Newer(s.endpoint):
@@ -58,12 +59,18 @@
 		r.log.Info("endpoint: draining", zap.String("life", ep.Incarnation()), zap.Int("running", s.tracker.RunCount()))
 	}
 	s.endpoint = ep
-	s.tracker.SetCapacity(ep.Capacity)
+	s.applyHeartbeat(ep, clock.SinceBoot())
 	if ep.Draining {
 		r.refuseQueued()
 	}
 }
 
+// applyHeartbeat applies the capacity in a heartbeat.
+func (s *session) applyHeartbeat(ep *workload.Endpoint, now time.Duration) {
+	s.tracker.SetCapacity(ep.Capacity)
+	s.heartbeatAt = now
+}
+
 // serveDeregister handles the call by which the endpoint announces its planned
 // shutdown.
 func (r *Runner) serveDeregister(w http.ResponseWriter, req *http.Request) {
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -45,6 +45,8 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 	sequence int64
+	// heartbeatInterval is the runner's setting, its default if zero.
+	heartbeatInterval settings.Duration
 }
 
 // newHost starts an endpoint with capacity for two tasks, which run for the
@@ -78,6 +80,9 @@
 	s := runner.DefaultSettings()
 	s.Name, s.Listen, s.Link, s.Store = "run-1", h.listen, h.link, "127.0.0.1:1"
 	s.Grace = settings.Duration(time.Second)
+	if h.heartbeatInterval > 0 {
+		s.HeartbeatInterval = h.heartbeatInterval
+	}
 	must.NoError(h.t, s.Validate())
 	r, err := runner.New(network.TCP, &s, zap.NewNop())
 	must.NoError(h.t, err)
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -101,11 +101,11 @@
 }
 
 // hasCapacity reports whether the order's run may start now: the endpoint has
-// responded recently, is neither suspended nor at its bound of probe runs, has free
+// responded and told its capacity recently, is neither suspended nor at its bound of probe runs, has free
 // capacity, and no contained run of another job if the order is contained.
 func (r *Runner) hasCapacity(o *order, now time.Duration) bool {
 	s := r.session
-	if now-s.lastResponseAt > maxResponseAge || s.health.Suspended(now) {
+	if now-s.lastResponseAt > maxResponseAge || !r.capacityKnown(s, now) || s.health.Suspended(now) {
 		return false
 	}
 	if limit := s.health.MaxRuns(); limit > 0 && s.tracker.RunCount() >= limit {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -51,6 +51,9 @@
 	health       *capacity.Health
 	fencingToken int64
 	cancel       context.CancelFunc
+	// heartbeatAt is when the current process's last heartbeat was received, zero
+	// before its first: only heartbeats tell the capacity.
+	heartbeatAt time.Duration
 	// clockMS is the endpoint's clock in milliseconds, as received at clockAt.
 	clockMS int64
 	clockAt time.Duration
@@ -91,6 +94,7 @@
 		health:       capacity.NewHealth(),
 		fencingToken: r.fencingToken,
 		cancel:       cancel,
+		heartbeatAt:  now,
 		clockMS:      ep.ClockMS,
 		clockAt:      now,
 	}
@@ -116,6 +120,18 @@
 	r.fencingToken = max(r.fencingToken, s.fencingToken) + 1
 	s.fencingToken = r.fencingToken
 	s.leaseEndMS, s.clockMS, s.clockAt = 0, ep.ClockMS, now
+	s.heartbeatAt = 0
+}
+
+// maxHeartbeatAge is the age of the last heartbeat, in intervals, up to which the
+// capacity in it is used. One that was lost doesn't stop the starts, and a capacity
+// that has shrunk meanwhile is not used for long.
+const maxHeartbeatAge = 2.5
+
+// capacityKnown reports whether the endpoint has told its capacity recently.
+func (r *Runner) capacityKnown(s *session, now time.Duration) bool {
+	maxAge := time.Duration(maxHeartbeatAge * float64(r.settings.HeartbeatInterval.Std()))
+	return s.heartbeatAt > 0 && now-s.heartbeatAt < maxAge
 }
 
 // endSession ends the session of a process that is gone, and reports its runs
@@ -221,6 +237,7 @@
 		}
 		next := *s.endpoint
 		next.StartedAtMS, next.ClockMS = resp.StartedAtMS, resp.ClockMS
+		next.Sequence, next.Draining = 0, false
 		r.restartSession(s, &next, now)
 	}
 	if s.down {
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -15,10 +15,15 @@
 	Link string `json:"link"`
 	// Advertise is the address that dispatchers dial, if it is not Link.
 	Advertise string `json:"advertise"`
+	// HeartbeatInterval is the time between two heartbeats of the endpoint. Its
+	// capacity counts as known for 2.5 times as long.
+	HeartbeatInterval settings.Duration `json:"heartbeat_interval"`
 }
 
 // DefaultSettings returns the values of settings that are not in the file.
-func DefaultSettings() Settings { return Settings{Service: settings.DefaultService()} }
+func DefaultSettings() Settings {
+	return Settings{Service: settings.DefaultService(), HeartbeatInterval: settings.Duration(defaultHeartbeatInterval)}
+}
 
 // address returns the address that dispatchers dial.
 func (s *Settings) address() string {
@@ -34,10 +39,17 @@
 	minLeaseMax = 300 * time.Millisecond
 	// minGrace is the shortest grace period in which running tasks can end.
 	minGrace = time.Second
+	// defaultHeartbeatInterval is that of the platform's smallest deployments.
+	defaultHeartbeatInterval = 1500 * time.Millisecond
+	// minHeartbeatInterval is the shortest valid heartbeat_interval.
+	minHeartbeatInterval = 10 * time.Millisecond
 )
 
 // Validate implements settings.Settings.
 func (s *Settings) Validate() error {
+	if s.HeartbeatInterval.Std() < minHeartbeatInterval {
+		return settings.BadValue("heartbeat_interval", "must be at least "+minHeartbeatInterval.String())
+	}
 	return s.Check(minLeaseMax, minGrace,
 		settings.RequiredField{Field: "listen", Value: s.Listen}, settings.RequiredField{Field: "link", Value: s.Link})
 }
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -67,7 +67,7 @@
 	out.Life, out.Service, out.FailureDomain, out.Labels = ep.Incarnation(), ep.Service, ep.FailureDomain, ep.Labels
 	reachable := !s.down && s.lastResponseAt != 0 && now-s.lastResponseAt < maxResponseAge
 	suspended := s.health.Suspended(now)
-	out.Ready = !r.draining && !ep.Draining && reachable && s.tracker.AcceptsStarts() && !suspended
+	out.Ready = !r.draining && !ep.Draining && reachable && r.capacityKnown(s, now) && s.tracker.AcceptsStarts() && !suspended
 	out.Healthy = !suspended && s.health.MaxRuns() == 0
 	out.CapacityCpu, out.CapacityMemory, out.CapacityGpus = uint64(c.MilliCPU), uint64(c.MemoryMB), uint64(c.GPUs)
 	out.UsedCpu, out.UsedMemory, out.UsedGpus = uint64(used.MilliCPU), uint64(used.MemoryMB), uint64(used.GPUs)
--- a/test/faultinject/fault.go
+++ b/test/faultinject/fault.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/standin/kvstore"
+	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 )
 
@@ -86,6 +87,22 @@
 	return NewFault("overload endpoint of "+runner, func() { injector.Set(platformtest.FaultOverloaded, 0.7) }, stopFault)
 }
 
+// CapacityFault draws a change of an endpoint's capacity, which is that of full
+// otherwise: it shrinks for a while, or is smaller after a restart.
+func CapacityFault(rng *rand.Rand, runner string, e *platformtest.Endpoint, full workload.Resources) Fault {
+	smaller := full
+	smaller.MilliCPU = full.MilliCPU / (2 + rng.Int64N(3))
+	grow := func() { e.SetCapacity(full) }
+	if rng.IntN(2) == 0 {
+		return NewFault("restart endpoint of "+runner+" with less capacity", func() { e.RestartWithCapacity(smaller) }, grow)
+	}
+	return NewFault("shrink endpoint of "+runner, func() { e.SetCapacity(smaller) }, grow)
+}
+
+// InjectsCrashes reports whether a seed includes jobs that crash the endpoints
+// that start them, and capacities that change.
+func InjectsCrashes(seed uint64) bool { return seed%3 == 0 }
+
 // RunSeeds runs a test with the seeds that have failed before and with n
 // others.
 func RunSeeds(t *testing.T, failed []uint64, from uint64, n int, run func(t *testing.T, seed uint64)) {
--- a/test/simulate/fault.go
+++ b/test/simulate/fault.go
@@ -30,6 +30,11 @@
 		func() faultinject.Fault { return faultinject.EndpointFault(c.rng, h.name, h.endpoint, &h.faults) },
 		c.groupFault,
 	}
+	if c.crashes {
+		kinds = append(kinds, func() faultinject.Fault {
+			return faultinject.CapacityFault(c.rng, h.name, h.endpoint, endpointCapacity)
+		})
+	}
 	return kinds[c.rng.IntN(len(kinds))]()
 }
 
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -23,6 +23,7 @@
 	"github.com/pomelosill/pomelosill/platform"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/caller"
+	"github.com/pomelosill/pomelosill/test/faultinject"
 	"github.com/pomelosill/pomelosill/test/fleet"
 )
 
@@ -65,13 +66,19 @@
 	hosts        []*host
 	dispatchers  []*dispatcher
 	ctx          context.Context
+	// crashes is set if some jobs crash the endpoints that start them, and faults
+	// include changes of capacities.
+	crashes bool
 }
 
+var endpointCapacity = caller.Capacity(endpointTasks)
+
 func newCluster(t *testing.T, seed uint64) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), checker: platformtest.NewChecker(),
-		store: kvstore.NewServer(time.Now), ctx: ctx,
+		crashes: faultinject.InjectsCrashes(seed),
+		store:   kvstore.NewServer(time.Now), ctx: ctx,
 	}
 	server := httptest.NewServer((&platformtest.Store{Server: c.store}).Handler())
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
@@ -147,6 +154,14 @@
 	})
 	h.calls = c.addProxy(strings.TrimPrefix(server.URL, "http://"))
 	h.endpoint.ID = h.calls.address()
+	if c.crashes {
+		h.endpoint.Crashes = caller.CrashesEndpoint
+	}
+	h.endpoint.OnProcess = func(running bool) {
+		if err := h.calls.setListening(running); err != nil {
+			c.t.Errorf("proxy in front of an endpoint: %v", err)
+		}
+	}
 	h.endpoint.Init()
 	link := fleet.FreeAddress(c.t)
 	h.link, h.store = c.addProxy(link), c.addProxy(c.storeAddress)
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -29,6 +29,11 @@
 			return faultinject.EndpointFault(c.rng, h.runner.Name, h.endpoint, &h.faults)
 		},
 	}
+	if c.crashes {
+		kinds = append(kinds, func() faultinject.Fault {
+			return faultinject.CapacityFault(c.rng, h.runner.Name, h.endpoint, endpointCapacity)
+		})
+	}
 	return kinds[c.rng.IntN(len(kinds))]()
 }
 
