Dispatcher: a job that was in a crash elsewhere isn't refused as not run

Cause: a job that comes again after its answer was lost could be refused for want of capacity, which promises that it has not run, although the reports of a crash name its tasks. Contained jobs were also judged without the endpoints for them when none was waiting yet. Change: it is answered as of unknown outcome; the endpoints for contained jobs are marked for each admission of one; contained routes are in the state dump; whether a contained run is there is computed only while anything is contained. Evidence: TestJobThatWasInACrashIsNotRefusedAsNotRun fails without the change.

--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -191,7 +191,10 @@
 // holds capacity.
 func (t *Tracker) HasContained(exceptJob string) bool {
 	for run, res := range t.reservations {
-		if task, _ := workload.ParseTaskID(run.Task); res.Contained && task.Job != exceptJob {
+		if !res.Contained {
+			continue
+		}
+		if task, _ := workload.ParseTaskID(run.Task); task.Job != exceptJob {
 			return true
 		}
 	}
--- a/internal/crash/containment.go
+++ b/internal/crash/containment.go
@@ -1,6 +1,9 @@
 package crash
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// containmentPeriod is how long the jobs of a route run contained after a crash
@@ -58,12 +61,19 @@
 
 // AnyRouteContained reports whether any route's jobs run contained.
 func (l *Log) AnyRouteContained(now time.Duration) bool {
+	return len(l.ContainedRoutes(now)) > 0
+}
+
+// ContainedRoutes returns the routes whose jobs run contained.
+func (l *Log) ContainedRoutes(now time.Duration) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range l.routes {
+	var routes []string
+	for route, c := range l.routes {
 		if !c.ended(now) {
-			return true
+			routes = append(routes, route)
 		}
 	}
-	return false
+	slices.Sort(routes)
+	return routes
 }
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -174,7 +174,11 @@
 	}
 	d.load.Add(j.queuedMilliCPU(), now)
 	if err := d.checkServable(j, now); err != nil {
-		return nil, err
+		if !j.mayHaveRun {
+			return nil, err
+		}
+		d.finish(j, platform.Answer{Code: result.StillRunning})
+		return j, nil
 	}
 	d.jobs[spec.ID], d.waiting[spec.ID] = j, j
 	d.log.Info("job: admitted", zap.String("job", spec.ID), zap.String("route", route.Name),
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,12 +46,15 @@
 }
 
 // judge judges a job by the crashes under its tasks, and reports whether it was
-// given up. Others may run contained from now on.
+// given up. Others may run contained from now on. A job that comes again, after its
+// tasks were in a crash elsewhere, has run.
 func (d *Dispatcher) judge(j *job) bool {
 	worst, crashes, verdict := "", 0, crash.Unsuspected
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
-			if v, n := d.crashes.Judge(t.name); v > verdict {
+			v, n := d.crashes.Judge(t.name)
+			j.mayHaveRun = j.mayHaveRun || n > 0
+			if v > verdict {
 				worst, crashes, verdict = t.name, n, v
 			}
 		}
@@ -96,17 +100,10 @@
 	return placement.Anywhere
 }
 
-// containing reports whether any job may be contained.
-func (d *Dispatcher) containing(now time.Duration) bool {
-	if d.crashes.AnyRouteContained(now) {
-		return true
-	}
-	for _, j := range d.waiting {
-		if j.suspect {
-			return true
-		}
-	}
-	return false
+// anyContained reports whether any of the jobs may be placed in a part of the
+// endpoints only.
+func (d *Dispatcher) anyContained(jobs []*job, now time.Duration) bool {
+	return slices.ContainsFunc(jobs, func(j *job) bool { return d.areaOf(j, now) != placement.Anywhere })
 }
 
 // openContainedJobs counts the open jobs that run contained, without those that
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -63,3 +63,12 @@
 	must.True(t, a.Code == result.StillRunning && !a.Failed, must.Sprintf("%+v", a))
 	must.Eq(t, placement.Inside, d.areaOf(d.admitTestJob(t, "k"), clock.SinceBoot()), must.Sprint("another job of the route"))
 }
+
+// A job that was in a crash elsewhere and can't be admitted here has run: its caller
+// must not be told otherwise.
+func TestJobThatWasInACrashIsNotRefusedAsNotRun(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	d.startedAt = clock.SinceBoot() - time.Minute
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("1", "j", false)})
+	must.Eq(t, result.StillRunning, (<-d.admitTestJob(t, "j").answer).Code)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -166,11 +166,13 @@
 
 // State is the dispatcher's state dump.
 type State struct {
-	Name           string        `json:"name"`
-	Incarnation    string        `json:"incarnation"`
-	PolicyRevision uint64        `json:"policy_revision"`
-	Jobs           int           `json:"jobs"`
-	Runners        []RunnerState `json:"runners"`
+	Name           string `json:"name"`
+	Incarnation    string `json:"incarnation"`
+	PolicyRevision uint64 `json:"policy_revision"`
+	Jobs           int    `json:"jobs"`
+	// ContainedRoutes are the routes whose jobs run contained.
+	ContainedRoutes []string      `json:"contained_routes"`
+	Runners         []RunnerState `json:"runners"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -189,7 +191,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
-	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs)}
+	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
+		ContainedRoutes: d.crashes.ContainedRoutes(now)}
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -38,8 +38,8 @@
 	if len(d.jobs) >= maxJobs {
 		return result.Errorf(result.QueueFull, "%d jobs are open, which is the limit", len(d.jobs))
 	}
-	all, _ := d.usableEndpoints(now)
 	area := d.areaOf(j, now)
+	all, _ := d.usableEndpoints(area != placement.Anywhere, now)
 	endpoints := endpointsIn(all, area)
 	if area == placement.Inside && !placement.AdmitContained(d.openContainedJobs(now), len(endpoints), d.loadShare(now)) {
 		return result.Errorf(result.Overloaded, "job %s: other jobs of route %s crash endpoints, and the %d endpoints for them are in use", j.spec.ID, j.route.Name, len(endpoints))
@@ -113,8 +113,8 @@
 }
 
 // usableEndpoints returns the endpoints that may get work, and their runners in
-// the same order.
-func (d *Dispatcher) usableEndpoints(now time.Duration) ([]placement.Endpoint, []*runner) {
+// the same order. If containment is set, those for contained jobs are marked.
+func (d *Dispatcher) usableEndpoints(containment bool, now time.Duration) ([]placement.Endpoint, []*runner) {
 	p := d.policy.Current()
 	var all []placement.Endpoint
 	var runners []*runner
@@ -127,8 +127,11 @@
 			runners = append(runners, r)
 		}
 	}
-	if d.containing(now) {
+	if containment {
 		placement.MarkContainment(all)
+		for i, r := range runners {
+			all[i].HasContained = r.hasContained()
+		}
 	}
 	usable := 0
 	for i, r := range runners {
@@ -147,17 +150,17 @@
 	if len(waiting) == 0 {
 		return
 	}
-	endpoints, runners := d.usableEndpoints(now)
+	endpoints, runners := d.usableEndpoints(d.anyContained(waiting, now), now)
 	if len(endpoints) == 0 {
 		return
 	}
 	for _, j := range waiting {
+		area := d.areaOf(j, now)
 		for s := range j.spec.Steps {
 			queued := j.queuedTasks(s)
 			if len(queued) == 0 {
 				continue
 			}
-			area := d.areaOf(j, now)
 			for _, a := range placement.Assign(j.placementRequest(s, len(queued), area), endpoints, rand.IntN) {
 				endpoints[a.EndpointIndex].HasContained = area == placement.Inside
 				d.sendStarts(runners[a.EndpointIndex], queued[:a.Count], a.Queued, area, now)
