Crash reports say whether a run was certainly there

What callers could see: a job failed after a single crash under its task. Cause: runs that were given up because their endpoint was unreachable until its lease had expired were counted as lost in a crash once a new process was seen; they had ended with the lease before. Change: a report says for each run whether the lease certainly lasted until the end of the process was found. Only certain crashes give a job up as failed or contain its route; four of any kind end its starts, answered as of unknown outcome.

--- a/internal/crash/log.go
+++ b/internal/crash/log.go
@@ -30,6 +30,8 @@
 	// Contained is set if it was the only one of a job that may crash endpoints
 	// there.
 	Contained bool
+	// Uncertain is set if the run may have ended before the crash.
+	Uncertain bool
 }
 
 // Report describes the crash of one process of an endpoint.
@@ -89,7 +91,7 @@
 	}
 	for _, run := range added {
 		l.tasks[run.Task] = append(l.tasks[run.Task], e)
-		if run.Contained {
+		if run.Contained && !run.Uncertain {
 			l.contain(run.Route, e.report.At)
 		}
 	}
--- a/internal/crash/log_test.go
+++ b/internal/crash/log_test.go
@@ -19,6 +19,11 @@
 
 func old(task string) Run { return Run{Task: task, Route: "steady", Age: time.Second} }
 
+func uncertain(r Run) Run {
+	r.Uncertain = true
+	return r
+}
+
 func fresh(task string) Run { return Run{Task: task, Route: "quick", Age: freshAge / 2} }
 
 func TestVerdicts(t *testing.T) {
@@ -37,6 +42,11 @@
 		{"the only suspect, then not contained", []Report{report(1, contained("t")), report(2, old("t"))}, GivenUp},
 		{"many crashes, but never the only suspect", []Report{report(1, old("t"), contained("a")), report(2, old("t"), contained("b")),
 			report(3, old("t"), contained("c")), report(4, old("t"), contained("d"))}, GivenUp},
+		{"only one of two is certain", []Report{report(1, fresh("t")), report(2, uncertain(contained("t")))}, Suspect},
+		{"uncertain, an older run", []Report{report(1, uncertain(old("t")))}, Unsuspected},
+		{"uncertain, though contained", []Report{report(1, uncertain(contained("t")))}, Suspect},
+		{"many uncertain ones", []Report{report(1, uncertain(old("t"))), report(2, uncertain(old("t"))),
+			report(3, uncertain(old("t"))), report(4, uncertain(old("t")))}, Exhausted},
 	} {
 		l := NewLog()
 		for _, r := range tc.reports {
@@ -98,7 +108,8 @@
 	l := NewLog()
 	l.Add(report(1, contained("t")), now)
 	must.True(t, l.RouteContained("quick", now))
-	must.False(t, l.RouteContained("steady", now))
+	l.Add(report(9, uncertain(Run{Task: "v", Route: "steady", Contained: true})), now)
+	must.False(t, l.RouteContained("steady", now), must.Sprint("only a certain crash contains a route"))
 	must.True(t, l.RouteContained("quick", now+containmentPeriod))
 	for range minDone {
 		l.ContainedJobDone("quick")
--- a/internal/crash/message.go
+++ b/internal/crash/message.go
@@ -13,7 +13,7 @@
 		r := &reports[i]
 		m := &pb.CrashReport{Runner: r.Runner, Life: r.Incarnation, AgeUs: (now - r.At).Microseconds()}
 		for _, run := range r.Runs {
-			m.Runs = append(m.Runs, &pb.CrashedRun{Task: run.Task, Route: run.Route, AgeUs: run.Age.Microseconds(), Contained: run.Contained})
+			m.Runs = append(m.Runs, &pb.CrashedRun{Task: run.Task, Route: run.Route, AgeUs: run.Age.Microseconds(), Contained: run.Contained, Uncertain: run.Uncertain})
 		}
 		all = append(all, m)
 	}
@@ -24,7 +24,7 @@
 func Decode(m *pb.CrashReport, now time.Duration) Report {
 	r := Report{Runner: m.GetRunner(), Incarnation: m.GetLife(), At: now - decodeAge(m.GetAgeUs())}
 	for _, run := range m.GetRuns() {
-		r.Runs = append(r.Runs, Run{Task: run.GetTask(), Route: run.GetRoute(), Age: decodeAge(run.GetAgeUs()), Contained: run.GetContained()})
+		r.Runs = append(r.Runs, Run{Task: run.GetTask(), Route: run.GetRoute(), Age: decodeAge(run.GetAgeUs()), Contained: run.GetContained(), Uncertain: run.GetUncertain()})
 	}
 	return r
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -76,14 +76,14 @@
 }
 
 // answerFor returns the answer to a job that is given up because of the verdict on
-// one of its tasks, and whether it is. While other jobs of the route crash
-// endpoints, too, none is spent on confirming that a probable cause is one: the
-// outcome of the job remains unknown to its caller.
+// one of its tasks, and whether it is. It has failed only if that is certain. While
+// other jobs of the route crash endpoints, too, none is spent on confirming that a
+// probable cause is one: the outcome of the job remains unknown to its caller.
 func (d *Dispatcher) answerFor(j *job, v crash.Verdict) (platform.Answer, bool) {
 	switch {
 	case v == crash.GivenUp:
 		return platform.Answer{Code: result.OK, Failed: true}, true
-	case v == crash.Probable && d.crashes.RouteContained(j.route.Name, clock.SinceBoot()):
+	case v == crash.Exhausted, v == crash.Probable && d.crashes.RouteContained(j.route.Name, clock.SinceBoot()):
 		return platform.Answer{Code: result.StillRunning}, true
 	}
 	return platform.Answer{}, false
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -15,9 +15,10 @@
 
 // recordCrash records that a process of the endpoint has ended without notice
 // while the runs were there, and reports it to all dispatchers: a job may come
-// again through another one. The caller holds r.mu, and reports the ends of the
-// runs after it.
-func (r *Runner) recordCrash(s *session, incarnation string, runs []capacity.ReleasedRun, now time.Duration) {
+// again through another one. Unless certain is set the runs may have ended before,
+// with the endpoint's lease. The caller holds r.mu, and reports the ends of the runs
+// after it.
+func (r *Runner) recordCrash(s *session, incarnation string, runs []capacity.ReleasedRun, certain bool, now time.Duration) {
 	if len(runs) == 0 {
 		return
 	}
@@ -26,8 +27,8 @@
 		res := &run.Reservation
 		age := max(report.At-res.StartSentAt, 0)
 		r.log.Warn("run: lost in a crash of the endpoint", zap.String("task", res.Run.Task), zap.Uint64("attempt", res.Run.Attempt),
-			zap.String("life", incarnation), zap.Duration("age", age), zap.Bool("contained", res.Contained), zap.Int("runs", len(runs)))
-		report.Runs = append(report.Runs, crash.Run{Task: res.Run.Task, Route: res.Route, Age: age, Contained: res.Contained})
+			zap.String("life", incarnation), zap.Duration("age", age), zap.Bool("contained", res.Contained), zap.Bool("certain", certain), zap.Int("runs", len(runs)))
+		report.Runs = append(report.Runs, crash.Run{Task: res.Run.Task, Route: res.Route, Age: age, Contained: res.Contained, Uncertain: !certain})
 	}
 	r.crashes.Add(report, now)
 	f := &pb.RunnerFrame{Crashes: crash.Encode([]crash.Report{report}, now)}
@@ -65,10 +66,24 @@
 	return crashed
 }
 
+// recordUnreachable records that the process from which no response came until its
+// lease had expired has ended: the runs that were given up then may have been lost in
+// its crash. The caller holds r.mu.
+func (r *Runner) recordUnreachable(s *session, now time.Duration) {
+	if !s.endpoint.Draining {
+		r.recordCrash(s, s.endpoint.Incarnation(), s.unreachableRuns, false, now)
+	}
+	s.unreachableRuns = nil
+}
+
+// leased reports whether the endpoint's lease certainly lasts, so that its runs have
+// not expired.
+func (s *session) leased(now time.Duration) bool { return now < s.leasedUntil }
+
 // processEnded handles that the endpoint's process has ended: its runs are lost
-// at the latest now. Those that were given up before, because the process was
-// unreachable until its lease had expired, were lost in the crash as well.
+// at the latest now.
 func (r *Runner) processEnded(s *session, now time.Duration) {
+	r.recordUnreachable(s, now)
 	released := s.tracker.ReleaseAll(now)
 	s.tracker.RequireSync()
 	if s.endpoint.Draining {
@@ -80,8 +95,7 @@
 			released[i].Outcome = workload.OutcomeCrashed
 		}
 	}
-	r.recordCrash(s, s.endpoint.Incarnation(), append(s.unreachableRuns, crashedRuns(released)...), now)
-	s.unreachableRuns = nil
+	r.recordCrash(s, s.endpoint.Incarnation(), crashedRuns(released), s.leased(now), now)
 	r.reportEnds(released, result.EndpointGone)
 }
 
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -60,6 +60,9 @@
 	// lastResponseAt is when the endpoint last responded to a renewal, zero
 	// before its first response.
 	lastResponseAt time.Duration
+	// leasedUntil is the time until which the lease is certain to last: that in the
+	// last renewal to which the endpoint responded.
+	leasedUntil time.Duration
 	// leaseEndMS is the latest lease end that was requested, on the endpoint's
 	// clock in milliseconds.
 	leaseEndMS int64
@@ -74,8 +77,10 @@
 	// endpoint was unreachable: lost in a crash, if its process turns out to have
 	// ended.
 	unreachableRuns []capacity.ReleasedRun
-	// previousIncarnation is the process before a restart under the same ID.
+	// previousIncarnation is the process before a restart under the same ID, and
+	// previousLeased whether its lease certainly lasted until then.
 	previousIncarnation string
+	previousLeased      bool
 }
 
 // startSession starts the session of a new endpoint process and ends the
@@ -110,11 +115,8 @@
 // has. A higher fencing token makes the endpoint refuse older requests.
 func (r *Runner) restartSession(s *session, ep *workload.Endpoint, now time.Duration) {
 	r.log.Warn("endpoint: restarted under the same id", zap.String("life", ep.Incarnation()), zap.String("before", s.endpoint.Incarnation()), zap.Int("running", s.tracker.RunCount()))
-	if !s.endpoint.Draining {
-		r.recordCrash(s, s.endpoint.Incarnation(), s.unreachableRuns, now)
-	}
-	s.unreachableRuns = nil
-	s.previousIncarnation = s.endpoint.Incarnation()
+	r.recordUnreachable(s, now)
+	s.previousIncarnation, s.previousLeased = s.endpoint.Incarnation(), s.leased(now)
 	s.tracker.EndpointRestarted(!s.endpoint.Draining)
 	s.endpoint = ep
 	r.fencingToken = max(r.fencingToken, s.fencingToken) + 1
@@ -253,8 +255,9 @@
 		return
 	}
 	s.lastResponseAt, s.clockMS, s.clockAt = now, resp.ClockMS, now
+	s.leasedUntil = requestedAt + lease.EndpointTTL(r.settings.LeaseMax.Std())
 	released := s.tracker.Reconcile(resp, requestedAt, now)
-	r.recordCrash(s, s.previousIncarnation, crashedRuns(released), now)
+	r.recordCrash(s, s.previousIncarnation, crashedRuns(released), s.previousLeased, now)
 	for _, run := range released {
 		r.updateHealth(s, run, now)
 		r.reportEnd(run, result.OK)
