Dispatcher: a task that is done is not the cause of a crash

Cause: a report may come after the task was started again and is done, for instance from a runner that was disconnected; its job would be given up for it. Change: the verdict on a done task is ignored. Evidence: TestDoneTaskIsNotTheCauseOfACrash fails without it.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -54,7 +54,7 @@
 		for _, t := range tasks {
 			v, n := d.crashes.Judge(t.name)
 			j.mayHaveRun = j.mayHaveRun || n > 0
-			if v > verdict {
+			if t.state != taskDone && v > verdict {
 				worst, crashes, verdict = t.name, n, v
 			}
 		}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -73,3 +73,13 @@
 	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("1", false)})
 	must.Eq(t, result.StillRunning, (<-d.admitTestJob(t, "j").answer).Code)
 }
+
+// The report of a crash may come after the task was started again and is done.
+func TestDoneTaskIsNotTheCauseOfACrash(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	j := d.admitTestJob(t, "j")
+	j.tasks[0][0].state = taskDone
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("1", false)})
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("2", true)})
+	must.False(t, j.answered || j.suspect)
+}
