Dispatcher: runs of a replaced runner stay until it has stopped them

What callers could see: a task that ran twice at once. Cause: a new process of a runner doesn't list the runs of its predecessor, which may go on until it has stopped them. The dispatcher waits for its first ready state, but when the first connection broke before, it took the list on the second one as complete and started the runs elsewhere. Class: around a hand-over between two processes. Change: no run is given up by the list while inherited runs are open.

--- a/internal/dispatch/reconnect_test.go
+++ b/internal/dispatch/reconnect_test.go
@@ -45,3 +45,21 @@
 		t.Error("the end of the run was not applied")
 	}
 }
+
+// A runner that was replaced has not stopped its predecessor's runs yet, and doesn't
+// list them, when its first connection breaks: they must not be started elsewhere.
+func TestRunsOfAReplacedRunnerAreKeptThroughAReconnect(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	j := d.admitTestJob(t, "j")
+	run := j.tasks[0][0]
+	run.attempt, run.state = 1, taskPlaced
+	r.runs[run.runID()] = run
+	for range 2 {
+		d.onDisconnected(r, r.outbox)
+		d.onConnected(r, &pb.RunnerFrame{Incarnation: "2"}, func(error) {})
+		must.MapLen(t, 1, r.runs)
+	}
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{State: &pb.RunnerState{Ready: true}})
+	must.MapEmpty(t, r.runs, must.Sprint("they have been stopped"))
+	must.Eq(t, taskQueued, run.state)
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -87,13 +87,14 @@
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
 	d.log.Info("runner: connected", zap.String("runner", r.node.Name), zap.String("incarnation", first.GetIncarnation()), zap.Int("runs", len(r.runs)))
-	if r.incarnation == first.GetIncarnation() {
-		d.reconcile(r, first.GetHeld())
-	} else {
+	switch {
+	case r.incarnation != first.GetIncarnation():
 		// Runs requested from the previous process may continue until the new
 		// one has stopped them, which its first ready state confirms.
 		r.state = &pb.RunnerState{}
 		r.hasInheritedRuns = true
+	case !r.hasInheritedRuns:
+		d.reconcile(r, first.GetHeld())
 	}
 	r.incarnation = first.GetIncarnation()
 	r.connectionCount.Add(1)
