Dispatcher: contained jobs are refused once no endpoint for them is usable

Cause: a job that waited for the endpoints for contained jobs when the last of them crashed was held until it had expired, though they come back after seconds. An uncontained job placed in the same round could hide that a contained one had just been placed at an endpoint. Change: waiting jobs without a run are refused at once (119) with a Retry-After; the mark is only set, never cleared, within a round. Evidence: TestContainedJobIsRefusedOnceItsEndpointsAreDown.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -106,6 +106,23 @@
 	return slices.ContainsFunc(jobs, func(j *job) bool { return d.areaOf(j, now) != placement.Anywhere })
 }
 
+// refuseUnplaceable refuses the contained jobs that wait without having run while no
+// endpoint for them is usable: these come back after seconds, too late for them.
+func (d *Dispatcher) refuseUnplaceable(now time.Duration) {
+	if !d.crashes.AnyRouteContained(now) {
+		return
+	}
+	usable, _ := d.usableEndpoints(true, now)
+	if len(usable) == 0 || len(endpointsIn(usable, placement.Inside)) > 0 {
+		return
+	}
+	for _, j := range d.waiting {
+		if !j.started() && d.areaOf(j, now) == placement.Inside {
+			d.finish(j, platform.Answer{Code: result.NoEndpoint, RetryAfter: randomRetryAfter()})
+		}
+	}
+}
+
 // openContainedJobs counts the open jobs that run contained, without those that
 // have crashed an endpoint: these come last.
 func (d *Dispatcher) openContainedJobs(now time.Duration) int {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
@@ -83,3 +84,25 @@
 	d.onFrame(r, r.outbox, &pb.RunnerFrame{Crashes: crashReport("2", true)})
 	must.False(t, j.answered || j.suspect)
 }
+
+// The endpoints for contained jobs come back after seconds. A job that waits for them
+// must be told at once that it has not run.
+func TestContainedJobIsRefusedOnceItsEndpointsAreDown(t *testing.T) {
+	d, _ := newServingDispatcher(t)
+	d.link(directory.Link{Runner: directory.Node{Name: "r-1", Role: directory.Runner, Address: "b:1"}})
+	d.onConnected(d.runners["r-1"], &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
+	j := d.admitTestJob(t, "k")
+	for _, r := range d.runners {
+		r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}
+	}
+	now := clock.SinceBoot()
+	d.applyCrashes(crashReport("1", true), now)
+	d.refuseUnplaceable(now)
+	must.False(t, j.answered, must.Sprint("an endpoint for contained jobs is usable"))
+	endpoints, runners := d.usableEndpoints(true, now)
+	for i := range endpoints {
+		runners[i].state.Ready = !endpoints[i].Containment
+	}
+	d.refuseUnplaceable(now)
+	must.Eq(t, result.NoEndpoint, (<-j.answer).Code)
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -91,7 +91,9 @@
 				continue
 			}
 			for _, a := range placement.Assign(j.placementRequest(s, len(queued), area), endpoints, rand.IntN) {
-				endpoints[a.EndpointIndex].HasContained = area == placement.Inside
+				if area == placement.Inside {
+					endpoints[a.EndpointIndex].HasContained = true
+				}
 				d.sendStarts(runners[a.EndpointIndex], queued[:a.Count], a.Queued, area, now)
 				queued = queued[a.Count:]
 			}
@@ -175,6 +177,7 @@
 		for _, j := range d.jobs {
 			d.expireJob(j, now)
 		}
+		d.refuseUnplaceable(now)
 		d.schedule(now)
 		d.mu.Unlock()
 	}
--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -40,7 +40,7 @@
 	switch {
 	case s != nil && s.endpoint.ID == ep.ID && s.endpoint.Address == ep.Address && ep.StartedAtMS > s.endpoint.StartedAtMS:
 		r.restartSession(s, ep, clock.SinceBoot())
-		s.applyHeartbeat(ep, clock.SinceBoot())
+		s.setCapacity(ep.Capacity, clock.SinceBoot())
 	case s == nil || (s.endpoint.Incarnation() != ep.Incarnation() && ep.Newer(s.endpoint)):
 		r.startSession(ep)
 	case s.endpoint.Incarnation() == ep.Incarnation() && ep.Newer(s.endpoint):
@@ -59,15 +59,15 @@
 		r.log.Info("endpoint: draining", zap.String("life", ep.Incarnation()), zap.Int("running", s.tracker.RunCount()))
 	}
 	s.endpoint = ep
-	s.applyHeartbeat(ep, clock.SinceBoot())
+	s.setCapacity(ep.Capacity, clock.SinceBoot())
 	if ep.Draining {
 		r.refuseQueued()
 	}
 }
 
-// applyHeartbeat applies the capacity in a heartbeat.
-func (s *session) applyHeartbeat(ep *workload.Endpoint, now time.Duration) {
-	s.tracker.SetCapacity(ep.Capacity)
+// setCapacity applies the capacity in a heartbeat that was received now.
+func (s *session) setCapacity(c workload.Resources, now time.Duration) {
+	s.tracker.SetCapacity(c)
 	s.heartbeatAt = now
 }
 
