--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -23,8 +23,9 @@
 // failedSeeds are seeds that have failed in some runs: 1022 with two runs of a
 // task at once, because an order that a network partition had delayed reached the
 // endpoint after its restart; 417 with the same, because a runner that had been
-// replaced was connected to twice before it had stopped its predecessor's runs; 402 with a job failed after one crash, because runs
-// that had ended with the endpoint's lease counted as lost in a later crash.
+// replaced was connected to twice before it had stopped its predecessor's runs;
+// 402 with a job failed after one crash, because runs that had ended with the
+// endpoint's lease counted as lost in a later crash.
 var failedSeeds = []uint64{1022, 417, 402}
 
 const (
