Runner: the certain end of a lease counts from what was asked for

Cause: while an endpoint doesn't answer, renewals don't extend its lease; the first answer after that was taken for a whole one, so a crash soon after could count as certain though the lease had ended. Change: the lesser of the two is used.

--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -121,7 +121,8 @@
 		return
 	}
 	s.lastResponseAt, s.clockMS, s.clockAt = now, resp.ClockMS, now
-	s.leasedUntil = requestedAt + lease.EndpointTTL(r.settings.LeaseMax.Std())
+	remaining := time.Duration(s.leaseEndMS-resp.ClockMS) * time.Millisecond
+	s.leasedUntil = requestedAt + min(remaining, lease.EndpointTTL(r.settings.LeaseMax.Std()))
 	released := s.tracker.Reconcile(resp, requestedAt, now)
 	r.recordCrash(s, s.previousIncarnation, crashedRuns(released), s.previousLeased, now)
 	for _, run := range released {
