--- a/internal/dispatch/reconnect_test.go
+++ b/internal/dispatch/reconnect_test.go
@@ -15,14 +15,19 @@
 	"github.com/pomelosill/pomelosill/internal/stream"
 )
 
-// A runner keeps the ends that it could not send, and sends them with the first
-// frame of the next connection. The job must not wait for them until it expires.
-func TestEndsInTheFirstFrameAreApplied(t *testing.T) {
+// newDispatcherWithRun returns a dispatcher with a run at its runner.
+func newDispatcherWithRun(t *testing.T) (*Dispatcher, *runner, *task) {
 	d, r := newServingDispatcher(t)
-	j := d.admitTestJob(t, "j")
-	run := j.tasks[0][0]
+	run := d.admitTestJob(t, "j").tasks[0][0]
 	run.attempt, run.state = 1, taskPlaced
 	r.runs[run.runID()] = run
+	return d, r, run
+}
+
+// A runner keeps the ends that it could not send, and sends them with the first
+// frame of the next connection. The job must not wait for them until it expires.
+func TestEndsInTheFirstFrameAreApplied(t *testing.T) {
+	d, r, run := newDispatcherWithRun(t)
 	d.onDisconnected(r, r.outbox)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -39,7 +44,7 @@
 	defer server.Close()
 	go func() { _ = d.serveRunnerConnection(t.Context(), r, l.Addr().String()) }()
 	select {
-	case a := <-j.answer:
+	case a := <-run.job.answer:
 		must.Eq(t, result.OK, a.Code)
 	case <-time.After(500 * time.Millisecond):
 		t.Error("the end of the run was not applied")
@@ -49,11 +54,7 @@
 // A runner that was replaced has not stopped its predecessor's runs yet, and doesn't
 // list them, when its first connection breaks: they must not be started elsewhere.
 func TestRunsOfAReplacedRunnerAreKeptThroughAReconnect(t *testing.T) {
-	d, r := newServingDispatcher(t)
-	j := d.admitTestJob(t, "j")
-	run := j.tasks[0][0]
-	run.attempt, run.state = 1, taskPlaced
-	r.runs[run.runID()] = run
+	d, r, run := newDispatcherWithRun(t)
 	for range 2 {
 		d.onDisconnected(r, r.outbox)
 		d.onConnected(r, &pb.RunnerFrame{Incarnation: "2"}, func(error) {})
