--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -169,7 +169,7 @@
 	}
 	j := newJob(spec, route, now, deadline)
 	j.callerCount = 1
-	if d.judge(j) {
+	if d.judge(j, now) {
 		return j, nil
 	}
 	d.load.Add(j.queuedMilliCPU(), now)
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -29,26 +29,26 @@
 		d.log.Warn("crash: endpoint crashed", zap.String("runner", r.Runner), zap.String("life", r.Incarnation),
 			zap.Int("runs", len(added)), zap.Duration("ago", now-r.At))
 		for i := range added {
-			d.judgeRun(&added[i])
+			d.judgeRun(&added[i], now)
 		}
 	}
 }
 
 // judgeRun judges the job of a run that was lost in a crash, if it is open here.
-func (d *Dispatcher) judgeRun(run *crash.Run) {
+func (d *Dispatcher) judgeRun(run *crash.Run, now time.Duration) {
 	id, ok := workload.ParseTaskID(run.Task)
 	if !ok {
 		return
 	}
 	if j := d.jobs[id.Job]; j != nil && !j.answered {
-		d.judge(j)
+		d.judge(j, now)
 	}
 }
 
 // judge judges a job by the crashes under its tasks, and reports whether it was
 // given up. Others may run contained from now on. A job that comes again, after its
 // tasks were in a crash elsewhere, has run.
-func (d *Dispatcher) judge(j *job) bool {
+func (d *Dispatcher) judge(j *job, now time.Duration) bool {
 	worst, crashes, verdict := "", 0, crash.Unsuspected
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
@@ -62,7 +62,7 @@
 	if verdict == crash.Unsuspected {
 		return false
 	}
-	answer, givenUp := d.answerFor(j, verdict)
+	answer, givenUp := d.answerFor(j, verdict, now)
 	if !j.suspect || givenUp {
 		d.log.Info("job: may crash endpoints", zap.String("job", j.spec.ID), zap.String("route", j.route.Name), zap.String("task", worst),
 			zap.Stringer("verdict", verdict), zap.Int("crashes", crashes), zap.Bool("given up", givenUp))
@@ -79,11 +79,11 @@
 // one of its tasks, and whether it is. It has failed only if that is certain. While
 // other jobs of the route crash endpoints, too, none is spent on confirming that a
 // probable cause is one: the outcome of the job remains unknown to its caller.
-func (d *Dispatcher) answerFor(j *job, v crash.Verdict) (platform.Answer, bool) {
+func (d *Dispatcher) answerFor(j *job, v crash.Verdict, now time.Duration) (platform.Answer, bool) {
 	switch {
 	case v == crash.GivenUp:
 		return platform.Answer{Code: result.OK, Failed: true}, true
-	case v == crash.Exhausted, v == crash.Probable && d.crashes.RouteContained(j.route.Name, clock.SinceBoot()):
+	case v == crash.Exhausted, v == crash.Probable && d.crashes.RouteContained(j.route.Name, now):
 		return platform.Answer{Code: result.StillRunning}, true
 	}
 	return platform.Answer{}, false
