--- a/internal/crash/log.go
+++ b/internal/crash/log.go
@@ -27,8 +27,8 @@
 	Route string
 	// Age is the time between its start and the crash.
 	Age time.Duration
-	// Contained is set if it was the only one of a job that may crash endpoints
-	// there.
+	// Contained is set if its job was known to be a possible cause of crashes, and
+	// was the only such job there.
 	Contained bool
 	// Uncertain is set if the run may have ended before the crash.
 	Uncertain bool
