--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -68,6 +68,33 @@
 	return best, best != nil
 }
 
+// MaxLevels is the number of priority levels. Messages and states hold one value
+// per level, so their size doesn't depend on the configuration.
+const MaxLevels = 4
+
+// Level returns the rank of the priority among the distinct priorities of all
+// routes, from 0 for the one that comes first to MaxLevels-1 for all that have no
+// level of their own.
+func (c *Config) Level(priority int) int {
+	before := map[int]bool{}
+	for i := range c.Routes {
+		if p := c.Routes[i].Priority; p < priority {
+			before[p] = true
+		}
+	}
+	return min(len(before), MaxLevels-1)
+}
+
+// Levels returns the number of priority levels that routes of the configuration
+// use.
+func (c *Config) Levels() int {
+	highest := 0
+	for i := range c.Routes {
+		highest = max(highest, c.Level(c.Routes[i].Priority))
+	}
+	return highest + 1
+}
+
 // Serves reports whether any route maps to the service.
 func (c *Config) Serves(service string) bool {
 	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Service == service })
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -49,3 +49,15 @@
 	must.Eq(t, []string{"b"}, back.Evacuated)
 	must.True(t, out.OutOfService("a"), must.Sprint("the original is unchanged"))
 }
+
+// A level depends on the order of the priorities only, and is bounded. Levels that
+// followed the priorities themselves would make messages grow with the
+// configuration.
+func TestLevelIsTheRankOfThePriority(t *testing.T) {
+	c := &Config{Routes: []Route{{Priority: 7}, {Priority: -3}, {Priority: 7}, {Priority: 40}, {Priority: 50}, {Priority: 60}}}
+	for priority, want := range map[int]int{-3: 0, 7: 1, 40: 2, 50: 3, 60: 3} {
+		must.Eq(t, want, c.Level(priority), must.Sprintf("priority %d", priority))
+	}
+	must.Eq(t, MaxLevels, c.Levels())
+	must.Eq(t, 1, (&Config{Routes: []Route{{Priority: 2}, {Priority: 2}}}).Levels())
+}
--- a/scripts/deployments.sh
+++ b/scripts/deployments.sh
@@ -23,7 +23,7 @@
 fi
 sites=("$@")
 if [ ${#sites[@]} -eq 0 ]; then
-  sites=("$kit"/{sites,grown,further,further-grown,large}/*.toml)
+  sites=("$kit"/{sites,grown,further,further-grown,shifted,demands,large}/*.toml)
 fi
 
 out=$(mktemp -d)
