Orders carry the priority level of the job's route

Cause: runners order the queued work of all dispatchers, and don't know priorities. Change: levels are computed once per configuration, by policy.Holder; dispatchers set RunOrder.priority. No decision reads it yet. Measured: tests of the package policy.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -146,6 +146,7 @@
 			SlackUs:    slack.Microseconds(),
 			Route:      j.route.Name,
 			Contained:  t.contained,
+			Priority:   uint32(d.level(j)),
 		}
 		if i == 0 {
 			order.Spec = j.spec.Spec
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -72,27 +72,46 @@
 // per level, so their size doesn't depend on the configuration.
 const MaxLevels = 4
 
-// Level returns the rank of the priority among the distinct priorities of all
-// routes, from 0 for the one that comes first to MaxLevels-1 for all that have no
-// level of their own.
-func (c *Config) Level(priority int) int {
-	before := map[int]bool{}
-	for i := range c.Routes {
-		if p := c.Routes[i].Priority; p < priority {
-			before[p] = true
-		}
+// levels holds the priority levels of a configuration's routes. They are computed
+// once per configuration, because decisions about each job read them.
+type levels struct {
+	byRoute map[string]int
+	count   int
+}
+
+// newLevels ranks the distinct priorities of the routes.
+func newLevels(routes []Route) *levels {
+	var priorities []int
+	for i := range routes {
+		priorities = append(priorities, routes[i].Priority)
 	}
-	return min(len(before), MaxLevels-1)
+	slices.Sort(priorities)
+	priorities = slices.Compact(priorities)
+	l := &levels{byRoute: make(map[string]int, len(routes)), count: min(max(len(priorities), 1), MaxLevels)}
+	for i := range routes {
+		rank, _ := slices.BinarySearch(priorities, routes[i].Priority)
+		l.byRoute[routes[i].Name] = min(rank, MaxLevels-1)
+	}
+	return l
 }
 
-// Levels returns the number of priority levels that routes of the configuration
-// use.
-func (c *Config) Levels() int {
-	highest := 0
-	for i := range c.Routes {
-		highest = max(highest, c.Level(c.Routes[i].Priority))
+// Level returns the priority level of the named route: the rank of its priority
+// among the distinct priorities of all routes, from 0 for the one that comes first
+// to MaxLevels-1 for all that have no level of their own. It is 0 for an unknown
+// route.
+func (s *Snapshot) Level(route string) int {
+	if s == nil || s.levels == nil {
+		return 0
+	}
+	return s.levels.byRoute[route]
+}
+
+// LevelCount returns the number of priority levels in use, at least 1.
+func (s *Snapshot) LevelCount() int {
+	if s == nil || s.levels == nil {
+		return 1
 	}
-	return highest + 1
+	return s.levels.count
 }
 
 // Serves reports whether any route maps to the service.
@@ -111,6 +130,8 @@
 	Config *Config
 	// Evacuated holds the failure domains that are out of service, sorted.
 	Evacuated []string
+	// levels is set when a Holder applies the snapshot.
+	levels *levels
 }
 
 // OutOfService reports whether tasks must not be started in the failure domain.
@@ -171,6 +192,7 @@
 	if h.current != nil && (s.Revision <= h.current.Revision || s.Config.Version < h.current.Config.Version) {
 		return false
 	}
+	s.levels = newLevels(s.Config.Routes)
 	h.current = s
 	h.appliedAt = clock.SinceBoot()
 	close(h.changed)
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -54,10 +54,16 @@
 // followed the priorities themselves would make messages grow with the
 // configuration.
 func TestLevelIsTheRankOfThePriority(t *testing.T) {
-	c := &Config{Routes: []Route{{Priority: 7}, {Priority: -3}, {Priority: 7}, {Priority: 40}, {Priority: 50}, {Priority: 60}}}
-	for priority, want := range map[int]int{-3: 0, 7: 1, 40: 2, 50: 3, 60: 3} {
-		must.Eq(t, want, c.Level(priority), must.Sprintf("priority %d", priority))
+	h := NewHolder()
+	h.Apply(&Snapshot{Revision: 1, Config: &Config{Routes: []Route{
+		{Name: "a", Priority: 7}, {Name: "b", Priority: -3}, {Name: "c", Priority: 7},
+		{Name: "d", Priority: 40}, {Name: "e", Priority: 50}, {Name: "f", Priority: 60},
+	}}})
+	s := h.Current()
+	for route, want := range map[string]int{"b": 0, "a": 1, "c": 1, "d": 2, "e": 3, "f": 3, "unknown": 0} {
+		must.Eq(t, want, s.Level(route), must.Sprintf("route %s", route))
 	}
-	must.Eq(t, MaxLevels, c.Levels())
-	must.Eq(t, 1, (&Config{Routes: []Route{{Priority: 2}, {Priority: 2}}}).Levels())
+	must.Eq(t, MaxLevels, s.LevelCount())
+	var none *Snapshot
+	must.Eq(t, 1, none.LevelCount())
 }
