Scheduler: one heap with positions in place of four

Cause: four heaps in internal/sched had the same five methods, but for the field that holds an item's position. Change: a generic heap whose type parameter orders the items and names that field. No change of behaviour.

--- a/internal/sched/endpoint.go
+++ b/internal/sched/endpoint.go
@@ -25,7 +25,7 @@
 	// usableSlots is the number of slots on endpoints that are in service and
 	// healthy.
 	usableSlots int
-	available   availableHeap
+	available   indexedHeap[*endpoint, byPreference]
 	// recount is used by CheckInvariants only.
 	recount int
 }
@@ -144,13 +144,8 @@
 	return !e.rampStart.IsZero() && now.Sub(e.rampStart) < duration
 }
 
-// availableHeap orders available endpoints by score, then least recently used
+// preferredTo reports whether e comes before f, by score, then least recently used
 // first.
-type availableHeap []*endpoint
-
-func (h availableHeap) Len() int           { return len(h) }
-func (h availableHeap) Less(a, b int) bool { return h[a].preferredTo(h[b]) }
-
 func (e *endpoint) preferredTo(f *endpoint) bool {
 	if e.score != f.score {
 		return e.score < f.score
@@ -158,54 +153,14 @@
 	return e.lastAssignment < f.lastAssignment
 }
 
-func (h availableHeap) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].availableIndex = a
-	h[b].availableIndex = b
-}
-
-// Push implements heap.Interface.
-func (h *availableHeap) Push(x any) {
-	e := x.(*endpoint)
-	e.availableIndex = len(*h)
-	*h = append(*h, e)
-}
-
-// Pop implements heap.Interface.
-func (h *availableHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	e.availableIndex = -1
-	return e
-}
-
-// wakeupHeap orders endpoints by wakeup time.
-type wakeupHeap []*endpoint
-
-func (h wakeupHeap) Len() int           { return len(h) }
-func (h wakeupHeap) Less(a, b int) bool { return h[a].wakeupTime.Before(h[b].wakeupTime) }
+// byPreference orders available endpoints, the preferred one first.
+type byPreference struct{}
 
-func (h wakeupHeap) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].wakeupIndex = a
-	h[b].wakeupIndex = b
-}
+func (byPreference) before(a, b *endpoint) bool { return a.preferredTo(b) }
+func (byPreference) index(e *endpoint) *int     { return &e.availableIndex }
 
-// Push implements heap.Interface.
-func (h *wakeupHeap) Push(x any) {
-	e := x.(*endpoint)
-	e.wakeupIndex = len(*h)
-	*h = append(*h, e)
-}
+// byWakeup orders endpoints by wakeup time.
+type byWakeup struct{}
 
-// Pop implements heap.Interface.
-func (h *wakeupHeap) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	e.wakeupIndex = -1
-	return e
-}
+func (byWakeup) before(a, b *endpoint) bool { return a.wakeupTime.Before(b.wakeupTime) }
+func (byWakeup) index(e *endpoint) *int     { return &e.wakeupIndex }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -22,11 +22,11 @@
 	// their weights.
 	activeTeams  []*team
 	activeWeight int
-	deadlines    deadlineHeap
+	deadlines    indexedHeap[*job, byDeadline]
 	// expired holds the jobs past their deadline that TakeExpired has yet to
 	// return.
 	expired []*job
-	wakeups wakeupHeap
+	wakeups indexedHeap[*endpoint, byWakeup]
 	// availableEndpoints is the number of endpoints that may be given a task.
 	availableEndpoints int
 	runTimes           runTimes
--- a/internal/sched/team.go
+++ b/internal/sched/team.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 )
@@ -14,7 +13,7 @@
 	// before, or that a takeover restored, still run.
 	configured bool
 	// readyJobs holds the jobs with waiting tasks that may start.
-	readyJobs jobHeap
+	readyJobs indexedHeap[*job, byRank]
 	// activeIndex is the index in Scheduler.activeTeams while readyJobs is not
 	// empty.
 	activeIndex int
@@ -140,66 +139,14 @@
 	return j.seq < k.seq
 }
 
-// jobHeap orders jobs by rank, then by age.
-type jobHeap []*job
+// byRank orders jobs by rank, then by age.
+type byRank struct{}
 
-func (h jobHeap) Len() int { return len(h) }
+func (byRank) before(a, b *job) bool { return a.before(b) }
+func (byRank) index(j *job) *int     { return &j.readyIndex }
 
-func (h jobHeap) Less(a, b int) bool { return h[a].before(h[b]) }
+// byDeadline orders jobs by deadline.
+type byDeadline struct{}
 
-func (h jobHeap) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].readyIndex = a
-	h[b].readyIndex = b
-}
-
-// Push implements heap.Interface.
-func (h *jobHeap) Push(x any) {
-	j := x.(*job)
-	j.readyIndex = len(*h)
-	*h = append(*h, j)
-}
-
-// Pop implements heap.Interface.
-func (h *jobHeap) Pop() any {
-	last := len(*h) - 1
-	j := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	j.readyIndex = -1
-	return j
-}
-
-// deadlineHeap orders jobs by deadline.
-type deadlineHeap []*job
-
-func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(a, b int) bool { return h[a].deadline.Before(h[b].deadline) }
-
-func (h deadlineHeap) Swap(a, b int) {
-	h[a], h[b] = h[b], h[a]
-	h[a].deadlineIndex = a
-	h[b].deadlineIndex = b
-}
-
-// Push implements heap.Interface.
-func (h *deadlineHeap) Push(x any) {
-	j := x.(*job)
-	j.deadlineIndex = len(*h)
-	*h = append(*h, j)
-}
-
-// Pop implements heap.Interface.
-func (h *deadlineHeap) Pop() any {
-	last := len(*h) - 1
-	j := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	j.deadlineIndex = -1
-	return j
-}
-
-var (
-	_ heap.Interface = (*jobHeap)(nil)
-	_ heap.Interface = (*deadlineHeap)(nil)
-)
+func (byDeadline) before(a, b *job) bool { return a.deadline.Before(b.deadline) }
+func (byDeadline) index(j *job) *int     { return &j.deadlineIndex }
