Dispatchers and runners order waiting work by priority level

Cause: no decision read the priority of a route. Under overload, jobs of the first level waited behind jobs of the last one, which have more slack: today's order is started work first, then least slack.

Change: placement.Rank orders by class (in time, late, suspect), then level, then started work, then slack; placement.InOrder yields waiting work in this order, and prefers a level that has less than 10 % of the recently started work (placement.StartedWork). Dispatchers use it for waiting jobs and runners for queued orders. Runners read RunOrder.priority, clamped to the last level, and report waiting_cpu_by_priority. An order may pass queued orders of lower levels that don't fit instead of being refused. Refused starts don't count for the share. The state dumps show the work by level, and the dispatcher measures the time until the first start by level.

The replay of the overload had its order as a hook; it now uses InOrder unless a test replaces the order. The checks of the existing tests are unchanged.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,10 +99,15 @@
 	return placement.Anywhere
 }
 
-// anyContained reports whether any of the jobs may be placed in a part of the
+// anyContained reports whether any of the waiting jobs may be placed in a part of the
 // endpoints only.
-func (d *Dispatcher) anyContained(jobs []*job, now time.Duration) bool {
-	return slices.ContainsFunc(jobs, func(j *job) bool { return d.areaOf(j, now) != placement.Anywhere })
+func (d *Dispatcher) anyContained(now time.Duration) bool {
+	for _, j := range d.waiting {
+		if d.areaOf(j, now) != placement.Anywhere {
+			return true
+		}
+	}
+	return false
 }
 
 // refuseUnplaceable refuses the contained jobs that wait without having run while no
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -60,6 +60,8 @@
 	runners map[string]*runner
 	// load measures the work that arrived here recently.
 	load placement.Load
+	// started measures the work that was placed recently, by priority level.
+	started placement.StartedWork
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
 	// runCtx ends with the process.
@@ -171,8 +173,10 @@
 	PolicyRevision uint64 `json:"policy_revision"`
 	Jobs           int    `json:"jobs"`
 	// ContainedRoutes are the routes whose jobs run contained.
-	ContainedRoutes []string      `json:"contained_routes"`
-	Runners         []RunnerState `json:"runners"`
+	ContainedRoutes []string `json:"contained_routes"`
+	// Levels describes the priority levels in use.
+	Levels  []LevelState  `json:"levels"`
+	Runners []RunnerState `json:"runners"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -192,7 +196,7 @@
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
 	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
-		ContainedRoutes: d.crashes.ContainedRoutes(now)}
+		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates()}
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
@@ -28,6 +29,7 @@
 	if e.GetEnd() != pb.RunEnd_RUN_END_REFUSED {
 		t.job.mayHaveRun = true
 	}
+	t.noteStart(e, clock.SinceBoot())
 	if t.job.answered {
 		return
 	}
@@ -76,6 +78,7 @@
 func (d *Dispatcher) onStartRefused(r *runner, t *task, code result.Code) {
 	d.log.Info("task: start refused", zap.String("task", t.name), zap.Uint64("attempt", t.attempt),
 		zap.String("runner", r.node.Name), zap.Stringer("code", code), zap.Duration("after", r.lastFrameAt-t.placedAt))
+	d.uncountStarted(t, r.lastFrameAt)
 	switch code {
 	case result.AlreadyStarted:
 		t.attempt += attemptSkip
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -34,7 +34,9 @@
 	// runnerName is the runner at which the last run was placed.
 	runnerName string
 	placedAt   time.Duration
-	failures   int
+	// level is the priority level at which the last run was requested.
+	level    int
+	failures int
 	// contained is set if the last run was contained.
 	contained bool
 	// lostRuns counts the runs that were lost without being stopped.
@@ -63,6 +65,9 @@
 	// mayHaveRun is set once a run has ended other than by a refusal: it has
 	// started, or may have.
 	mayHaveRun bool
+	// firstStartAt is when the first of the runs that have ended was started, zero
+	// before one has ended.
+	firstStartAt time.Duration
 	// avoid holds the runners at which a run of the job failed, stalled or was
 	// lost, or a start was refused for another reason than lack of capacity, an
 	// expired lease or a used attempt; placement uses them last.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -20,6 +20,8 @@
 	crashes  metric.Int64Counter
 	givenUp  metric.Int64Counter
 	latency  metric.Float64Histogram
+	// firstStart is the time from a job's arrival to its first start.
+	firstStart metric.Float64Histogram
 }
 
 func newMetrics(m metric.Meter) (*metrics, error) {
@@ -40,6 +42,11 @@
 	if out.givenUp, err = m.Int64Counter("dispatcher_jobs_given_up"); err != nil {
 		return nil, err
 	}
+	out.firstStart, err = m.Float64Histogram("dispatcher_first_start_seconds", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.25, 0.5, 1, 2))
+	if err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("dispatcher_answer_seconds", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4))
 	return out, err
@@ -57,3 +64,7 @@
 	m.answers.Add(ctx, 1, codeAttribute(a.Code))
 	m.latency.Record(ctx, took.Seconds())
 }
+
+func (m *metrics) recordFirstStart(ctx context.Context, level int, wait time.Duration) {
+	m.firstStart.Record(ctx, wait.Seconds(), metric.WithAttributes(attribute.Int("level", level)))
+}
--- /dev/null
+++ b/internal/dispatch/priority_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/clock"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/placement"
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
+// applyPriorities applies a configuration with the routes "a" and "b" of the given
+// priorities.
+func (d *Dispatcher) applyPriorities(revision uint64, a, b int) {
+	d.policy.Apply(&policy.Snapshot{Revision: revision, Config: &policy.Config{Routes: []policy.Route{
+		{Name: "a", Prefix: "/a/", Service: "svc", Priority: a}, {Name: "b", Prefix: "/b/", Service: "svc", Priority: b},
+	}}})
+}
+
+// enqueueTestJob adds a waiting job of one task.
+func (d *Dispatcher) enqueueTestJob(id, route string) *job {
+	spec := &workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{MilliCPU: 1000}, Estimate: 50 * time.Millisecond}}}
+	now := clock.SinceBoot()
+	j := newJob(spec, &policy.Route{Name: route, Service: "svc", MaxAttempts: 2, Stretch: 1, TargetLatency: time.Second}, now, now+time.Minute)
+	d.jobs[id], d.waiting[id] = j, j
+	return j
+}
+
+func (d *Dispatcher) waitingRoutes() []string {
+	var routes []string
+	for j := range placement.InOrder(d.rankedWaiting(clock.SinceBoot()), &d.started) {
+		routes = append(routes, j.route.Name)
+	}
+	return routes
+}
+
+// Guards against jobs that keep the level of an earlier configuration while they wait.
+func TestWaitingJobsFollowSwappedPriorities(t *testing.T) {
+	d, _ := newServingDispatcher(t)
+	for i, route := range []string{"b", "a", "b", "a"} {
+		d.enqueueTestJob(string(rune('1'+i)), route)
+	}
+	d.applyPriorities(2, 5, 5)
+	must.Len(t, 1, d.State().Levels)
+	d.applyPriorities(3, 0, 7)
+	must.Eq(t, []string{"a", "a", "b", "b"}, d.waitingRoutes())
+	d.applyPriorities(4, 7, 0)
+	must.Eq(t, []string{"b", "b", "a", "a"}, d.waitingRoutes())
+	must.Eq(t, LevelState{Level: 1, WaitingJobs: 2, WaitingMilliCPU: 2000}, d.State().Levels[1])
+}
+
+// Guards against starts that count for a level's share although the runner refused
+// them, and against a time until the first start that ignores the wait at the runner.
+func TestRefusedStartsDontCountForTheShare(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	d.applyPriorities(2, 0, 1)
+	r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 4000, SpeedPercent: 100}
+	j := d.enqueueTestJob("1", "b")
+	event := func(end pb.RunEnd, code result.Code, runTime time.Duration) {
+		run := slices.Collect(maps.Keys(r.runs))[0]
+		d.handleRunEvent(r, &pb.RunEvent{Run: runref.Encode(run), End: end, Code: uint32(code), RunUs: runTime.Microseconds()})
+	}
+	r.lastFrameAt = clock.SinceBoot()
+	d.schedule(r.lastFrameAt)
+	must.Eq(t, 1, d.started.Fraction(1))
+	event(pb.RunEnd_RUN_END_REFUSED, result.NoFreeSlot, 0)
+	must.Eq(t, 0, d.started.Fraction(1))
+	d.schedule(clock.SinceBoot())
+	must.Eq(t, 1, d.started.Fraction(1))
+	time.Sleep(20 * time.Millisecond)
+	event(pb.RunEnd_RUN_END_DONE, result.OK, 10*time.Millisecond)
+	must.True(t, j.answered)
+	must.GreaterEq(t, 10*time.Millisecond, j.firstStartAt-j.arrivedAt)
+}
+
+// Guards against a state of another version, or with an absurd number of levels.
+func TestWaitingCPUByLevelOfAnyState(t *testing.T) {
+	must.Eq(t, [policy.MaxLevels]int64{7}, waitingCPUByLevel(&pb.RunnerState{WaitingCpu: 7}))
+	must.Eq(t, [policy.MaxLevels]int64{1, 2, 3, 9}, waitingCPUByLevel(&pb.RunnerState{WaitingCpu: 7, WaitingCpuByPriority: []uint64{1, 2, 3, 4, 5}}))
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,15 +74,14 @@
 // schedule assigns free capacity to waiting jobs, the most urgent first. It is
 // called with the lock held.
 func (d *Dispatcher) schedule(now time.Duration) {
-	waiting := d.waitingByUrgency(now)
-	if len(waiting) == 0 {
+	if len(d.waiting) == 0 {
 		return
 	}
-	endpoints, runners := d.usableEndpoints(d.anyContained(waiting, now), now)
+	endpoints, runners := d.usableEndpoints(d.anyContained(now), now)
 	if len(endpoints) == 0 {
 		return
 	}
-	for _, j := range waiting {
+	for j := range placement.InOrder(d.rankedWaiting(now), &d.started) {
 		area := d.areaOf(j, now)
 		for s := range j.spec.Steps {
 			queued := j.queuedTasks(s)
@@ -101,24 +99,6 @@
 	}
 }
 
-// waitingByUrgency returns the waiting jobs, the most urgent first.
-func (d *Dispatcher) waitingByUrgency(now time.Duration) []*job {
-	type ranked struct {
-		job     *job
-		urgency *placement.Urgency
-	}
-	var all []ranked
-	for _, j := range d.waiting {
-		all = append(all, ranked{j, j.urgency()})
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return placement.Compare(a.urgency, b.urgency, now) })
-	jobs := make([]*job, len(all))
-	for i := range all {
-		jobs[i] = all[i].job
-	}
-	return jobs
-}
-
 // sendStarts requests runs of tasks of one job from a runner. The tasks are to
 // wait there if wait is set.
 func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, area placement.Area, now time.Duration) {
@@ -129,6 +109,7 @@
 	}
 	j := tasks[0].job
 	slack := j.urgency().Slack(now)
+	level := d.level(j)
 	for i, t := range tasks {
 		t.attempt++
 		t.state, t.runnerName, t.placedAt, t.moving = taskPlaced, r.node.Name, now, false
@@ -146,7 +127,7 @@
 			SlackUs:    slack.Microseconds(),
 			Route:      j.route.Name,
 			Contained:  t.contained,
-			Priority:   uint32(d.level(j)),
+			Priority:   uint32(level),
 		}
 		if i == 0 {
 			order.Spec = j.spec.Spec
@@ -156,6 +137,7 @@
 		frame.Starts = append(frame.Starts, order)
 		r.runs[t.runID()] = t
 		d.updateMeanTaskDuration(step.Estimate)
+		d.countStarted(t, level, now)
 	}
 	if !j.hasQueuedTasks() {
 		delete(d.waiting, j.spec.ID)
@@ -218,6 +200,7 @@
 		return
 	}
 	j.answered = true
+	d.recordFirstStart(j)
 	delete(d.jobs, j.spec.ID)
 	delete(d.waiting, j.spec.ID)
 	for _, t := range j.placedTasks() {
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -21,6 +21,8 @@
 	Started bool
 	// Suspect is set if the job may have crashed an endpoint.
 	Suspect bool
+	// Level is the priority level of the job's route; 0 comes first.
+	Level int
 }
 
 // Slack returns how long the job can still wait and meet its objective. It is
@@ -35,46 +37,71 @@
 	return now+u.RemainingWork > u.ArrivedAt+maxLatenessFactor*u.Objective
 }
 
-// Classes of jobs, the most urgent first. Under overload, started work is
-// finished before other work is started, and no capacity is spent on late
-// answers while another job can still be answered in time. Jobs that probably
-// crash their endpoint again come last.
+// LateUnstarted reports whether the job can't meet its objective and has not
+// started. It is false for a suspect job.
+func (u *Urgency) LateUnstarted(now time.Duration) bool {
+	return !u.Suspect && !u.Started && u.Slack(now) < 0
+}
+
+// Classes of jobs, the most urgent first. No capacity is spent on late answers
+// while another job can still be answered in time. Jobs that probably crash their
+// endpoint again come last.
 const (
-	classStarted = iota
-	classUnstarted
-	classLateStarted
-	classLateUnstarted
+	classInTime = iota
+	classLate
 	classSuspect
 )
 
-func (u *Urgency) class(now time.Duration) int {
-	late := u.Slack(now) < 0
+// Rank holds a job's values for the order. It is computed once per decision, because
+// each job is compared with many others.
+type Rank struct {
+	class     int8
+	level     int8
+	unstarted bool
+	slack     time.Duration
+}
+
+// NewRank returns the rank of a job, or of an order of one, of the given priority
+// level.
+func NewRank(level int, slack time.Duration, started, suspect bool) Rank {
+	r := Rank{level: int8(level), slack: slack, unstarted: !started}
 	switch {
-	case u.Suspect:
-		return classSuspect
-	case u.Started && !late:
-		return classStarted
-	case !late:
-		return classUnstarted
-	case u.Started:
-		return classLateStarted
+	case suspect:
+		r.class, r.unstarted = classSuspect, true
+	case slack < 0:
+		r.class = classLate
 	}
-	return classLateUnstarted
+	return r
 }
 
-// LateUnstarted reports whether the job can't meet its objective and has not
-// started.
-func (u *Urgency) LateUnstarted(now time.Duration) bool { return u.class(now) == classLateUnstarted }
-
-// Compare orders jobs for the next free capacity: by class, then by slack,
-// least slack first.
-func Compare(a, b *Urgency, now time.Duration) int {
-	return cmp.Or(
-		cmp.Compare(a.class(now), b.class(now)),
-		cmp.Compare(a.Slack(now), b.Slack(now)),
-	)
+// Rank returns the job's rank at the given time.
+func (u *Urgency) Rank(now time.Duration) Rank {
+	return NewRank(u.Level, u.Slack(now), u.Started, u.Suspect)
 }
 
+// Compare orders ranks: by class, then by priority level, then started work before
+// other work, then least slack first. It addresses contention: jobs of routes with
+// higher priority don't wait behind those that have enough slack to wait, and
+// started work is finished before other work of its level is started. With equal
+// levels the level has no effect.
+func (r Rank) Compare(o Rank) int {
+	switch {
+	case r.class != o.class:
+		return cmp.Compare(r.class, o.class)
+	case r.level != o.level:
+		return cmp.Compare(r.level, o.level)
+	case r.unstarted != o.unstarted:
+		if o.unstarted {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(r.slack, o.slack)
+}
+
+// Compare orders jobs for the next free capacity, as their ranks do.
+func Compare(a, b *Urgency, now time.Duration) int { return a.Rank(now).Compare(b.Rank(now)) }
+
 // Backlog describes the queued work and how fast capacity becomes free.
 type Backlog struct {
 	// QueuedMilliCPU is the CPU that queued tasks need.
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -58,6 +59,7 @@
 
 type replayJob struct {
 	kind         int
+	level        int
 	arrivedAt    time.Duration
 	taskDuration time.Duration
 	queued       int
@@ -71,7 +73,7 @@
 	}
 	return &Urgency{
 		ArrivedAt: j.arrivedAt, Objective: j.taskDuration*8/5 + 60*ms, RemainingWork: remaining,
-		Started: j.running > 0 || j.queued < jobKinds[j.kind].tasks,
+		Started: j.running > 0 || j.queued < jobKinds[j.kind].tasks, Level: j.level,
 	}
 }
 
@@ -88,14 +90,24 @@
 	completions []completion
 	inTime      []int
 	submitted   []int
-	order       func(a, b *Urgency, now time.Duration) int
+	// order replaces the order of the package, unless it is nil.
+	order func(a, b *Urgency, now time.Duration) int
+	// levels are the priority levels, and rates the factors of the arrival rate, by
+	// kind.
+	levels []int
+	rates  []float64
+	// startedWork is the core time that was started by kind, and started the same by
+	// level, unless sharesOff is set.
+	startedWork []float64
+	started     StartedWork
+	sharesOff   bool
 	admit       func(u *Urgency, b Backlog, now time.Duration) bool
 }
 
 func newReplay(seed uint64) *replay {
 	r := &replay{
 		rng: rand.New(rand.NewPCG(seed, 1)), inTime: make([]int, len(jobKinds)), submitted: make([]int, len(jobKinds)),
-		order: Compare, admit: Admit,
+		levels: []int{0, 0, 0}, rates: []float64{1, 1, 1}, startedWork: make([]float64, len(jobKinds)), admit: Admit,
 	}
 	for range replayEndpoints {
 		r.endpoints = append(r.endpoints, newEndpoint("e", replaySlots*replayTaskMilliCPU))
@@ -110,7 +122,7 @@
 	for now := time.Duration(0); now < replayDuration; now += ms {
 		r.completeTasks(now)
 		for k := range jobKinds {
-			if r.rng.Float64() < jobKinds[k].arrivalsPerSecond*factor*ms.Seconds() {
+			if r.rng.Float64() < jobKinds[k].arrivalsPerSecond*r.rates[k]*factor*ms.Seconds() {
 				r.arrive(k, now)
 			}
 		}
@@ -123,7 +135,7 @@
 	if now < countedDuration {
 		r.submitted[k]++
 	}
-	j := &replayJob{kind: k, arrivedAt: now, taskDuration: time.Duration(float64(jobKinds[k].taskDuration) * (0.6 + 0.8*r.rng.Float64())), queued: jobKinds[k].tasks}
+	j := &replayJob{kind: k, level: r.levels[k], arrivedAt: now, taskDuration: time.Duration(float64(jobKinds[k].taskDuration) * (0.6 + 0.8*r.rng.Float64())), queued: jobKinds[k].tasks}
 	b := Backlog{CapacityMilliCPU: replayEndpoints * replaySlots * replayTaskMilliCPU, MeanTaskDuration: meanTaskDuration()}
 	for _, other := range r.jobs {
 		if !other.urgency().LateUnstarted(now) {
@@ -152,14 +164,35 @@
 	})
 }
 
-func (r *replay) schedule(now time.Duration) {
-	slices.SortStableFunc(r.jobs, func(a, b *replayJob) int { return r.order(a.urgency(), b.urgency(), now) })
+// sequence returns the waiting jobs in the order in which they are to be started.
+func (r *replay) sequence(now time.Duration) iter.Seq[*replayJob] {
+	if r.order != nil {
+		slices.SortStableFunc(r.jobs, func(a, b *replayJob) int { return r.order(a.urgency(), b.urgency(), now) })
+		return slices.Values(r.jobs)
+	}
+	var waiting []Waiting[*replayJob]
 	for _, j := range r.jobs {
+		waiting = append(waiting, Waiting[*replayJob]{Item: j, Rank: j.urgency().Rank(now)})
+	}
+	return InOrder(waiting, &r.started)
+}
+
+func (r *replay) countStarted(j *replayJob, count int, resources workload.Resources, now time.Duration) {
+	work := float64(count) * TaskWork(resources, j.taskDuration)
+	r.startedWork[j.kind] += work
+	if !r.sharesOff {
+		r.started.Add(j.level, work, now)
+	}
+}
+
+func (r *replay) schedule(now time.Duration) {
+	for j := range r.sequence(now) {
 		req := &Request{Service: "s", Resources: workload.Resources{MilliCPU: replayTaskMilliCPU}, Count: j.queued}
 		for _, a := range assignToFree(req, r.endpoints, r.rng.IntN) {
 			r.endpoints[a.EndpointIndex].Reserve(req.Resources.Times(a.Count))
 			j.queued -= a.Count
 			j.running += a.Count
+			r.countStarted(j, a.Count, req.Resources, now)
 			for range a.Count {
 				r.completions = append(r.completions, completion{at: now + j.taskDuration, job: j, endpoint: a.EndpointIndex})
 			}
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/workload"
@@ -20,6 +21,8 @@
 	resources workload.Resources
 	estimate  time.Duration
 	route     string
+	// level is the priority level of the job's route; 0 comes first.
+	level int
 	// contained is set if the job may crash the endpoint.
 	contained bool
 	// waitDeadline is the time until which the order may wait for capacity.
@@ -52,6 +55,7 @@
 		resources:     workload.DecodeResources(o.GetCpuMilli(), o.GetMemoryMb(), o.GetGpus()),
 		estimate:      time.Duration(o.GetEstimateUs()) * time.Microsecond,
 		route:         o.GetRoute(),
+		level:         int(min(o.GetPriority(), policy.MaxLevels-1)),
 		contained:     o.GetContained(),
 		waitDeadline:  now + time.Duration(o.GetPatienceUs())*time.Microsecond,
 		startDeadline: now + time.Duration(o.GetSlackUs())*time.Microsecond,
@@ -116,10 +120,11 @@
 		r.startRun(o, now)
 		return
 	}
-	if o.waitDeadline <= now {
+	if o.waitDeadline <= now && !r.precedesQueue(o) {
 		r.refuse(o, result.NoFreeSlot)
 		return
 	}
+	// An order that may not wait is started or refused now.
 	r.queue = append(r.queue, o)
 	r.startQueued(now)
 }
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -1,27 +1,27 @@
 package runner
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/placement"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
-// startQueued starts the queued orders for which there is capacity, the most
-// urgent first, and refuses those whose wait deadline has passed. It checks the
+// startQueued starts the queued orders for which there is capacity, in the order of
+// placement.InOrder, and refuses those whose wait deadline has passed. It checks the
 // leases of their dispatchers itself: after the process was suspended it may run
 // before the periodic check.
 func (r *Runner) startQueued(now time.Duration) {
 	if len(r.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(r.queue, func(a, b *order) int { return a.compareUrgency(b, now) })
 	var remaining []*order
-	queued := r.queue
+	queued := rankOrders(r.queue, now)
 	r.queue = nil
-	for _, o := range queued {
+	for o := range placement.InOrder(queued, &r.started) {
 		code := r.checkOrder(o)
 		if code == result.OK && !r.leaseValid(o.owner, now) {
 			code = result.LeaseLapsed
@@ -61,15 +61,59 @@
 	return len(r.queue) < n
 }
 
-// compareUrgency sorts orders that can still meet their start deadline before
-// those that can't, and within both groups by start deadline.
-func (o *order) compareUrgency(other *order, now time.Duration) int {
-	late, otherLate := o.startDeadline < now, other.startDeadline < now
-	if late != otherLate {
-		if late {
-			return 1
-		}
-		return -1
+// rankOrders returns the orders with their ranks. Orders of one level are ranked by
+// start deadline, those that can still meet it first: their messages don't tell
+// whether the job has started.
+func rankOrders(orders []*order, now time.Duration) []placement.Waiting[*order] {
+	ranked := make([]placement.Waiting[*order], len(orders))
+	for i, o := range orders {
+		ranked[i] = placement.Waiting[*order]{Item: o, Rank: placement.NewRank(o.level, o.startDeadline-now, false, false)}
+	}
+	return ranked
+}
+
+// precedesQueue reports whether all queued orders, of which there are some, are of
+// lower priority levels than the order. Orders that don't fit must not keep it from
+// free capacity.
+func (r *Runner) precedesQueue(o *order) bool {
+	return len(r.queue) > 0 && !slices.ContainsFunc(r.queue, func(queued *order) bool { return queued.level <= o.level })
+}
+
+// waitingCPUByLevel returns the CPU that queued orders need by priority level, without
+// the levels after the last one that has any. It is nil if there are none.
+func (r *Runner) waitingCPUByLevel() []uint64 {
+	var sums [policy.MaxLevels]uint64
+	count := 0
+	for _, o := range r.queue {
+		sums[o.level] += uint64(o.resources.MilliCPU)
+		count = max(count, o.level+1)
+	}
+	if count == 0 {
+		return nil
+	}
+	return sums[:count]
+}
+
+// LevelState describes one priority level in the state dump.
+type LevelState struct {
+	Level int `json:"level"`
+	// QueuedOrders and QueuedMilliCPU describe the level's orders that wait for
+	// capacity.
+	QueuedOrders   int   `json:"waiting"`
+	QueuedMilliCPU int64 `json:"waiting_cpu"`
+	// StartedFraction is the level's fraction of the work that was started recently.
+	StartedFraction float64 `json:"started_fraction"`
+}
+
+// levelStates returns the states of the priority levels.
+func (r *Runner) levelStates() []LevelState {
+	all := make([]LevelState, policy.MaxLevels)
+	for level := range all {
+		all[level] = LevelState{Level: level, StartedFraction: r.started.Fraction(level)}
+	}
+	for _, o := range r.queue {
+		all[o.level].QueuedOrders++
+		all[o.level].QueuedMilliCPU += o.resources.MilliCPU
 	}
-	return cmp.Compare(o.startDeadline, other.startDeadline)
+	return all
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/stream"
@@ -49,8 +50,10 @@
 	session     *session
 	dispatchers map[string]*dispatcher
 	// crashes holds the crashes of the endpoint's processes.
-	crashes  *crash.Log
-	queue    []*order
+	crashes *crash.Log
+	queue   []*order
+	// started measures the recently started work by priority level.
+	started  placement.StartedWork
 	draining bool
 	// lastState is the endpoint's state at the last periodic check, to detect
 	// changes that only the passing of time causes.
@@ -212,8 +215,10 @@
 	Used                workload.Resources `json:"used"`
 	Runs                int                `json:"runs"`
 	// QueuedOrders is the number of orders that wait for capacity.
-	QueuedOrders int     `json:"waiting"`
-	Speed        float64 `json:"speed"`
+	QueuedOrders int `json:"waiting"`
+	// Levels describes the queue and the started work by priority level.
+	Levels []LevelState `json:"levels"`
+	Speed  float64      `json:"speed"`
 	// Dispatchers lists the known dispatchers, as name and incarnation.
 	Dispatchers []string `json:"links"`
 }
@@ -224,7 +229,7 @@
 	defer r.mu.Unlock()
 	out := State{
 		Name: r.settings.Name, Incarnation: r.incarnation, Draining: r.draining,
-		PolicyRevision: r.policy.Revision(), QueuedOrders: len(r.queue),
+		PolicyRevision: r.policy.Revision(), QueuedOrders: len(r.queue), Levels: r.levelStates(),
 	}
 	for name, d := range r.dispatchers {
 		out.Dispatchers = append(out.Dispatchers, fmt.Sprintf("%s/%s", name, d.incarnation))
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -10,6 +10,7 @@
 	"github.com/pomelosill/pomelosill/internal/capacity"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/lease"
+	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
@@ -25,6 +26,7 @@
 		return
 	}
 	r.counters.starts.Add(r.baseCtx, 1)
+	r.started.Add(o.level, placement.TaskWork(o.resources, o.estimate), now)
 	start := workload.StartRequest{Run: o.runID, Spec: o.spec, LeaseEndMS: r.nextLeaseEnd(s, now), FencingToken: s.fencingToken}
 	go r.startOnEndpoint(s, o, start, now+lease.EndpointTTL(r.settings.LeaseMax.Std()))
 }
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -62,6 +62,7 @@
 		waitingCPU += o.resources.MilliCPU
 	}
 	out.WaitingCpu = uint64(waitingCPU)
+	out.WaitingCpuByPriority = r.waitingCPUByLevel()
 	ep := s.endpoint
 	c := s.tracker.Capacity()
 	out.Life, out.Service, out.FailureDomain, out.Labels = ep.Incarnation(), ep.Service, ep.FailureDomain, ep.Labels
