Admission by priority level, with fairness between callers

Change: the package admission decides by level where routes have different priorities; dispatchers and runners exchange demand by level and the number of callers. The delay for refused callers follows from the load. A late unstarted job is given up only for work of its level or one before it. With one priority for all routes nothing changes.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
@@ -43,12 +44,12 @@
 func (d *Dispatcher) handleCaller(w http.ResponseWriter, r *http.Request) {
 	p := d.awaitPolicy(r.Context())
 	if p == nil {
-		d.refuse(w, r, result.Errorf(result.NoPolicy, "no configuration received yet"))
+		d.refuse(w, r, "", result.Errorf(result.NoPolicy, "no configuration received yet"))
 		return
 	}
 	route, found := p.Config.Match(requestHost(r), r.URL.Path)
 	if !found {
-		d.refuse(w, r, result.Errorf(result.NotFound, "no route for host %q and path %q in version %d", requestHost(r), r.URL.Path, p.Config.Version))
+		d.refuse(w, r, "", result.Errorf(result.NotFound, "no route for host %q and path %q in version %d", requestHost(r), r.URL.Path, p.Config.Version))
 		return
 	}
 	id := strings.TrimPrefix(r.URL.Path, route.Prefix)
@@ -95,18 +96,45 @@
 	return host
 }
 
-// refuse answers a request that has not been admitted.
-func (d *Dispatcher) refuse(w http.ResponseWriter, r *http.Request, err error) {
+// callerAddress returns the network address of the caller, without the port.
+func callerAddress(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// refuse answers a request that has not been admitted. The route is empty if there is
+// none.
+func (d *Dispatcher) refuse(w http.ResponseWriter, r *http.Request, route string, err error) {
 	code := result.CodeOf(err)
-	d.metrics.recordRefusal(r.Context(), code)
-	d.log.Info("job: refused", zap.String("path", r.URL.Path), zap.Uint64("policy", d.policy.Revision()), zap.Error(err))
+	d.metrics.recordRefusal(r.Context(), route, code)
 	a := platform.Answer{Code: code}
 	if result.Describe(code).HTTPStatus == http.StatusServiceUnavailable {
 		a.RetryAfter = randomRetryAfter()
 	}
+	fields := []zap.Field{zap.String("path", r.URL.Path), zap.Uint64("policy", d.policy.Revision()), zap.String("route", route), zap.Error(err)}
+	var overload *overloadError
+	if errors.As(err, &overload) {
+		if overload.retryAfter > 0 {
+			a.RetryAfter = overload.retryAfter
+		}
+		fields = append(fields, overload.logFields()...)
+	}
+	d.log.Info("job: refused", append(fields, zap.Duration("retry after", a.RetryAfter))...)
 	platform.WriteAnswer(w, a)
 }
 
+// logFields returns the figures that the refusal follows from.
+func (e *overloadError) logFields() []zap.Field {
+	return []zap.Field{
+		zap.Int("level", e.decision.Level), zap.Duration("wait", e.decision.Wait), zap.Duration("limit", e.decision.Limit),
+		zap.Int64("capacity", e.decision.CapacityMilliCPU), zap.Int64("backlog", e.decision.BacklogMilliCPU),
+		zap.Float64("caller demand over mean", e.decision.CallerExcess), zap.Bool("unfair", e.decision.Unfair),
+	}
+}
+
 func readBody(r *http.Request, limits policy.Limits) ([]byte, error) {
 	limit := limits.MaxBodyBytes
 	if limit <= 0 {
@@ -126,12 +154,12 @@
 func (d *Dispatcher) handleSubmit(w http.ResponseWriter, r *http.Request, route *policy.Route, limits policy.Limits, id string) {
 	body, err := readBody(r, limits)
 	if err != nil {
-		d.refuse(w, r, err)
+		d.refuse(w, r, route.Name, err)
 		return
 	}
 	spec, err := platform.DecodeJob(id, body)
 	if err != nil {
-		d.refuse(w, r, err)
+		d.refuse(w, r, route.Name, err)
 		return
 	}
 	now := clock.SinceBoot()
@@ -139,9 +167,9 @@
 	if wait == 0 {
 		wait = defaultCallerTimeout
 	}
-	j, err := d.admit(spec, route, now, now+wait)
+	j, err := d.admit(spec, route, callerAddress(r), now, now+wait)
 	if err != nil {
-		d.refuse(w, r, err)
+		d.refuse(w, r, route.Name, err)
 		return
 	}
 	select {
@@ -156,7 +184,7 @@
 }
 
 // admit admits a job, or returns the running job with the same ID.
-func (d *Dispatcher) admit(spec *workload.Job, route *policy.Route, now, deadline time.Duration) (*job, error) {
+func (d *Dispatcher) admit(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if j, found := d.jobs[spec.ID]; found {
@@ -168,19 +196,30 @@
 		return nil, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", spec.ID)
 	}
 	j := newJob(spec, route, now, deadline)
-	j.callerCount = 1
+	j.callerCount, j.caller = 1, caller
 	if d.judge(j, now) {
 		return j, nil
 	}
 	d.load.Add(j.queuedMilliCPU(), now)
+	d.contention.callers.Seen(caller, now)
+	if d.contention.refusedJobs.Returned(spec.ID, now) {
+		d.metrics.recordReturn(d.runCtx, route.Name)
+	}
 	if err := d.checkServable(j, now); err != nil {
 		if !j.mayHaveRun {
+			var overload *overloadError
+			if errors.As(err, &overload) {
+				d.countRefused(j, now)
+			}
 			return nil, err
 		}
 		d.finish(j, platform.Answer{Code: result.StillRunning})
 		return j, nil
 	}
-	d.jobs[spec.ID], d.waiting[spec.ID] = j, j
+	d.jobs[spec.ID] = j
+	d.addWaiting(j)
+	d.countAdmitted(j, now)
+	d.metrics.recordAdmission(d.runCtx, route.Name)
 	d.log.Info("job: admitted", zap.String("job", spec.ID), zap.String("route", route.Name),
 		zap.Int("tasks", spec.TaskCount()), zap.Duration("objective", j.objective), zap.Duration("wait", deadline-now))
 	d.schedule(now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
@@ -60,6 +61,8 @@
 	runners map[string]*runner
 	// load measures the work that arrived here recently.
 	load placement.Load
+	// contention is the state of admission by priority.
+	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
 	// runCtx ends with the process.
@@ -87,6 +90,7 @@
 		waiting:          map[string]*job{},
 		runners:          map[string]*runner{},
 		meanTaskDuration: initialMeanTaskDuration,
+		contention:       newContention(),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
@@ -173,6 +177,11 @@
 	// ContainedRoutes are the routes whose jobs run contained.
 	ContainedRoutes []string      `json:"contained_routes"`
 	Runners         []RunnerState `json:"runners"`
+	// Levels are the inputs of admission by priority, one entry for each level, and
+	// HeavyCallers the callers that are refused first under contention. Both are empty
+	// if all routes have the same priority.
+	Levels       []LevelState             `json:"levels,omitempty"`
+	HeavyCallers []admission.CallerDemand `json:"heavy_callers,omitempty"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -199,6 +208,9 @@
 			FreeMilliCPU: r.free().MilliCPU, Speed: r.speed(), Runs: len(r.runs),
 		})
 	}
+	if d.byPriority() {
+		out.Levels, out.HeavyCallers = d.levelStates(now), d.contention.callers.Over(d.population(now), now)
+	}
 	return out
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
@@ -33,6 +35,7 @@
 	}
 	switch e.GetEnd() {
 	case pb.RunEnd_RUN_END_DONE:
+		d.recordFirstStart(t.job, time.Duration(e.GetRunUs())*time.Microsecond)
 		d.onTaskDone(t)
 	case pb.RunEnd_RUN_END_FAILED:
 		d.onTaskFailed(r, t)
@@ -56,7 +59,7 @@
 	}
 	if j.openTasks[t.id.Step] == 0 {
 		j.unblockSteps()
-		d.waiting[j.spec.ID] = j
+		d.addWaiting(j)
 	}
 }
 
@@ -111,7 +114,7 @@
 // enqueueTask queues a task for placement.
 func (d *Dispatcher) enqueueTask(t *task) {
 	t.state = taskQueued
-	d.waiting[t.job.spec.ID] = t.job
+	d.addWaiting(t.job)
 }
 
 // maxMoves bounds how often a task is moved: one that is slow at every endpoint
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -64,11 +64,11 @@
 		job := &workload.Job{ID: "j", Steps: []workload.Step{{Count: 2, Resources: workload.Resources{MilliCPU: 1000}}}}
 		now := clock.SinceBoot()
 		route := &d.policy.Current().Config.Routes[0]
-		_, _ = d.admit(job, route, now, now+defaultCallerTimeout)
+		_, _ = d.admit(job, route, "192.0.2.1", now, now+defaultCallerTimeout)
 		d.onFrame(r, r.outbox, frame)
 		second := *job
 		second.ID = "k"
-		_, _ = d.admit(&second, route, now, now+defaultCallerTimeout)
+		_, _ = d.admit(&second, route, "192.0.2.1", now, now+defaultCallerTimeout)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if share := d.loadShare(now); !(share > 0 && share <= 1) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -73,6 +73,12 @@
 	answered bool
 	// callerCount is the number of requests that wait for the answer.
 	callerCount int
+	// caller is the network address of the first of them, without the port.
+	caller string
+	// counted is the job's part of the dispatcher's queued work.
+	counted countedWork
+	// startKnown is set once the time of the first start has been recorded.
+	startKnown bool
 }
 
 // answerBuffer is the capacity of a job's answer channel: one answer, which
@@ -223,6 +229,16 @@
 	return sum
 }
 
+// work returns the work of all tasks, in thousandths of a core times seconds.
+func (j *job) work() float64 {
+	sum := 0.0
+	for s := range j.spec.Steps {
+		step := &j.spec.Steps[s]
+		sum += float64(step.Count) * float64(step.Resources.MilliCPU) * step.Estimate.Seconds()
+	}
+	return sum
+}
+
 // done reports whether every task is done.
 func (j *job) done() bool {
 	for _, n := range j.openTasks {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/placement"
 )
 
@@ -25,3 +26,15 @@
 func (d *Dispatcher) linkLoad(now time.Duration) float64 {
 	return d.load.Value(now) / float64(max(1, len(d.runners)))
 }
+
+// addDemand adds to a heartbeat the part of the admitted work and of the callers that
+// counts for each connected runner. A runner that is lost doesn't tell its part to the
+// other dispatchers, so it gets none. It is called with the lock held.
+func (d *Dispatcher) addDemand(b *pb.DispatcherBeat, now time.Duration) {
+	if !d.byPriority() {
+		return
+	}
+	part := 1 / float64(max(1, d.fleetSums(now).connected))
+	b.LinkDemandByPriority = d.contention.demand.Rate(now).Times(part).Encode()
+	b.LinkCallers = float64(d.contention.callers.Count(now)) * part
+}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -20,6 +20,12 @@
 	crashes  metric.Int64Counter
 	givenUp  metric.Int64Counter
 	latency  metric.Float64Histogram
+	// admissions counts admitted jobs, and returns the jobs that came back after they
+	// were refused for lack of capacity.
+	admissions metric.Int64Counter
+	returns    metric.Int64Counter
+	// firstStart is the time from the arrival of a job to its first start.
+	firstStart metric.Float64Histogram
 }
 
 func newMetrics(m metric.Meter) (*metrics, error) {
@@ -40,6 +46,16 @@
 	if out.givenUp, err = m.Int64Counter("dispatcher_jobs_given_up"); err != nil {
 		return nil, err
 	}
+	if out.admissions, err = m.Int64Counter("dispatcher_admissions"); err != nil {
+		return nil, err
+	}
+	if out.returns, err = m.Int64Counter("dispatcher_returns"); err != nil {
+		return nil, err
+	}
+	if out.firstStart, err = m.Float64Histogram("dispatcher_first_start_seconds", metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3)); err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("dispatcher_answer_seconds", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4))
 	return out, err
@@ -49,8 +65,24 @@
 	return metric.WithAttributes(attribute.String("code", strconv.Itoa(int(code))))
 }
 
-func (m *metrics) recordRefusal(ctx context.Context, code result.Code) {
-	m.refusals.Add(ctx, 1, codeAttribute(code))
+func routeAttribute(route string) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("route", route))
+}
+
+func (m *metrics) recordRefusal(ctx context.Context, route string, code result.Code) {
+	m.refusals.Add(ctx, 1, codeAttribute(code), routeAttribute(route))
+}
+
+func (m *metrics) recordAdmission(ctx context.Context, route string) {
+	m.admissions.Add(ctx, 1, routeAttribute(route))
+}
+
+func (m *metrics) recordReturn(ctx context.Context, route string) {
+	m.returns.Add(ctx, 1, routeAttribute(route))
+}
+
+func (m *metrics) recordFirstStart(ctx context.Context, level int, after time.Duration) {
+	m.firstStart.Record(ctx, after.Seconds(), metric.WithAttributes(attribute.Int("level", level)))
 }
 
 func (m *metrics) recordAnswer(ctx context.Context, a platform.Answer, took time.Duration) {
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -256,6 +256,7 @@
 		EchoNs: r.heartbeatSentNs, PolicyRevision: d.policy.Revision(),
 		StateGapUs: d.stateInterval().Microseconds(), LinkLoad: d.linkLoad(now),
 	}}
+	d.addDemand(f.GetBeat(), now)
 	f.Policy = d.policyFor(r)
 	return f
 }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -160,6 +160,7 @@
 	if !j.hasQueuedTasks() {
 		delete(d.waiting, j.spec.ID)
 	}
+	d.recount(j, now)
 	d.metrics.orders.Add(d.runCtx, int64(len(tasks)))
 	d.log.Info("job: tasks placed", zap.String("job", j.spec.ID), zap.String("runner", r.node.Name), zap.Int("tasks", len(tasks)),
 		zap.Uint64("attempt", tasks[0].attempt), zap.Duration("age", now-j.arrivedAt), zap.Float64("speed", r.speed()))
@@ -176,6 +177,7 @@
 			d.dropRunsOfLostRunner(r, now)
 		}
 		for _, j := range d.jobs {
+			d.recount(j, now)
 			d.expireJob(j, now)
 		}
 		d.refuseUnplaceable(now)
@@ -186,26 +188,26 @@
 
 // expireJob ends a job whose deadline has passed, whose answer would come too
 // late to have a value, or which is late and has not started while another
-// waiting job can still be answered in time.
+// waiting job of its priority level or one before it can still be answered in time.
 func (d *Dispatcher) expireJob(j *job, now time.Duration) {
 	u := j.urgency()
-	if now < j.deadline && !u.Expired(now) && (!u.LateUnstarted(now) || !d.anyWaitingInTime(now)) {
+	if now < j.deadline && !u.Expired(now) && (!u.LateUnstarted(now) || !d.anyWaitingInTime(d.level(j), now)) {
 		return
 	}
-	a := platform.Answer{Code: result.Overloaded, RetryAfter: randomRetryAfter()}
-	if j.started() {
-		a = platform.Answer{Code: result.StillRunning}
+	a := platform.Answer{Code: result.StillRunning}
+	if !j.started() {
+		a = platform.Answer{Code: result.Overloaded, RetryAfter: d.retryAfterExpiry(j, now)}
 	}
 	d.log.Info("job: expired", zap.String("job", j.spec.ID), zap.Stringer("code", a.Code), zap.Duration("age", now-j.arrivedAt),
 		zap.Duration("objective", j.objective), zap.Int("placed", len(j.placedTasks())), zap.Duration("left", j.remainingWork()))
 	d.finish(j, a)
 }
 
-// anyWaitingInTime reports whether any waiting job can still be answered in
-// time.
-func (d *Dispatcher) anyWaitingInTime(now time.Duration) bool {
+// anyWaitingInTime reports whether any waiting job of the level or one before it can
+// still be answered in time.
+func (d *Dispatcher) anyWaitingInTime(level int, now time.Duration) bool {
 	for _, j := range d.waiting {
-		if j.urgency().Slack(now) >= 0 {
+		if d.level(j) <= level && j.urgency().Slack(now) >= 0 {
 			return true
 		}
 	}
@@ -220,6 +222,7 @@
 	j.answered = true
 	delete(d.jobs, j.spec.ID)
 	delete(d.waiting, j.spec.ID)
+	d.recount(j, clock.SinceBoot())
 	for _, t := range j.placedTasks() {
 		d.stopRun(t)
 	}
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
@@ -78,6 +79,10 @@
 	stateInterval time.Duration
 	// linkLoad is the load in the dispatcher's last heartbeat.
 	linkLoad float64
+	// linkDemand and linkCallers are the demand by level and the number of callers in
+	// the last heartbeat, zero if it doesn't tell them.
+	linkDemand  admission.ByLevel
+	linkCallers float64
 	// policyRevision is the newest policy revision that the dispatcher is known
 	// to have; policyStaleSince is since when it has been older than the
 	// runner's own.
@@ -278,6 +283,7 @@
 	if load := b.GetLinkLoad(); placement.ValidLoad(load) {
 		d.linkLoad = load
 	}
+	d.linkDemand, d.linkCallers = admission.DecodeLevels(b.GetLinkDemandByPriority()), admission.Bounded(b.GetLinkCallers())
 	r.pushPolicy(d, now)
 }
 
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -1,6 +1,9 @@
 package runner
 
 import (
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 )
@@ -37,14 +40,27 @@
 func (r *Runner) stateFor(d *dispatcher) *pb.RunnerState {
 	out := r.endpointState()
 	out.Handled = d.lastOrder
+	now := clock.SinceBoot()
+	var otherDemand admission.ByLevel
 	for _, other := range r.dispatchers {
-		if other != d && other.outbox != nil {
-			out.OtherLoad += other.linkLoad
+		if other == d || other.outbox == nil {
+			continue
+		}
+		out.OtherLoad += other.linkLoad
+		if now-other.lastReceivedAt < maxDemandAge {
+			otherDemand = otherDemand.Plus(other.linkDemand)
+			out.OtherCallers += other.linkCallers
 		}
 	}
+	out.OtherDemandByPriority = otherDemand.Encode()
 	return out
 }
 
+// maxDemandAge is how long the demand of a dispatcher that sends nothing counts: one
+// that is frozen admits no work, but its connection is closed only later. A dispatcher
+// without runs here sends a frame each 900 ms to 1.2 s.
+const maxDemandAge = 1500 * time.Millisecond
+
 // endpointState returns the current state of the endpoint.
 func (r *Runner) endpointState() *pb.RunnerState {
 	out := &pb.RunnerState{}
