--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
@@ -62,6 +63,8 @@
 	load placement.Load
 	// started measures the work that was placed recently, by priority level.
 	started placement.StartedWork
+	// contention is the state of admission by priority.
+	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
 	// runCtx ends with the process.
@@ -89,6 +92,7 @@
 		waiting:          map[string]*job{},
 		runners:          map[string]*runner{},
 		meanTaskDuration: initialMeanTaskDuration,
+		contention:       newContention(),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
@@ -173,10 +177,13 @@
 	PolicyRevision uint64 `json:"policy_revision"`
 	Jobs           int    `json:"jobs"`
 	// ContainedRoutes are the routes whose jobs run contained.
-	ContainedRoutes []string `json:"contained_routes"`
+	ContainedRoutes []string      `json:"contained_routes"`
+	Runners         []RunnerState `json:"runners"`
 	// Levels describes the priority levels in use.
-	Levels  []LevelState  `json:"levels"`
-	Runners []RunnerState `json:"runners"`
+	Levels []LevelState `json:"levels"`
+	// HeavyCallers are the callers that are refused first under contention, empty if
+	// all routes have the same priority.
+	HeavyCallers []admission.CallerDemand `json:"heavy_callers,omitempty"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -196,13 +203,16 @@
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
 	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
-		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates()}
+		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates(now)}
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
 			FreeMilliCPU: r.free().MilliCPU, Speed: r.speed(), Runs: len(r.runs),
 		})
 	}
+	if d.byPriority() {
+		out.HeavyCallers = d.contention.callers.Over(d.population(now), now)
+	}
 	return out
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -58,7 +58,7 @@
 	}
 	if j.openTasks[t.id.Step] == 0 {
 		j.unblockSteps()
-		d.waiting[j.spec.ID] = j
+		d.addWaiting(j)
 	}
 }
 
@@ -114,7 +114,7 @@
 // enqueueTask queues a task for placement.
 func (d *Dispatcher) enqueueTask(t *task) {
 	t.state = taskQueued
-	d.waiting[t.job.spec.ID] = t.job
+	d.addWaiting(t.job)
 }
 
 // maxMoves bounds how often a task is moved: one that is slow at every endpoint
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -5,8 +5,6 @@
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/placement"
-	"github.com/pomelosill/pomelosill/internal/policy"
-	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
 // level returns the priority level of the job's route in the current configuration.
@@ -62,51 +60,3 @@
 		d.metrics.recordFirstStart(d.runCtx, d.level(j), j.firstStartAt-j.arrivedAt)
 	}
 }
-
-// waitingCPUByLevel returns the CPU, in thousandths of a core, of the orders that wait
-// at a runner, by level. For a runner of a version that doesn't report it by level, all
-// of it counts as level 0.
-func waitingCPUByLevel(s *pb.RunnerState) [policy.MaxLevels]int64 {
-	var all [policy.MaxLevels]int64
-	if len(s.GetWaitingCpuByPriority()) == 0 {
-		all[0] = workload.DecodeAmount(s.GetWaitingCpu())
-	}
-	for level, amount := range s.GetWaitingCpuByPriority() {
-		all[min(level, policy.MaxLevels-1)] += workload.DecodeAmount(amount)
-	}
-	return all
-}
-
-// LevelState describes one priority level in the state dump.
-type LevelState struct {
-	Level int `json:"level"`
-	// WaitingJobs and WaitingMilliCPU describe the level's tasks that wait for
-	// placement here.
-	WaitingJobs     int   `json:"waiting_jobs"`
-	WaitingMilliCPU int64 `json:"waiting_cpu"`
-	// QueuedMilliCPU is the CPU of all dispatchers' orders of the level that wait at
-	// runners.
-	QueuedMilliCPU int64 `json:"queued_cpu"`
-	// StartedFraction is the level's fraction of the work that was placed recently.
-	StartedFraction float64 `json:"started_fraction"`
-}
-
-// levelStates returns the states of the priority levels in use.
-func (d *Dispatcher) levelStates() []LevelState {
-	p := d.policy.Current()
-	all := make([]LevelState, p.LevelCount())
-	for level := range all {
-		all[level] = LevelState{Level: level, StartedFraction: d.started.Fraction(level)}
-	}
-	for _, j := range d.waiting {
-		s := &all[p.Level(j.route.Name)]
-		s.WaitingJobs++
-		s.WaitingMilliCPU += j.queuedMilliCPU()
-	}
-	for _, r := range d.runners {
-		for level, milliCPU := range waitingCPUByLevel(r.state) {
-			all[min(level, len(all)-1)].QueuedMilliCPU += milliCPU
-		}
-	}
-	return all
-}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// minLevelShare is the fraction of the started work that a priority level with
+	// MinLevelShare is the fraction of the started work that a priority level with
 	// waiting work gets at least, so that no route starves.
-	minLevelShare = 0.1
+	MinLevelShare = 0.1
 	// startedTimeConstant is the time in which the weight of started work decays to
 	// 1/e.
 	startedTimeConstant = time.Second
@@ -86,7 +86,7 @@
 // belowMinimum reports whether the level has less than the minimum share. It is
 // false before any work has started.
 func (s *StartedWork) belowMinimum(level int) bool {
-	return s.sums[level] < minLevelShare*s.total()
+	return s.sums[level] < MinLevelShare*s.total()
 }
 
 func (s *StartedWork) total() float64 {
