Predict run times from earlier jobs

Cause: callers' estimates deviate from run times by 0.45 in the logarithm, and objective, slack, order and admission rely on them. Change: package estimate, a regression by route of log run time on log estimate with forgetting and clipped residuals; dispatchers replace the estimates of admitted jobs by its prediction, and add a sample when a job is done. Speeds in samples are relative to the median rated speed of the service: rated speeds refer to the predictions, so that absolute ones would hide an error common to all endpoints. State dump and the metric dispatcher_run_time_ratio.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -167,7 +167,7 @@
 	if d.refusingJobs.Load() {
 		return nil, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", spec.ID)
 	}
-	j := newJob(spec, route, now, deadline)
+	j := newJob(d.estimates, spec, route, now, deadline)
 	j.callerCount = 1
 	if d.judge(j, now) {
 		return j, nil
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
+	"github.com/pomelosill/pomelosill/internal/estimate"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
 	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/placement"
@@ -62,6 +63,9 @@
 	load placement.Load
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
+	// estimates predicts the run times of tasks.
+	estimates   *estimate.Model
+	usualSpeeds usualSpeeds
 	// runCtx ends with the process.
 	runCtx context.Context
 }
@@ -87,6 +91,7 @@
 		waiting:          map[string]*job{},
 		runners:          map[string]*runner{},
 		meanTaskDuration: initialMeanTaskDuration,
+		estimates:        estimate.New(),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
@@ -173,6 +178,8 @@
 	// ContainedRoutes are the routes whose jobs run contained.
 	ContainedRoutes []string      `json:"contained_routes"`
 	Runners         []RunnerState `json:"runners"`
+	// Estimates is what is known about the run times of each route.
+	Estimates []estimate.RouteState `json:"estimates"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -192,7 +199,7 @@
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
 	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
-		ContainedRoutes: d.crashes.ContainedRoutes(now)}
+		ContainedRoutes: d.crashes.ContainedRoutes(now), Estimates: d.estimates.State()}
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -33,6 +33,7 @@
 	}
 	switch e.GetEnd() {
 	case pb.RunEnd_RUN_END_DONE:
+		d.recordRunTime(r, t, e.GetRunUs())
 		d.onTaskDone(t)
 	case pb.RunEnd_RUN_END_FAILED:
 		d.onTaskFailed(r, t)
@@ -51,6 +52,7 @@
 		if t.contained {
 			d.crashes.ContainedJobDone(j.route.Name)
 		}
+		d.learnRunTime(j)
 		d.finish(j, platform.Answer{Code: result.OK})
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/estimate"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
@@ -45,15 +46,21 @@
 	moving bool
 	// moves counts the runs that were stopped in order to start elsewhere.
 	moves int
+	// runTime is how long the successful run took, at the usual speed of the
+	// service's endpoints, zero if that is unknown.
+	runTime time.Duration
 }
 
 func (t *task) runID() workload.RunID { return workload.RunID{Task: t.name, Attempt: t.attempt} }
 
 // job is an admitted job that has not been answered.
 type job struct {
-	spec      *workload.Job
-	route     policy.Route
-	arrivedAt time.Duration
+	// spec is the caller's job with predicted run times, and callerSpec as the caller
+	// has sent it.
+	spec       *workload.Job
+	callerSpec *workload.Job
+	route      policy.Route
+	arrivedAt  time.Duration
 	// deadline is when the caller stops waiting.
 	deadline  time.Duration
 	objective time.Duration
@@ -79,9 +86,10 @@
 // each of its callers puts back for the next.
 const answerBuffer = 1
 
-func newJob(spec *workload.Job, route *policy.Route, now, deadline time.Duration) *job {
+func newJob(m *estimate.Model, callerSpec *workload.Job, route *policy.Route, now, deadline time.Duration) *job {
+	spec := withPredictions(m, route.Name, callerSpec)
 	j := &job{
-		spec: spec, route: *route, arrivedAt: now, deadline: deadline,
+		spec: spec, callerSpec: callerSpec, route: *route, arrivedAt: now, deadline: deadline,
 		avoid: map[string]bool{}, answer: make(chan platform.Answer, answerBuffer),
 	}
 	for s := range spec.Steps {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -20,6 +20,8 @@
 	crashes  metric.Int64Counter
 	givenUp  metric.Int64Counter
 	latency  metric.Float64Histogram
+	// runTimeRatio is a job's run time over the caller's estimate or the prediction.
+	runTimeRatio metric.Float64Histogram
 }
 
 func newMetrics(m metric.Meter) (*metrics, error) {
@@ -40,6 +42,11 @@
 	if out.givenUp, err = m.Int64Counter("dispatcher_jobs_given_up"); err != nil {
 		return nil, err
 	}
+	out.runTimeRatio, err = m.Float64Histogram("dispatcher_run_time_ratio",
+		metric.WithExplicitBucketBoundaries(0.25, 0.35, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 2.8, 4, 8))
+	if err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("dispatcher_answer_seconds", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4))
 	return out, err
@@ -57,3 +64,14 @@
 	m.answers.Add(ctx, 1, codeAttribute(a.Code))
 	m.latency.Record(ctx, took.Seconds())
 }
+
+// recordRunTime records how a job's run time compares with the caller's estimate, if
+// there was one, and with the prediction.
+func (m *metrics) recordRunTime(ctx context.Context, route string, s runTimeSample) {
+	for kind, estimated := range map[string]time.Duration{"caller": s.callerEstimate, "prediction": s.prediction} {
+		if estimated > 0 {
+			m.runTimeRatio.Record(ctx, s.runTime.Seconds()/estimated.Seconds(),
+				metric.WithAttributes(attribute.String("route", route), attribute.String("estimate", kind)))
+		}
+	}
+}
