--- a/internal/estimate/route.go
+++ b/internal/estimate/route.go
@@ -63,7 +63,7 @@
 	limit := math.Log(maxRatio)
 	ratio := min(max(y-x, -limit), limit)
 	expected := r.fit.logRatio(x)
-	r.fit.add(x, expected+r.residuals.clip(ratio-expected))
+	r.fit.add(r.fit.nearMean(x), expected+r.residuals.clip(ratio-expected))
 }
 
 // usualRunTime returns the geometric mean of the run times, or zero while too few are
@@ -108,8 +108,24 @@
 	return min(max(slope, -maxSlopeChange), maxSlopeChange)
 }
 
+// maxSlopeDeviations is how many standard deviations of x from the mean the slope
+// applies to. A few absurd estimates would otherwise determine the slope.
+const maxSlopeDeviations = 3
+
+// nearMean returns x, moved to within maxSlopeDeviations of the mean.
+func (f *regression) nearMean(x float64) float64 {
+	if f.weight == 0 {
+		return x
+	}
+	variance := (f.sumXX + f.priorWeight*priorVariance) / (f.weight + f.priorWeight)
+	limit := maxSlopeDeviations * math.Sqrt(variance)
+	return min(max(x, f.meanX-limit), f.meanX+limit)
+}
+
 // logRatio returns the expected value at x. It is zero without samples.
-func (f *regression) logRatio(x float64) float64 { return f.offset() + f.slope()*(x-f.meanX) }
+func (f *regression) logRatio(x float64) float64 {
+	return f.offset() + f.slope()*(f.nearMean(x)-f.meanX)
+}
 
 const (
 	// clipDeviations is how many standard deviations a value may deviate before it is
