--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -195,7 +195,7 @@
 	if d.refusingJobs.Load() {
 		return nil, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", spec.ID)
 	}
-	j := newJob(spec, route, now, deadline)
+	j := newJob(d.estimates, spec, route, now, deadline)
 	j.callerCount, j.caller = 1, caller
 	if d.judge(j, now) {
 		return j, nil
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,6 +22,7 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/crash"
 	"github.com/pomelosill/pomelosill/internal/directory"
+	"github.com/pomelosill/pomelosill/internal/estimate"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
 	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/placement"
@@ -67,6 +68,9 @@
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
 	meanTaskDuration time.Duration
+	// estimates predicts the run times of tasks.
+	estimates   *estimate.Model
+	usualSpeeds usualSpeeds
 	// runCtx ends with the process.
 	runCtx context.Context
 }
@@ -93,6 +97,7 @@
 		runners:          map[string]*runner{},
 		meanTaskDuration: initialMeanTaskDuration,
 		contention:       newContention(),
+		estimates:        estimate.New(),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
@@ -184,6 +189,8 @@
 	// HeavyCallers are the callers that are refused first under contention, empty if
 	// all routes have the same priority.
 	HeavyCallers []admission.CallerDemand `json:"heavy_callers,omitempty"`
+	// Estimates is what is known about the run times of each route.
+	Estimates []estimate.RouteState `json:"estimates"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -203,7 +210,7 @@
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
 	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
-		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates(now)}
+		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates(now), Estimates: d.estimates.State()}
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
