Rated speed of endpoints, and placement by when a job's tasks end

Cause: placement knew a speed measured over 150 ms, which varies by 20 to 30 %, and used it only as "below 0.6 of the estimate". Long jobs went to endpoints at which they miss their objective, while faster ones had free capacity. Change: runners rate their endpoint by completed runs (capacity.Rating) and send it as rated_speed_percent. Dispatchers judge an endpoint by it unless the measured speed is below 0.6 of it. Endpoints at which a job would miss its objective come after the others, the fastest are preferred while they suffice for all dispatchers, the slow tier is relative to the median of the service, and tasks wait where they start first.

--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -103,6 +103,7 @@
 	// run.
 	lastEndSequence int64
 	speed           speedEstimator
+	rating          Rating
 }
 
 // releasedRetention is how long a released run is remembered.
@@ -282,6 +283,7 @@
 			t.release(res, now)
 			if end.Outcome == workload.OutcomeDone {
 				t.speed.observeDone(res, now)
+				t.rateRun(res, now)
 			}
 			released = append(released, ReleasedRun{Reservation: *res, Outcome: end.Outcome, Elapsed: now - res.StartSentAt})
 		}
@@ -370,6 +372,7 @@
 func (t *Tracker) EndpointRestarted(crashed bool) {
 	t.lastEndSequence = 0
 	t.synced = false
+	t.rating = Rating{}
 	t.unknown = map[workload.RunID]bool{}
 	for _, res := range t.reservations {
 		res.processEnded = crashed && res.Begun()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -179,11 +179,14 @@
 type RunnerState struct {
 	Name string `json:"name"`
 	// EndpointIncarnation is the incarnation of the runner's endpoint.
-	EndpointIncarnation string  `json:"life"`
-	Usable              bool    `json:"usable"`
-	FreeMilliCPU        int64   `json:"free_cpu"`
-	Speed               float64 `json:"speed"`
-	Runs                int     `json:"runs"`
+	EndpointIncarnation string `json:"life"`
+	Usable              bool   `json:"usable"`
+	FreeMilliCPU        int64  `json:"free_cpu"`
+	// Speed is what placement uses; it follows from the other two.
+	Speed         float64 `json:"speed"`
+	MeasuredSpeed float64 `json:"measured_speed"`
+	RatedSpeed    float64 `json:"rated_speed"`
+	Runs          int     `json:"runs"`
 }
 
 // State returns the current state for the state dump.
@@ -196,7 +199,7 @@
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
-			FreeMilliCPU: r.free().MilliCPU, Speed: r.speed(), Runs: len(r.runs),
+			FreeMilliCPU: r.free().MilliCPU, Speed: r.speed(), MeasuredSpeed: r.measuredSpeed(), RatedSpeed: r.ratedSpeed(), Runs: len(r.runs),
 		})
 	}
 	return out
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -173,7 +173,7 @@
 	return &placement.Request{
 		Service: j.route.Service, Resources: s.Resources, Count: count, RequiredLabel: s.RequiredLabel,
 		MaxPerEndpoint: s.MaxPerEndpoint, PlacedByEndpoint: j.placedByRunner(step), Avoid: j.avoid,
-		Area: area,
+		Estimate: s.Estimate, Area: area,
 	}
 }
 
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -173,7 +173,15 @@
 // percent converts percent to a fraction.
 const percent = 100.0
 
-func (r *runner) speed() float64 { return float64(r.state.GetSpeedPercent()) / percent }
+// measuredSpeed and ratedSpeed return the endpoint's present speed and its usual
+// speed relative to the estimates. The usual speed is zero while it is unknown.
+func (r *runner) measuredSpeed() float64 { return float64(r.state.GetSpeedPercent()) / percent }
+func (r *runner) ratedSpeed() float64    { return float64(r.state.GetRatedSpeedPercent()) / percent }
+
+// speed returns the speed by which the endpoint is judged.
+func (r *runner) speed() float64 {
+	return placement.EffectiveSpeed(r.ratedSpeed(), r.measuredSpeed())
+}
 
 func (r *runner) endpoint() placement.Endpoint {
 	return placement.Endpoint{
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -95,3 +95,16 @@
 	must.False(t, r.echoDue(4, now+lease.HeartbeatInterval/2))
 	must.True(t, r.echoDue(4, now+lease.HeartbeatInterval))
 }
+
+// A runner of another version doesn't rate its endpoint, and a malformed percentage
+// must not make run times zero or infinite.
+func TestSpeedOfEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		measured, rated uint64
+		want            float64
+	}{{100, 0, 1}, {110, 160, 1.6}, {30, 160, 0.3}, {0, 0, 0.01}, {1 << 63, 1<<64 - 1, 0.01 * (1 << 63)}, {1<<64 - 1, 1<<64 - 1, 100}} {
+		r := newConnectedRunner()
+		r.state = &pb.RunnerState{SpeedPercent: c.measured, RatedSpeedPercent: c.rated}
+		must.Eq(t, min(c.want, 100), r.endpoint().Speed)
+	}
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -69,6 +69,7 @@
 			usable++
 		}
 	}
+	placement.SetMedianSpeeds(all[:usable])
 	return all[:usable], runners[:usable]
 }
 
@@ -90,7 +91,9 @@
 			if len(queued) == 0 {
 				continue
 			}
-			for _, a := range placement.Assign(j.placementRequest(s, len(queued), area), endpoints, rand.IntN) {
+			request := j.placementRequest(s, len(queued), area)
+			request.Slack = j.urgency().Slack(now)
+			for _, a := range placement.Assign(request, endpoints, rand.IntN) {
 				if area == placement.Inside {
 					endpoints[a.EndpointIndex].HasContained = true
 				}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,8 +3,8 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
+	"time"
 
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
@@ -21,6 +21,9 @@
 	// Speed is the endpoint's speed relative to the task estimates; 1 means
 	// that tasks take as long as estimated.
 	Speed float64
+	// MedianSpeed is the median speed of the endpoints of the service; zero counts
+	// as 1.
+	MedianSpeed float64
 	// Healthy is false for an endpoint that gets probe tasks only.
 	Healthy bool
 	// Rank orders the endpoints alike at all dispatchers, and has nothing to do
@@ -62,6 +65,11 @@
 	// Avoid holds endpoints on which the job has failed before; they are used
 	// last.
 	Avoid map[string]bool
+	// Estimate is the expected run time of each task at speed 1, zero if it is
+	// unknown. Slack is how long the job can still wait and meet its objective at
+	// speed 1.
+	Estimate time.Duration
+	Slack    time.Duration
 	// Area bounds the endpoints by their Containment.
 	Area Area
 }
@@ -85,10 +93,6 @@
 	tierIneligible
 )
 
-// slowThreshold is the speed below which an endpoint is used only after the
-// faster ones.
-const slowThreshold = 0.6
-
 func (r *Request) tier(e *Endpoint) int {
 	switch {
 	case e.Service != r.Service, !r.Area.Includes(e), r.RequiredLabel != "" && !slices.Contains(e.Labels, r.RequiredLabel):
@@ -97,7 +101,7 @@
 		return tierAvoided
 	case !e.Healthy:
 		return tierProbe
-	case e.Speed < slowThreshold:
+	case e.relativeSpeed() < slowThreshold:
 		return tierSlow
 	}
 	return tierPreferred
@@ -166,26 +170,6 @@
 	return append(assignments, Assignment{EndpointIndex: index, Count: 1, Queued: true})
 }
 
-// shortestQueue returns the index of the eligible endpoint with the most queue
-// headroom, or -1 if there is none. Tasks are not queued at probed or avoided
-// endpoints, nor if the request has a bound of tasks per endpoint.
-func (r *Request) shortestQueue(endpoints []Endpoint) int {
-	best := -1
-	for i := range endpoints {
-		e := &endpoints[i]
-		if r.tier(e) > tierSlow || r.tier(e) == tierProbe || !r.Resources.Fits(e.Capacity) || r.MaxPerEndpoint > 0 {
-			continue
-		}
-		if e.queueHeadroom() > 0 && (best < 0 || e.queueHeadroom() > endpoints[best].queueHeadroom()) {
-			best = i
-		}
-	}
-	return best
-}
-
-// candidate is an endpoint that can take at least one task.
-type candidate struct{ index, fit, tier int }
-
 // assignToFree fills endpoints one after the other, so that the tasks of a job
 // share few endpoints: a failing endpoint fails every job with a task there, so
 // jobs that use fewer endpoints fail less often. The choice between equal
@@ -206,7 +190,7 @@
 }
 
 func (r *Request) candidates(endpoints []Endpoint) []candidate {
-	var candidates []candidate
+	candidates := make([]candidate, 0, len(endpoints))
 	for i := range endpoints {
 		e := &endpoints[i]
 		tier := r.tier(e)
@@ -215,37 +199,8 @@
 			fit = min(fit, maxProbeTasks)
 		}
 		if tier < tierIneligible && fit > 0 {
-			candidates = append(candidates, candidate{index: i, fit: fit, tier: tier})
+			candidates = append(candidates, candidate{index: i, fit: fit, tier: tier, misses: r.misses(e), speed: e.comparedSpeed()})
 		}
 	}
 	return candidates
 }
-
-// pickBest returns the index of a random candidate among the best: those of the
-// best tier that take all of the tasks, or else the most.
-func pickBest(candidates []candidate, count int, randIntN func(n int) int) int {
-	var best []int
-	for i, c := range candidates {
-		switch order := compareCandidates(c, candidates[firstOr(best, i)], count); {
-		case order < 0:
-			best = []int{i}
-		case order == 0:
-			best = append(best, i)
-		}
-	}
-	return best[randIntN(len(best))]
-}
-
-func firstOr(s []int, fallback int) int {
-	if len(s) == 0 {
-		return fallback
-	}
-	return s[0]
-}
-
-func compareCandidates(a, b candidate, count int) int {
-	return cmp.Or(
-		cmp.Compare(a.tier, b.tier),
-		-cmp.Compare(min(a.fit, count), min(b.fit, count)),
-	)
-}
--- a/internal/placement/stale_test.go
+++ b/internal/placement/stale_test.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -47,6 +49,8 @@
 	open      int
 }
 
+func (j *staleJob) objective() time.Duration { return j.duration*8/5 + 60*ms }
+
 // staleReplay is the state of the replay. views holds each dispatcher's view of
 // the endpoints.
 type staleReplay struct {
@@ -61,26 +65,53 @@
 	inTime      []int
 	submitted   []int
 	wait        func(queued bool, refusals int) time.Duration
+	assign      func(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment
+	// slots and speeds are those of the endpoints. Views have speeds that differ from
+	// those by speedNoise (standard deviation).
+	slots            [staleEndpoints]int
+	speeds           [staleEndpoints]float64
+	speedNoise       float64
+	starts, refusals int
 }
 
 func newStaleReplay(seed uint64, wait func(queued bool, refusals int) time.Duration) *staleReplay {
 	r := &staleReplay{
 		rng: rand.New(rand.NewPCG(seed, 1)), wait: wait,
-		inTime: make([]int, len(jobKinds)), submitted: make([]int, len(jobKinds)),
+		inTime: make([]int, len(jobKinds)), submitted: make([]int, len(jobKinds)), assign: Assign,
 	}
+	r.setEndpoints([]float64{1}, []float64{1}, 0)
+	return r
+}
+
+// setEndpoints gives the endpoints all combinations of these speeds and sizes.
+func (r *staleReplay) setEndpoints(speeds, sizes []float64, speedNoise float64) {
+	r.speedNoise = speedNoise
 	for d := range r.views {
-		for range staleEndpoints {
-			e := newEndpoint("e", staleSlots*replayTaskMilliCPU)
-			e.Capacity.MilliCPU = staleSlots * replayTaskMilliCPU
+		r.views[d] = nil
+		for i := range staleEndpoints {
+			r.speeds[i] = speeds[i%len(speeds)]
+			r.slots[i] = int(staleSlots * sizes[i/len(speeds)%len(sizes)])
+			e := newEndpoint("e", int64(r.slots[i]*replayTaskMilliCPU))
+			e.Capacity.MilliCPU = e.Free.MilliCPU
+			e.Speed = r.speeds[i]
 			r.views[d] = append(r.views[d], e)
 		}
+		SetMedianSpeeds(r.views[d])
 	}
-	return r
+}
+
+// capacity returns the slots of all endpoints, each times its speed.
+func (r *staleReplay) capacity() float64 {
+	sum := 0.0
+	for e, slots := range r.slots {
+		sum += float64(slots) * r.speeds[e]
+	}
+	return sum
 }
 
 // run returns the fraction of jobs answered in time by kind.
 func (r *staleReplay) run(load float64) []float64 {
-	factor := load * staleEndpoints * staleSlots / meanRunningTasks()
+	factor := load * r.capacity() / meanRunningTasks()
 	for now := time.Duration(0); now < replayDuration; now += ms {
 		r.complete(now)
 		r.refreshViews(now)
@@ -118,9 +149,12 @@
 
 // place sends tasks to the endpoints that Assign chooses, and returns how many.
 func (r *staleReplay) place(p stalePending, now time.Duration) int {
-	req := &Request{Service: "s", Resources: workload.Resources{MilliCPU: replayTaskMilliCPU}, Count: p.count}
+	req := &Request{
+		Service: "s", Resources: workload.Resources{MilliCPU: replayTaskMilliCPU}, Count: p.count,
+		Estimate: p.job.duration, Slack: p.job.arrivedAt + p.job.objective() - now - p.job.duration,
+	}
 	placed := 0
-	for _, a := range Assign(req, r.views[p.dispatcher], r.rng.IntN) {
+	for _, a := range r.assign(req, r.views[p.dispatcher], r.rng.IntN) {
 		placed += a.Count
 		for range a.Count {
 			r.travelling = append(r.travelling, &staleTask{
@@ -150,13 +184,16 @@
 	r.waiting = nil
 	for _, t := range queued {
 		switch {
-		case r.used[t.endpoint] < staleSlots:
+		case r.used[t.endpoint] < r.slots[t.endpoint]:
 			r.used[t.endpoint]++
-			r.completions = append(r.completions, completion{at: now + t.job.duration, endpoint: t.endpoint})
+			r.starts++
+			runTime := time.Duration(float64(t.job.duration) / r.speeds[t.endpoint])
+			r.completions = append(r.completions, completion{at: now + runTime, endpoint: t.endpoint})
 			r.ends = append(r.ends, t.job)
 		case now < t.giveUpAt:
 			r.waiting = append(r.waiting, t)
 		default:
+			r.refusals++
 			r.view(t.dispatcher, t.endpoint)
 			r.pending = append(r.pending, stalePending{job: t.job, dispatcher: t.dispatcher, count: 1, refusals: t.refusals + 1})
 		}
@@ -175,8 +212,7 @@
 		r.used[c.endpoint]--
 		j := r.ends[i]
 		j.open--
-		objective := j.duration*8/5 + 60*ms
-		if j.open == 0 && j.arrivedAt < countedDuration && now+hop <= j.arrivedAt+objective {
+		if j.open == 0 && j.arrivedAt < countedDuration && now+hop <= j.arrivedAt+j.objective() {
 			r.inTime[j.kind]++
 		}
 	}
@@ -197,13 +233,14 @@
 
 // view updates a dispatcher's view of one endpoint.
 func (r *staleReplay) view(dispatcher, endpoint int) {
-	free := staleSlots - r.used[endpoint]
+	free := r.slots[endpoint] - r.used[endpoint]
 	for _, t := range append(slices.Clone(r.waiting), r.travelling...) {
 		if t.endpoint == endpoint {
 			free--
 		}
 	}
 	r.views[dispatcher][endpoint].Free.MilliCPU = int64(free * replayTaskMilliCPU)
+	r.views[dispatcher][endpoint].Speed = r.noisySpeed(endpoint)
 }
 
 // At a load of 55%, with views of the free capacity up to 60 ms old, jobs of
@@ -226,3 +263,62 @@
 	must.Greater(t, inTime, mean(redirected))
 	must.Less(t, inTime, mean(waiting))
 }
+
+// noisySpeed returns an endpoint's speed as learned from runs.
+func (r *staleReplay) noisySpeed(endpoint int) float64 {
+	if r.speedNoise == 0 {
+		return r.speeds[endpoint]
+	}
+	return r.speeds[endpoint] * math.Exp(r.speedNoise*r.rng.NormFloat64())
+}
+
+// assignAtAnySpeed assigns as if all endpoints had the same speed.
+func assignAtAnySpeed(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment {
+	for i := range endpoints {
+		endpoints[i].Speed, endpoints[i].MedianSpeed = 1, 1
+	}
+	return Assign(r, endpoints, randIntN)
+}
+
+// With endpoints of speed 0.6, 1.0 and 1.6 and two sizes, and old views of them, fewer
+// jobs must be late than without a choice by speed. The dispatchers must not all choose
+// the same fast endpoints: no more starts may be refused.
+func TestChoiceBySpeedMakesFewerJobsLate(t *testing.T) {
+	const (
+		seeds = 4
+		// maxLateFraction is the bound on late jobs relative to those without the
+		// choice.
+		maxLateFraction = 0.9
+	)
+	for _, load := range []float64{0.6, 0.75, 0.9} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			t.Parallel()
+			run := func(assign func(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment) (late, refused float64) {
+				for seed := range uint64(seeds) {
+					r := newStaleReplay(seed, RunnerWait)
+					r.setEndpoints([]float64{0.6, 1, 1.6}, []float64{1, 1.5}, 0.07)
+					r.assign = assign
+					late += 1 - r.inTimeOfAll(load)
+					refused += float64(r.refusals) / float64(r.starts)
+				}
+				return late / seeds, refused / seeds
+			}
+			late, refused := run(Assign)
+			lateAtAny, refusedAtAny := run(assignAtAnySpeed)
+			t.Logf("late %.4f, refused %.3f for each start; without the choice %.4f, %.3f", late, refused, lateAtAny, refusedAtAny)
+			must.Less(t, maxLateFraction*lateAtAny, late)
+			must.LessEq(t, refusedAtAny, refused)
+		})
+	}
+}
+
+// inTimeOfAll replays the load and returns the fraction of all jobs answered in time.
+func (r *staleReplay) inTimeOfAll(load float64) float64 {
+	r.run(load)
+	inTime, submitted := 0, 0
+	for k := range jobKinds {
+		inTime += r.inTime[k]
+		submitted += r.submitted[k]
+	}
+	return float64(inTime) / float64(submitted)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -214,6 +214,8 @@
 	// QueuedOrders is the number of orders that wait for capacity.
 	QueuedOrders int     `json:"waiting"`
 	Speed        float64 `json:"speed"`
+	// RatedSpeed is the endpoint's usual speed, zero while it is unknown.
+	RatedSpeed float64 `json:"rated_speed"`
 	// Dispatchers lists the known dispatchers, as name and incarnation.
 	Dispatchers []string `json:"links"`
 }
@@ -232,7 +234,7 @@
 	if s := r.session; s != nil {
 		out.EndpointIncarnation = s.endpoint.Incarnation()
 		out.Capacity, out.Used = s.tracker.Capacity(), s.tracker.Used()
-		out.Runs, out.Speed = s.tracker.RunCount(), s.tracker.Speed()
+		out.Runs, out.Speed, out.RatedSpeed = s.tracker.RunCount(), s.tracker.Speed(), s.ratedSpeed()
 	}
 	return out
 }
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"math"
+
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 )
@@ -72,5 +74,15 @@
 	out.CapacityCpu, out.CapacityMemory, out.CapacityGpus = uint64(c.MilliCPU), uint64(c.MemoryMB), uint64(c.GPUs)
 	out.UsedCpu, out.UsedMemory, out.UsedGpus = uint64(used.MilliCPU), uint64(used.MemoryMB), uint64(used.GPUs)
 	out.SpeedPercent = uint64(s.tracker.Speed() * percent)
+	out.RatedSpeedPercent = uint64(math.Round(s.ratedSpeed() * percent))
 	return out
 }
+
+// ratedSpeed returns the endpoint's usual speed, zero while it is unknown.
+func (s *session) ratedSpeed() float64 {
+	rating, known := s.tracker.Rating()
+	if !known {
+		return 0
+	}
+	return rating
+}
