--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -140,6 +140,3 @@
 		u.byService[service] = speeds[len(speeds)/2]
 	}
 }
-
-// ratedSpeed returns the usual speed of the endpoint, zero while it is unknown.
-func (r *runner) ratedSpeed() float64 { return float64(r.state.GetRatedSpeedPercent()) / percent }
