Overflow jobs run at endpoints that are suspended because they are slow

Change: a runner reports RunnerState.slow and starts orders with RunOrder.overflow while it is suspended for slowness alone. A dispatcher admits a job that the backlog would refuse as an overflow job if all of its tasks fit at once at such endpoints and it ends before its late bound, and places it only there. Overflow runs are no probes, don't count when the endpoint is judged as slow, and are moved only without progress. When an endpoint counts as slow, its speed is that of the current runs, without the time before.

--- a/internal/capacity/health.go
+++ b/internal/capacity/health.go
@@ -20,12 +20,16 @@
 
 // Health decides whether an endpoint should get work. An endpoint is suspended
 // after failures of several jobs in a row or when it is slow, and then probed
-// with few runs until one succeeds.
+// with few runs until one succeeds. While it is suspended for slowness alone, it
+// takes overflow runs. They are expected to be slow and are no probes: they
+// neither end nor prolong the suspension, unless several jobs fail.
 type Health struct {
 	failedJobs     map[string]bool
 	nextSuspension time.Duration
 	suspendedUntil time.Duration
 	probing        bool
+	// slow is set if slowness alone caused the last suspension.
+	slow bool
 }
 
 // NewHealth returns the health of an endpoint without a history.
@@ -42,34 +46,62 @@
 	}
 }
 
+// OverflowDone records a successful overflow run.
+func (h *Health) OverflowDone() { h.failedJobs = map[string]bool{} }
+
 // RunFailed records a run that failed, or was refused for an unknown reason. It
-// reports whether this suspends the endpoint.
+// reports whether this suspends the endpoint. A run that ends during a suspension
+// is no probe.
 func (h *Health) RunFailed(job string, now time.Duration) bool {
+	return h.recordFailure(job, h.probing && !h.Suspended(now), now)
+}
+
+// OverflowFailed records an overflow run that failed, or was refused for an unknown
+// reason. It reports whether this suspends the endpoint.
+func (h *Health) OverflowFailed(job string, now time.Duration) bool {
+	return h.recordFailure(job, false, now)
+}
+
+func (h *Health) recordFailure(job string, probe bool, now time.Duration) bool {
 	h.failedJobs[job] = true
-	if len(h.failedJobs) < failedJobsThreshold && !h.probing {
+	if len(h.failedJobs) < failedJobsThreshold && !probe {
+		return false
+	}
+	if h.Suspended(now) && !h.slow {
 		return false
 	}
-	return h.suspend(now)
+	h.suspend(now, false)
+	return true
 }
 
 // MarkSlow records that the endpoint is slow. It reports whether this suspends
 // the endpoint.
-func (h *Health) MarkSlow(now time.Duration) bool { return h.suspend(now) }
-
-func (h *Health) suspend(now time.Duration) bool {
+func (h *Health) MarkSlow(now time.Duration) bool {
 	if h.Suspended(now) {
 		return false
 	}
+	h.suspend(now, true)
+	return true
+}
+
+// suspend suspends the endpoint. A suspension for failures replaces one for
+// slowness and doesn't shorten it.
+func (h *Health) suspend(now time.Duration, slow bool) {
 	h.failedJobs = map[string]bool{}
-	h.suspendedUntil = now + h.nextSuspension
+	h.suspendedUntil = max(h.suspendedUntil, now+h.nextSuspension)
 	h.nextSuspension = min(2*h.nextSuspension, maxSuspension)
 	h.probing = true
-	return true
+	h.slow = slow
 }
 
-// Suspended reports whether the endpoint gets no work at present.
+// Suspended reports whether the endpoint gets no work other than overflow runs at
+// present.
 func (h *Health) Suspended(now time.Duration) bool { return now < h.suspendedUntil }
 
+// SuspendedAsSlow reports whether the endpoint is suspended for slowness alone, so
+// that it takes overflow runs.
+func (h *Health) SuspendedAsSlow(now time.Duration) bool { return h.slow && h.Suspended(now) }
+
 // MaxRuns returns the bound on concurrent runs while the endpoint is probed,
 // zero for no bound other than its capacity.
 func (h *Health) MaxRuns() int {
--- a/internal/capacity/health_test.go
+++ b/internal/capacity/health_test.go
@@ -43,3 +43,31 @@
 	must.True(t, h.MarkSlow(10*minSuspension))
 	must.False(t, h.Suspended(11*minSuspension), must.Sprint("a success resets the suspension's duration"))
 }
+
+// Overflow runs may only be started at an endpoint that is suspended for slowness
+// alone, and failures of several jobs during that suspension must end them.
+func TestFailuresReplaceSuspensionForSlowness(t *testing.T) {
+	h := NewHealth()
+	must.True(t, h.MarkSlow(0))
+	must.True(t, h.SuspendedAsSlow(minSuspension-ms))
+	must.False(t, h.SuspendedAsSlow(minSuspension))
+	must.False(t, h.OverflowFailed("a", 5*ms))
+	must.False(t, h.RunFailed("b", 5*ms), must.Sprint("a run that ends during the suspension is no probe"))
+	must.True(t, h.SuspendedAsSlow(5*ms))
+	must.True(t, h.OverflowFailed("c", 5*ms))
+	must.False(t, h.SuspendedAsSlow(5*ms))
+	must.True(t, h.Suspended(minSuspension))
+	must.False(t, h.MarkSlow(6*ms))
+	must.False(t, h.SuspendedAsSlow(6*ms), must.Sprint("slowness must not replace a suspension for failures"))
+}
+
+// Overflow runs say nothing about ordinary work: neither may they end the probing
+// of a slow endpoint, nor may one that fails suspend an endpoint that is probed.
+func TestOverflowRunsAreNoProbes(t *testing.T) {
+	h := NewHealth()
+	must.True(t, h.MarkSlow(0))
+	h.OverflowDone()
+	must.Eq(t, maxProbeRuns, h.MaxRuns())
+	must.False(t, h.OverflowFailed("a", minSuspension))
+	must.False(t, h.Suspended(minSuspension))
+}
--- a/internal/capacity/speed.go
+++ b/internal/capacity/speed.go
@@ -119,14 +119,15 @@
 )
 
 // Slow reports whether the endpoint works far slower than estimated, judged by
-// the rates of the single jobs that run there.
+// the rates of the single jobs that run there. Overflow runs don't count: they
+// would prolong the suspension that admitted them.
 func (t *Tracker) Slow() bool {
 	if t.Speed() >= slowThreshold {
 		return false
 	}
 	slow := map[string]bool{}
 	for run, res := range t.reservations {
-		if !res.hasRate {
+		if !res.hasRate || res.Overflow {
 			continue
 		}
 		task, _ := workload.ParseTaskID(run.Task)
@@ -142,12 +143,31 @@
 	return n >= minSlowJobs && float64(n) >= minSlowFraction*float64(len(slow))
 }
 
+// DiscardFormerSpeed replaces the measured speed by the mean rate of the current
+// runs. When an endpoint counts as slow, most of the measurement still stems from
+// the time before, and overflow runs would be predicted to end too early.
+func (t *Tracker) DiscardFormerSpeed() {
+	n, sum := 0, 0.0
+	for _, res := range t.reservations {
+		if res.hasRate {
+			n++
+			sum += res.rate
+		}
+	}
+	if n == 0 {
+		return
+	}
+	t.speed.elapsed = priorWeightSeconds
+	t.speed.workDone = priorWeightSeconds * sum / float64(n)
+}
+
 // ResetSpeed discards all samples, so that an endpoint that was slow or failing
 // is tried again.
 func (t *Tracker) ResetSpeed() { t.speed = newSpeedEstimator() }
 
 // NewlyStalled returns the runs that have stalled, or that would be done
-// earlier if restarted elsewhere. Each run is returned once.
+// earlier if restarted elsewhere. Each run is returned once. Overflow runs are
+// returned only if they have stalled: elsewhere there is no capacity for them.
 func (t *Tracker) NewlyStalled(now time.Duration) []workload.RunID {
 	var stalled []workload.RunID
 	slow := t.Slow()
@@ -155,7 +175,7 @@
 		if res.Stalled || res.State != Running || now-res.StartSentAt < startupGrace {
 			continue
 		}
-		if res.noProgressUntil-res.noProgressFrom > stallTimeout || (slow && t.fasterElsewhere(res)) {
+		if res.noProgressUntil-res.noProgressFrom > stallTimeout || (slow && !res.Overflow && t.fasterElsewhere(res)) {
 			res.Stalled = true
 			stalled = append(stalled, run)
 		}
--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -40,6 +40,9 @@
 	// the endpoint.
 	Route     string
 	Contained bool
+	// Overflow is set if the run was ordered for an endpoint that is suspended
+	// because it is slow.
+	Overflow bool
 	// Estimate is the expected duration at speed 1.
 	Estimate time.Duration
 	State    RunState
@@ -138,6 +141,17 @@
 // RunCount returns the number of runs that hold capacity.
 func (t *Tracker) RunCount() int { return len(t.reservations) }
 
+// OverflowCount returns the number of overflow runs that hold capacity.
+func (t *Tracker) OverflowCount() int {
+	n := 0
+	for _, res := range t.reservations {
+		if res.Overflow {
+			n++
+		}
+	}
+	return n
+}
+
 // UnknownRuns returns the runs that this runner did not request. They have to
 // be stopped.
 func (t *Tracker) UnknownRuns() []workload.RunID {
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -182,6 +182,8 @@
 	}
 	must.Less(t, slowThreshold, tr.Speed())
 	must.Eq(t, []workload.RunID{long}, stalled)
+	tr.DiscardFormerSpeed()
+	must.InDelta(t, 1.0/slowBy, tr.Speed(), 0.03, must.Sprint("a third of the measurement stems from before"))
 }
 
 // A single job that takes longer than its estimate must not mark the endpoint
@@ -258,3 +260,35 @@
 		}
 	})
 }
+
+// Two overflow runs that take six times their estimate: they must neither mark the
+// endpoint as slow again after its suspension, nor be moved to endpoints that have no
+// capacity for them, unless they make no progress at all.
+func TestOverflowRunsAreMovedOnlyWithoutProgress(t *testing.T) {
+	tr := newSyncedTracker()
+	runs := []workload.RunID{newRunID("a"), newRunID("b")}
+	for _, r := range runs {
+		must.True(t, tr.Reserve(Reservation{Run: r, Resources: resources(100), Estimate: 300 * ms, Overflow: true}, 0))
+		tr.StartAccepted(r, 1*ms)
+	}
+	percent := 0.0
+	respond := func(at time.Duration) {
+		var resp workload.RenewalResponse
+		for _, r := range runs {
+			resp.Running = append(resp.Running, workload.RunProgress{Run: r, Percent: percent})
+		}
+		tr.Reconcile(resp, at-ms, at)
+	}
+	for at := 50 * ms; at <= 500*ms; at += 50 * ms {
+		percent = at.Seconds() / 1.8 * 100
+		respond(at)
+		must.SliceEmpty(t, tr.NewlyStalled(at))
+	}
+	must.Less(t, slowThreshold, tr.Speed())
+	must.False(t, tr.Slow())
+	must.Eq(t, 2, tr.OverflowCount())
+	for at := 550 * ms; at <= 800*ms; at += 50 * ms {
+		respond(at)
+	}
+	must.SliceLen(t, 2, tr.NewlyStalled(800*ms))
+}
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -36,7 +36,11 @@
 			return result.Errorf(result.NoEndpoint, "no endpoint can run step %d of job %s; %d are usable", s, j.spec.ID, len(endpoints))
 		}
 	}
-	return d.checkBacklog(j, area, capacity, now)
+	err := d.checkBacklog(j, area, capacity, now)
+	if err != nil && d.admitOverflow(j, now) {
+		return nil
+	}
+	return err
 }
 
 // checkBacklog returns an error for a job that would have to wait for longer
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -170,6 +170,8 @@
 	Incarnation    string `json:"incarnation"`
 	PolicyRevision uint64 `json:"policy_revision"`
 	Jobs           int    `json:"jobs"`
+	// OverflowJobs is the number of open jobs that were admitted as overflow.
+	OverflowJobs int `json:"overflow_jobs"`
 	// ContainedRoutes are the routes whose jobs run contained.
 	ContainedRoutes []string      `json:"contained_routes"`
 	Runners         []RunnerState `json:"runners"`
@@ -179,11 +181,14 @@
 type RunnerState struct {
 	Name string `json:"name"`
 	// EndpointIncarnation is the incarnation of the runner's endpoint.
-	EndpointIncarnation string  `json:"life"`
-	Usable              bool    `json:"usable"`
-	FreeMilliCPU        int64   `json:"free_cpu"`
-	Speed               float64 `json:"speed"`
-	Runs                int     `json:"runs"`
+	EndpointIncarnation string `json:"life"`
+	Usable              bool   `json:"usable"`
+	// TakesOverflow is set while the endpoint is not usable because it is slow, and
+	// takes overflow runs.
+	TakesOverflow bool    `json:"takes_overflow"`
+	FreeMilliCPU  int64   `json:"free_cpu"`
+	Speed         float64 `json:"speed"`
+	Runs          int     `json:"runs"`
 }
 
 // State returns the current state for the state dump.
@@ -193,9 +198,10 @@
 	now := clock.SinceBoot()
 	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
 		ContainedRoutes: d.crashes.ContainedRoutes(now)}
+	out.OverflowJobs = d.openOverflowJobs()
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
-			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now),
+			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now), TakesOverflow: r.takesOverflow(now),
 			FreeMilliCPU: r.free().MilliCPU, Speed: r.speed(), Runs: len(r.runs),
 		})
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -110,7 +110,7 @@
 
 // enqueueTask queues a task for placement.
 func (d *Dispatcher) enqueueTask(t *task) {
-	t.state = taskQueued
+	t.state, t.overflow = taskQueued, false
 	d.waiting[t.job.spec.ID] = t.job
 }
 
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -37,6 +37,8 @@
 	failures   int
 	// contained is set if the last run was contained.
 	contained bool
+	// overflow is set if the last run was ordered as an overflow run.
+	overflow bool
 	// lostRuns counts the runs that were lost without being stopped.
 	lostRuns int
 	// redirects counts the starts that were refused for lack of capacity.
@@ -68,7 +70,10 @@
 	// expired lease or a used attempt; placement uses them last.
 	avoid map[string]bool
 	// suspect is set if one of the tasks may crash endpoints.
-	suspect  bool
+	suspect bool
+	// overflow is set if the job was admitted for endpoints that are suspended
+	// because they are slow.
+	overflow bool
 	answer   chan platform.Answer
 	answered bool
 	// callerCount is the number of requests that wait for the answer.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,6 +19,7 @@
 	answers  metric.Int64Counter
 	crashes  metric.Int64Counter
 	givenUp  metric.Int64Counter
+	overflow metric.Int64Counter
 	latency  metric.Float64Histogram
 }
 
@@ -40,6 +41,9 @@
 	if out.givenUp, err = m.Int64Counter("dispatcher_jobs_given_up"); err != nil {
 		return nil, err
 	}
+	if out.overflow, err = m.Int64Counter("dispatcher_overflow_jobs"); err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("dispatcher_answer_seconds", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4))
 	return out, err
@@ -57,3 +61,8 @@
 	m.answers.Add(ctx, 1, codeAttribute(a.Code))
 	m.latency.Record(ctx, took.Seconds())
 }
+
+// recordOverflow counts a job that is admitted as overflow.
+func (m *metrics) recordOverflow(ctx context.Context, route string) {
+	m.overflow.Add(ctx, 1, metric.WithAttributes(attribute.String("route", route)))
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -105,12 +105,22 @@
 }
 
 // usable reports whether the runner may get work.
-func (r *runner) usable(now time.Duration) bool {
+func (r *runner) usable(now time.Duration) bool { return r.state.GetReady() && r.responsive(now) }
+
+// responsive reports whether the runner is linked, connected and not silent.
+func (r *runner) responsive(now time.Duration) bool {
 	timeout := idlePlacementTimeout
 	if r.inUse() {
 		timeout = placementTimeout
 	}
-	return r.outbox != nil && !r.unlinked && r.state.GetReady() && r.silence(now) < timeout
+	return r.outbox != nil && !r.unlinked && r.silence(now) < timeout
+}
+
+// takesOverflow reports whether the runner may get overflow orders: its endpoint is
+// suspended for slowness alone, and no run of an earlier process of the runner may
+// use capacity there.
+func (r *runner) takesOverflow(now time.Duration) bool {
+	return r.state.GetSlow() && !r.state.GetReady() && !r.hasInheritedRuns && r.responsive(now)
 }
 
 // closeIfSilent closes the connection if the runner has not responded for too
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -178,8 +178,8 @@
 	r.account(s.GetHandled(), r.lastFrameAt)
 	before := r.state
 	r.state = s
-	if before.GetReady() != s.GetReady() || before.GetHealthy() != s.GetHealthy() {
-		d.log.Info("runner: state changed", zap.String("runner", r.node.Name), zap.Bool("ready", s.GetReady()), zap.Bool("healthy", s.GetHealthy()),
+	if before.GetReady() != s.GetReady() || before.GetHealthy() != s.GetHealthy() || before.GetSlow() != s.GetSlow() {
+		d.log.Info("runner: state changed", zap.String("runner", r.node.Name), zap.Bool("ready", s.GetReady()), zap.Bool("healthy", s.GetHealthy()), zap.Bool("slow", s.GetSlow()),
 			zap.String("life", s.GetLife()), zap.Float64("speed", r.speed()))
 	}
 	if !s.GetReady() || !r.hasInheritedRuns {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -44,6 +44,13 @@
 // usableEndpoints returns the endpoints that may get work, and their runners in
 // the same order. If containment is set, those for contained jobs are marked.
 func (d *Dispatcher) usableEndpoints(containment bool, now time.Duration) ([]placement.Endpoint, []*runner) {
+	return d.selectEndpoints(containment, func(r *runner) bool { return r.usable(now) })
+}
+
+// selectEndpoints returns the selected endpoints of those that are not out of
+// service, and their runners in the same order. If containment is set, those for
+// contained jobs are marked.
+func (d *Dispatcher) selectEndpoints(containment bool, selected func(*runner) bool) ([]placement.Endpoint, []*runner) {
 	p := d.policy.Current()
 	var all []placement.Endpoint
 	var runners []*runner
@@ -51,7 +58,8 @@
 		return nil, nil
 	}
 	for _, r := range d.runners {
-		if !p.OutOfService(r.state.GetFailureDomain()) {
+		// The containment area includes endpoints that can't be selected.
+		if !p.OutOfService(r.state.GetFailureDomain()) && (containment || selected(r)) {
 			all = append(all, r.endpoint())
 			runners = append(runners, r)
 		}
@@ -62,19 +70,20 @@
 			all[i].HasContained = r.hasContained()
 		}
 	}
-	usable := 0
+	n := 0
 	for i, r := range runners {
-		if r.usable(now) {
-			all[usable], runners[usable] = all[i], r
-			usable++
+		if selected(r) {
+			all[n], runners[n] = all[i], r
+			n++
 		}
 	}
-	return all[:usable], runners[:usable]
+	return all[:n], runners[:n]
 }
 
 // schedule assigns free capacity to waiting jobs, the most urgent first. It is
 // called with the lock held.
 func (d *Dispatcher) schedule(now time.Duration) {
+	d.scheduleOverflow(now)
 	waiting := d.waitingByUrgency(now)
 	if len(waiting) == 0 {
 		return
@@ -147,6 +156,7 @@
 			Route:      j.route.Name,
 			Contained:  t.contained,
 			Priority:   uint32(d.level(j)),
+			Overflow:   t.overflow,
 		}
 		if i == 0 {
 			order.Spec = j.spec.Spec
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -15,6 +15,7 @@
 	stops    metric.Int64Counter
 	refusals metric.Int64Counter
 	ends     metric.Int64Counter
+	overflow metric.Int64Counter
 }
 
 func newCounters(m metric.Meter) (*counters, error) {
@@ -25,6 +26,7 @@
 	}{
 		{&c.starts, "runner_starts"}, {&c.stops, "runner_stops"},
 		{&c.refusals, "runner_refusals"}, {&c.ends, "runner_ends"},
+		{&c.overflow, "runner_overflow_starts"},
 	} {
 		created, err := m.Int64Counter(i.name)
 		if err != nil {
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -22,6 +22,9 @@
 	route     string
 	// contained is set if the job may crash the endpoint.
 	contained bool
+	// overflow is set if the run is to start at an endpoint that is suspended
+	// because it is slow. The order is not queued.
+	overflow bool
 	// waitDeadline is the time until which the order may wait for capacity.
 	waitDeadline time.Duration
 	// startDeadline is the latest time at which the run can start and still end
@@ -53,6 +56,7 @@
 		estimate:      time.Duration(o.GetEstimateUs()) * time.Microsecond,
 		route:         o.GetRoute(),
 		contained:     o.GetContained(),
+		overflow:      o.GetOverflow(),
 		waitDeadline:  now + time.Duration(o.GetPatienceUs())*time.Microsecond,
 		startDeadline: now + time.Duration(o.GetSlackUs())*time.Microsecond,
 	}
@@ -83,14 +87,11 @@
 }
 
 // hasCapacity reports whether the order's run may start now: the endpoint has
-// responded and told its capacity recently, is neither suspended nor at its bound of probe runs, has free
+// responded and told its capacity recently, its health allows the run, it has free
 // capacity, and no contained run of another job if the order is contained.
 func (r *Runner) hasCapacity(o *order, now time.Duration) bool {
 	s := r.session
-	if now-s.lastResponseAt > maxResponseAge || !r.capacityKnown(s, now) || s.health.Suspended(now) {
-		return false
-	}
-	if limit := s.health.MaxRuns(); limit > 0 && s.tracker.RunCount() >= limit {
+	if now-s.lastResponseAt > maxResponseAge || !r.capacityKnown(s, now) || !s.healthAllows(o, now) {
 		return false
 	}
 	if o.contained && s.tracker.HasContained(o.job()) {
@@ -112,6 +113,10 @@
 		r.refuse(o, code)
 		return
 	}
+	if o.overflow {
+		r.handleOverflow(o, now)
+		return
+	}
 	if len(r.queue) == 0 && r.hasCapacity(o, now) {
 		r.startRun(o, now)
 		return
@@ -124,6 +129,7 @@
 	r.startQueued(now)
 }
 
+// refuse reports that an order's run has not started and will not.
 func (r *Runner) refuse(o *order, code result.Code) {
 	r.counters.refusals.Add(r.baseCtx, 1)
 	r.log.Debug("order: refused", zap.String("task", o.runID.Task), zap.Uint64("attempt", o.runID.Attempt),
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -211,6 +211,10 @@
 	Capacity            workload.Resources `json:"capacity"`
 	Used                workload.Resources `json:"used"`
 	Runs                int                `json:"runs"`
+	// OverflowRuns is the number of Runs that are overflow runs. Slow is set while
+	// the endpoint is suspended because it is slow, and takes overflow orders.
+	OverflowRuns int  `json:"overflow_runs"`
+	Slow         bool `json:"slow"`
 	// QueuedOrders is the number of orders that wait for capacity.
 	QueuedOrders int     `json:"waiting"`
 	Speed        float64 `json:"speed"`
@@ -233,6 +237,7 @@
 		out.EndpointIncarnation = s.endpoint.Incarnation()
 		out.Capacity, out.Used = s.tracker.Capacity(), s.tracker.Used()
 		out.Runs, out.Speed = s.tracker.RunCount(), s.tracker.Speed()
+		out.OverflowRuns, out.Slow = s.tracker.OverflowCount(), s.health.SuspendedAsSlow(clock.SinceBoot())
 	}
 	return out
 }
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -145,23 +145,11 @@
 	r.processEnded(s, now)
 }
 
-// updateHealth updates the endpoint's health by how a run ended.
-func (r *Runner) updateHealth(s *session, released capacity.ReleasedRun, now time.Duration) {
-	switch released.Outcome {
-	case workload.OutcomeDone:
-		s.health.RunDone()
-	case workload.OutcomeFailed:
-		task, _ := workload.ParseTaskID(released.Reservation.Run.Task)
-		if s.health.RunFailed(task.Job, now) {
-			r.log.Warn("endpoint: suspended after failed runs", zap.String("life", s.endpoint.Incarnation()))
-		}
-	}
-}
-
 // checkSpeed suspends an endpoint that is too slow, and measures the speed
 // again after a suspension.
 func (r *Runner) checkSpeed(s *session, now time.Duration) {
 	if s.tracker.Slow() && s.health.MarkSlow(now) {
+		s.tracker.DiscardFormerSpeed()
 		r.log.Warn("endpoint: suspended, too slow", zap.String("life", s.endpoint.Incarnation()),
 			zap.Float64("speed", s.tracker.Speed()), zap.Int("running", s.tracker.RunCount()))
 	}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -19,6 +19,7 @@
 	s := r.session
 	reserved := s.tracker.Reserve(capacity.Reservation{
 		Run: o.runID, Owner: o.owner, Resources: o.resources, Estimate: o.estimate, Route: o.route, Contained: o.contained,
+		Overflow: o.overflow,
 	}, now)
 	if !reserved {
 		r.refuse(o, result.AlreadyStarted)
@@ -69,7 +70,7 @@
 			r.fencingToken = max(r.fencingToken, s.fencingToken)
 		}
 		if code == result.Overloaded {
-			s.health.RunFailed(o.job(), now)
+			s.runFailed(o.job(), o.overflow, now)
 		}
 		s.tracker.StartRefused(o.runID, now)
 		r.sendEvent(o.owner, newRunEvent(o.runID, endRefused, code, 0))
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -10,6 +10,8 @@
 type availability struct {
 	life, service  string
 	ready, healthy bool
+	// slow is set while the endpoint takes overflow orders.
+	slow bool
 }
 
 // markStateChanged schedules the state to be sent to every dispatcher: at once
@@ -17,7 +19,7 @@
 // it, and later to the others.
 func (r *Runner) markStateChanged() {
 	state := r.endpointState()
-	available := availability{life: state.GetLife(), service: state.GetService(), ready: state.GetReady(), healthy: state.GetHealthy()}
+	available := availability{life: state.GetLife(), service: state.GetService(), ready: state.GetReady(), healthy: state.GetHealthy(), slow: state.GetSlow()}
 	urgent := available != r.lastAvailability
 	r.lastAvailability = available
 	for _, d := range r.dispatchers {
@@ -67,7 +69,9 @@
 	out.Life, out.Service, out.FailureDomain, out.Labels = ep.Incarnation(), ep.Service, ep.FailureDomain, ep.Labels
 	reachable := !s.down && s.lastResponseAt != 0 && now-s.lastResponseAt < maxResponseAge
 	suspended := s.health.Suspended(now)
-	out.Ready = !r.draining && !ep.Draining && reachable && r.capacityKnown(s, now) && s.tracker.AcceptsStarts() && !suspended
+	startable := !r.draining && !ep.Draining && reachable && r.capacityKnown(s, now) && s.tracker.AcceptsStarts()
+	out.Ready = startable && !suspended
+	out.Slow = startable && s.health.SuspendedAsSlow(now)
 	out.Healthy = !suspended && s.health.MaxRuns() == 0
 	out.CapacityCpu, out.CapacityMemory, out.CapacityGpus = uint64(c.MilliCPU), uint64(c.MemoryMB), uint64(c.GPUs)
 	out.UsedCpu, out.UsedMemory, out.UsedGpus = uint64(used.MilliCPU), uint64(used.MemoryMB), uint64(used.GPUs)
