--- a/internal/capacity/speed.go
+++ b/internal/capacity/speed.go
@@ -175,7 +175,7 @@
 		if res.Stalled || res.State != Running || now-res.StartSentAt < startupGrace {
 			continue
 		}
-		if res.noProgressUntil-res.noProgressFrom > stallTimeout || (slow && !res.Overflow && t.fasterElsewhere(res)) {
+		if res.noProgressUntil-res.noProgressFrom > stallTimeoutOf(res) || (slow && !res.Overflow && t.fasterElsewhere(res)) {
 			res.Stalled = true
 			stalled = append(stalled, run)
 		}
@@ -183,6 +183,20 @@
 	return stalled
 }
 
+// overflowStallFraction times the estimate is the least time without progress after
+// which an overflow run counts as stalled. Endpoints list the progress in whole
+// percent, and two of them take this long at a tenth of the normal speed.
+const overflowStallFraction = 0.2
+
+// stallTimeoutOf returns the time without progress after which a run counts as
+// stalled.
+func stallTimeoutOf(res *Reservation) time.Duration {
+	if !res.Overflow {
+		return stallTimeout
+	}
+	return max(stallTimeout, time.Duration(overflowStallFraction*float64(res.Estimate)))
+}
+
 // minSpeed is the least speed that is assumed when a run's remaining time is
 // predicted, so that the prediction is bounded.
 const minSpeed = 0.01
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -53,6 +53,7 @@
 		&pb.RunnerFrame{Beat: &pb.RunnerBeat{SentNs: -1 << 63, PolicyRevision: 1 << 63}, Held: []*pb.RunRef{{}}},
 		&pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 1 << 63, UsedCpu: 1<<64 - 1, SpeedPercent: 1 << 63, Handled: 1<<64 - 1, OtherLoad: -1, WaitingCpu: 1 << 63}},
 		&pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}, Policy: &pb.Policy{Revision: 9, Config: []byte("{")}},
+		&pb.RunnerFrame{State: &pb.RunnerState{Slow: true, Service: "svc", CapacityCpu: 1 << 63, UsedCpu: 1<<64 - 1, SpeedPercent: 1 << 63}},
 		&pb.RunnerFrame{Crashes: []*pb.CrashReport{{}, {Life: "1", AgeUs: -1 << 63, Runs: []*pb.CrashedRun{{}, {Task: run.GetTask(), AgeUs: -1 << 63, Contained: true}}}, {Life: "2", AgeUs: 1 << 62, Runs: []*pb.CrashedRun{{Task: run.GetTask(), Route: "r"}}}}},
 	)
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -186,7 +186,7 @@
 func (j *job) urgency() *placement.Urgency {
 	return &placement.Urgency{
 		ArrivedAt: j.arrivedAt, Objective: j.objective, RemainingWork: j.remainingWork(),
-		Started: j.started(), Suspect: j.suspect,
+		Started: j.started(), Suspect: j.suspect, Overflow: j.overflow,
 	}
 }
 
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -21,12 +21,19 @@
 	Started bool
 	// Suspect is set if the job may have crashed an endpoint.
 	Suspect bool
+	// Overflow is set if the job was admitted to be answered late.
+	Overflow bool
 }
 
 // Slack returns how long the job can still wait and meet its objective. It is
-// negative for a late job.
+// negative for a late job, which an overflow job is from the start: tasks of it that
+// have to run at sound endpoints must not delay jobs that are in time.
 func (u *Urgency) Slack(now time.Duration) time.Duration {
-	return u.ArrivedAt + u.Objective - now - u.RemainingWork
+	slack := u.ArrivedAt + u.Objective - now - u.RemainingWork
+	if u.Overflow {
+		return min(slack, -time.Microsecond)
+	}
+	return slack
 }
 
 // Expired reports whether the job's answer will have no value, even if the
--- a/internal/runner/fuzz_test.go
+++ b/internal/runner/fuzz_test.go
@@ -22,6 +22,7 @@
 		{Starts: []*pb.RunOrder{nil, {}, {Run: &pb.RunRef{Task: "j.0.0.0"}, Service: "svc", CpuMilli: 1 << 63, Number: 1}}},
 		{Starts: []*pb.RunOrder{{Run: &pb.RunRef{Task: "j.0.0.0", Attempt: 1}, Service: "svc", CpuMilli: 10, RepeatsSpec: true, EstimateUs: -1, PatienceUs: -1 << 62, SlackUs: 1 << 62}}},
 		{Starts: []*pb.RunOrder{{Run: &pb.RunRef{Task: "x"}, Service: "svc", Contained: true, Route: "r"}, {Run: &pb.RunRef{Task: "j.0.0.0"}, Service: "svc", Contained: true}}},
+		{Starts: []*pb.RunOrder{{Run: &pb.RunRef{Task: "j.0.0.0"}, Service: "svc", CpuMilli: 10, Overflow: true, Contained: true, PatienceUs: 1 << 62}}},
 		{Beat: &pb.DispatcherBeat{EchoNs: -1 << 63, StateGapUs: -1 << 63, LinkLoad: -1}, Stops: []*pb.RunRef{nil, {Task: "x"}}},
 		{Policy: &pb.Policy{Revision: 1 << 63, Config: []byte("{"), Evacuated: []string{""}}},
 	} {
