--- a/internal/capacity/speed.go
+++ b/internal/capacity/speed.go
@@ -119,14 +119,15 @@
 )
 
 // Slow reports whether the endpoint works far slower than estimated, judged by
-// the rates of the single jobs that run there.
+// the rates of the single jobs that run there. Overflow runs don't count: they
+// would prolong the suspension that admitted them.
 func (t *Tracker) Slow() bool {
 	if t.Speed() >= slowThreshold {
 		return false
 	}
 	slow := map[string]bool{}
 	for run, res := range t.reservations {
-		if !res.hasRate {
+		if !res.hasRate || res.Overflow {
 			continue
 		}
 		task, _ := workload.ParseTaskID(run.Task)
@@ -142,12 +143,31 @@
 	return n >= minSlowJobs && float64(n) >= minSlowFraction*float64(len(slow))
 }
 
+// DiscardFormerSpeed replaces the measured speed by the mean rate of the current
+// runs. When an endpoint counts as slow, most of the measurement still stems from
+// the time before, and overflow runs would be predicted to end too early.
+func (t *Tracker) DiscardFormerSpeed() {
+	n, sum := 0, 0.0
+	for _, res := range t.reservations {
+		if res.hasRate {
+			n++
+			sum += res.rate
+		}
+	}
+	if n == 0 {
+		return
+	}
+	t.speed.elapsed = priorWeightSeconds
+	t.speed.workDone = priorWeightSeconds * sum / float64(n)
+}
+
 // ResetSpeed discards all samples, so that an endpoint that was slow or failing
 // is tried again.
 func (t *Tracker) ResetSpeed() { t.speed = newSpeedEstimator() }
 
 // NewlyStalled returns the runs that have stalled, or that would be done
-// earlier if restarted elsewhere. Each run is returned once.
+// earlier if restarted elsewhere. Each run is returned once. Overflow runs are
+// returned only if they have stalled: elsewhere there is no capacity for them.
 func (t *Tracker) NewlyStalled(now time.Duration) []workload.RunID {
 	var stalled []workload.RunID
 	slow := t.Slow()
@@ -155,7 +175,7 @@
 		if res.Stalled || res.State != Running || now-res.StartSentAt < startupGrace {
 			continue
 		}
-		if res.noProgressUntil-res.noProgressFrom > stallTimeout || (slow && t.fasterElsewhere(res)) {
+		if res.noProgressUntil-res.noProgressFrom > stallTimeoutOf(res) || (slow && !res.Overflow && t.fasterElsewhere(res)) {
 			res.Stalled = true
 			stalled = append(stalled, run)
 		}
@@ -163,6 +183,20 @@
 	return stalled
 }
 
+// overflowStallFraction times the estimate is the least time without progress after
+// which an overflow run counts as stalled. Endpoints list the progress in whole
+// percent, and two of them take this long at a tenth of the normal speed.
+const overflowStallFraction = 0.2
+
+// stallTimeoutOf returns the time without progress after which a run counts as
+// stalled.
+func stallTimeoutOf(res *Reservation) time.Duration {
+	if !res.Overflow {
+		return stallTimeout
+	}
+	return max(stallTimeout, time.Duration(overflowStallFraction*float64(res.Estimate)))
+}
+
 // minSpeed is the least speed that is assumed when a run's remaining time is
 // predicted, so that the prediction is bounded.
 const minSpeed = 0.01
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -38,10 +38,20 @@
 			return result.Errorf(result.NoEndpoint, "no endpoint can run step %d of job %s; %d are usable", s, j.spec.ID, len(endpoints))
 		}
 	}
+	err := d.checkQueuedWork(j, area, endpoints, capacity, now)
+	if err != nil && d.admitOverflow(j, now) {
+		return nil
+	}
+	return err
+}
+
+// checkQueuedWork returns an error for a job that would have to wait for too long
+// behind queued work.
+func (d *Dispatcher) checkQueuedWork(j *job, area placement.Area, endpoints []placement.Endpoint, capacityMilliCPU int64, now time.Duration) error {
 	if d.byPriority() {
-		return d.checkPriority(j, area, endpoints, capacity, now)
+		return d.checkPriority(j, area, endpoints, capacityMilliCPU, now)
 	}
-	return d.checkBacklog(j, area, capacity, now)
+	return d.checkBacklog(j, area, capacityMilliCPU, now)
 }
 
 // overloadError is the refusal of a job because of queued work.
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -130,10 +130,13 @@
 // if these differ.
 func (d *Dispatcher) byPriority() bool { return d.policy.Current().LevelCount() > 1 }
 
-// countAdmitted counts the demand of an admitted job.
+// countAdmitted counts the demand of an admitted job. Overflow jobs don't count: they
+// leave the capacity to others.
 func (d *Dispatcher) countAdmitted(j *job, now time.Duration) {
 	c, work := &d.contention, j.work()
-	c.demand.Add(d.level(j), work, now)
+	if !j.overflow {
+		c.demand.Add(d.level(j), work, now)
+	}
 	c.callers.Add(j.caller, work, now)
 	c.refusedJobs.Remove(j.spec.ID)
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -115,7 +115,7 @@
 
 // enqueueTask queues a task for placement.
 func (d *Dispatcher) enqueueTask(t *task) {
-	t.state = taskQueued
+	t.state, t.overflow = taskQueued, false
 	d.addWaiting(t.job)
 }
 
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -24,14 +24,21 @@
 }
 
 // countStarted counts the requested run of a task in the started work of a level.
+// Overflow runs don't count: they use no capacity that another level could get.
 func (d *Dispatcher) countStarted(t *task, level int, now time.Duration) {
 	t.level = level
+	if t.overflow {
+		return
+	}
 	d.started.Add(level, t.work(), now)
 }
 
 // uncountStarted takes back the task's last run, which was refused. Otherwise a level
 // whose starts are often refused would seem to have its minimum share.
 func (d *Dispatcher) uncountStarted(t *task, now time.Duration) {
+	if t.overflow {
+		return
+	}
 	d.started.Remove(t.level, t.work(), t.placedAt, now)
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -214,6 +214,10 @@
 	Capacity            workload.Resources `json:"capacity"`
 	Used                workload.Resources `json:"used"`
 	Runs                int                `json:"runs"`
+	// OverflowRuns is the number of Runs that are overflow runs. Slow is set while
+	// the endpoint is suspended because it is slow, and takes overflow orders.
+	OverflowRuns int  `json:"overflow_runs"`
+	Slow         bool `json:"slow"`
 	// QueuedOrders is the number of orders that wait for capacity.
 	QueuedOrders int `json:"waiting"`
 	// Levels describes the queue and the started work by priority level.
@@ -240,6 +244,7 @@
 		out.EndpointIncarnation = s.endpoint.Incarnation()
 		out.Capacity, out.Used = s.tracker.Capacity(), s.tracker.Used()
 		out.Runs, out.Speed, out.RatedSpeed = s.tracker.RunCount(), s.tracker.Speed(), s.ratedSpeed()
+		out.OverflowRuns, out.Slow = s.tracker.OverflowCount(), s.health.SuspendedAsSlow(clock.SinceBoot())
 	}
 	return out
 }
