Speed of an endpoint: runs without estimate and progress out of bounds don't count

Cause: two jobs without an estimate (estimated_ms is optional) counted as no work in the time that they ran, so that an endpoint appeared to stand still and was suspended; one progress of 1e300 percent made an endpoint appear 7e10 times as fast. Change: runs without an estimate give no speed sample, progress is clamped to 0 to 100. Measured: both tests fail without the change and pass with it; tests of internal/capacity and platform pass.

--- a/internal/capacity/speed.go
+++ b/internal/capacity/speed.go
@@ -62,10 +62,16 @@
 	return s.workDone / s.elapsed
 }
 
-// observeProgress records the progress that the endpoint listed for a run.
+// observeProgress records the progress that the endpoint listed for a run. A run
+// without an estimate shows progress, but no speed.
 func (s *speedEstimator) observeProgress(res *Reservation, percent float64, now time.Duration) {
+	percent = min(max(percent, 0), 100)
 	res.trackProgress(percent <= res.lastPercent, now)
 	interval := now - res.lastPercentAt
+	if res.Estimate <= 0 {
+		res.lastPercent = percent
+		return
+	}
 	if interval < minSampleInterval || now-res.StartSentAt < startupGrace {
 		return
 	}
@@ -102,6 +108,9 @@
 
 // observeDone adds the rest of the run's work, which has succeeded.
 func (s *speedEstimator) observeDone(res *Reservation, now time.Duration) {
+	if res.Estimate <= 0 {
+		return
+	}
 	remaining := time.Duration((100 - res.lastPercent) / 100 * float64(res.Estimate))
 	s.addSample(remaining, now-res.lastPercentAt, now)
 }
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -258,3 +258,41 @@
 		}
 	})
 }
+
+// Callers may send jobs without estimates, whose progress says nothing about the speed.
+// If it counted as work of no duration, their jobs would suspend every endpoint.
+func TestRunsWithoutEstimateDontMakeEndpointSlow(t *testing.T) {
+	tr := newSyncedTracker()
+	for i := range 4 {
+		run := newRunID(fmt.Sprint(i))
+		must.True(t, tr.Reserve(Reservation{Run: run, Owner: "d", Resources: resources(1000)}, 10*ms))
+		tr.StartAccepted(run, 11*ms)
+	}
+	for i := range 4 {
+		now := time.Duration(100+100*i) * ms
+		var resp workload.RenewalResponse
+		for run := range tr.reservations {
+			resp.Running = append(resp.Running, workload.RunProgress{Run: run, Percent: float64(20 + 20*i)})
+		}
+		tr.Reconcile(resp, now, now)
+		must.False(t, tr.Slow())
+		must.Eq(t, 1, tr.Speed())
+	}
+}
+
+// An endpoint that reports a progress out of bounds must neither appear fast nor,
+// once the run is done, as working backwards.
+func TestProgressOutOfBoundsIsClamped(t *testing.T) {
+	for _, percent := range []float64{-1e300, 1e300} {
+		tr := newSyncedTracker()
+		run := newRunID("a")
+		reserve(t, tr, run, 1000, 10*ms)
+		tr.StartAccepted(run, 11*ms)
+		resp := runningResponse(run)
+		resp.Running[0].Percent = percent
+		tr.Reconcile(resp, 100*ms, 100*ms)
+		must.Between(t, 0, tr.Speed(), 2)
+		tr.Reconcile(workload.RenewalResponse{Ended: []workload.EndedRun{{Sequence: 1, Run: run, Outcome: workload.OutcomeDone}}}, 150*ms, 150*ms)
+		must.Between(t, 0, tr.Speed(), 2)
+	}
+}
