Runner: bound echoes and durations in dispatchers' frames

Cause: an echo from the future extended a dispatcher's lease to that time, so that its runs were not stopped after its death and its jobs could run twice. Huge durations in an order overflowed to negative ones. Change: an echo later than now is ignored, durations are clamped.

--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -270,8 +270,9 @@
 	if b == nil {
 		return
 	}
-	if b.GetEchoNs() > 0 {
-		d.leaseEnd = max(d.leaseEnd, time.Duration(b.GetEchoNs())+lease.DispatcherTTL)
+	// A later time than now was never sent, and proves nothing.
+	if echo := time.Duration(b.GetEchoNs()); echo > 0 && echo <= now {
+		d.leaseEnd = max(d.leaseEnd, echo+lease.DispatcherTTL)
 	}
 	d.policyRevision = max(d.policyRevision, b.GetPolicyRevision())
 	d.stateInterval = time.Duration(min(max(b.GetStateGapUs(), 0), maxStateInterval.Microseconds())) * time.Microsecond
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -219,3 +220,24 @@
 	}
 	must.Eq(t, []string{"a", "a", "", "", "b", "b"}, specs)
 }
+
+// An echo proves when the dispatcher was alive. If one from the future extended the
+// lease, the runs of a dispatcher that then dies would never be stopped, and its jobs
+// would run twice.
+func TestEchoFromTheFutureDoesNotExtendLease(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	for _, ahead := range []time.Duration{time.Hour, math.MaxInt64 / 2} {
+		r.handleFrame(d, out, &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: int64(clock.SinceBoot() + ahead)}})
+		must.LessEq(t, clock.SinceBoot()+lease.DispatcherTTL, d.leaseEnd)
+	}
+}
+
+// Durations in an order that overflow would turn into negative ones.
+func TestDurationsInOrderAreClamped(t *testing.T) {
+	o := newOrder("d", "", &pb.RunOrder{EstimateUs: math.MaxInt64, PatienceUs: math.MaxInt64, SlackUs: math.MaxInt64}, time.Hour)
+	must.Greater(t, time.Hour, min(o.estimate, o.waitDeadline, o.startDeadline))
+	o = newOrder("d", "", &pb.RunOrder{EstimateUs: math.MinInt64, PatienceUs: math.MinInt64, SlackUs: math.MinInt64}, time.Hour)
+	must.Eq(t, 0, o.estimate)
+	must.Less(t, time.Hour, max(o.waitDeadline, o.startDeadline))
+}
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -50,14 +50,25 @@
 		service:       o.GetService(),
 		spec:          spec,
 		resources:     workload.DecodeResources(o.GetCpuMilli(), o.GetMemoryMb(), o.GetGpus()),
-		estimate:      time.Duration(o.GetEstimateUs()) * time.Microsecond,
+		estimate:      max(decodeDuration(o.GetEstimateUs()), 0),
 		route:         o.GetRoute(),
 		contained:     o.GetContained(),
-		waitDeadline:  now + time.Duration(o.GetPatienceUs())*time.Microsecond,
-		startDeadline: now + time.Duration(o.GetSlackUs())*time.Microsecond,
+		waitDeadline:  now + decodeDuration(o.GetPatienceUs()),
+		startDeadline: now + decodeDuration(o.GetSlackUs()),
 	}
 }
 
+// maxOrderDuration bounds the durations in an order, so that times that are computed
+// from them don't overflow. It exceeds any run time.
+const maxOrderDuration = 30 * 24 * time.Hour
+
+// decodeDuration returns a duration from a message in microseconds, within
+// maxOrderDuration.
+func decodeDuration(us int64) time.Duration {
+	const limit = int64(maxOrderDuration / time.Microsecond)
+	return time.Duration(min(max(us, -limit), limit)) * time.Microsecond
+}
+
 // checkOrder returns OK if the policy and the state of the endpoint allow the
 // order, and otherwise the code of the refusal.
 func (r *Runner) checkOrder(o *order) result.Code {
