Dispatcher: impossible jobs are no load, a started run is not lost

Cause: a job with a huge need was refused but counted as load, so that by the decay the other dispatchers' shares were at their minimum for a minute and they refused jobs. A report that a run has started, which the messages define and no runner sends yet, was handled as a loss: the task was started a second time while it ran. Change: a need that exceeds all usable endpoints is taken out of the load; a start is recorded.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -174,6 +174,14 @@
 	}
 	d.load.Add(j.queuedMilliCPU(), now)
 	if err := d.checkServable(j, now); err != nil {
+		// A need that exceeds every usable endpoint, however huge, is no load.
+		// Without any, arrivals count: the share of the load must be right when
+		// endpoints are back.
+		if result.CodeOf(err) == result.NoEndpoint {
+			if usable, _ := d.usableEndpoints(false, now); len(usable) > 0 {
+				d.load.Add(-j.queuedMilliCPU(), now)
+			}
+		}
 		if !j.mayHaveRun {
 			return nil, err
 		}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -23,6 +23,10 @@
 		d.onRunStalled(r, t)
 		return
 	}
+	if e.GetEnd() == pb.RunEnd_RUN_END_STARTED {
+		t.job.mayHaveRun = true
+		return
+	}
 	delete(r.runs, run)
 	delete(r.stopping, run)
 	if e.GetEnd() != pb.RunEnd_RUN_END_REFUSED {
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -7,10 +7,13 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
@@ -95,3 +98,30 @@
 	must.False(t, r.echoDue(4, now+lease.HeartbeatInterval/2))
 	must.True(t, r.echoDue(4, now+lease.HeartbeatInterval))
 }
+
+// A job that no endpoint can run is refused. If it counted as load, one with a huge need
+// would make the other dispatchers refuse their jobs for a minute: their share of the
+// load would appear to be nothing.
+func TestJobThatCanNeverRunIsNoLoad(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	d.startedAt -= time.Minute
+	r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}
+	spec := &workload.Job{ID: "huge", Steps: []workload.Step{{Count: 1000, Resources: workload.DecodeResources(1<<40, 0, 0)}}}
+	now := clock.SinceBoot()
+	_, err := d.admit(spec, &d.policy.Current().Config.Routes[0], now, now+time.Second)
+	must.Eq(t, result.NoEndpoint, result.CodeOf(err))
+	must.Eq(t, 0, d.linkLoad(now))
+}
+
+// A runner of another version may report that a run has started. If it counted as lost,
+// its task would be started a second time while it runs.
+func TestStartedRunIsNotLost(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}
+	task := d.admitTestJob(t, "j").tasks[0][0]
+	run := task.runID()
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Events: []*pb.RunEvent{{Run: runref.Encode(run), End: pb.RunEnd_RUN_END_STARTED}}})
+	must.Eq(t, run, task.runID())
+	must.MapContainsKey(t, r.runs, run)
+	must.True(t, task.job.mayHaveRun)
+}
