--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -33,10 +33,16 @@
 
 // Objective returns the latency within which a job should be answered whose
 // longest chain of steps has the given duration.
+// It is at least zero and at most maxObjective.
 func (r *Route) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(r.Stretch*float64(criticalPath)) + r.TargetLatency
+	stretched := time.Duration(min(max(r.Stretch*float64(criticalPath), 0), float64(maxObjective)))
+	return min(max(stretched+min(r.TargetLatency, maxObjective), 0), maxObjective)
 }
 
+// maxObjective bounds objectives, so that times that are computed from them don't
+// overflow.
+const maxObjective = 30 * 24 * time.Hour
+
 // Limits bound the size of callers' requests.
 type Limits struct {
 	MaxBodyBytes   int64
