--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -206,6 +206,14 @@
 		d.metrics.recordReturn(d.runCtx, route.Name)
 	}
 	if err := d.checkServable(j, now); err != nil {
+		// A need that exceeds every usable endpoint, however huge, is no load.
+		// Without any, arrivals count: the share of the load must be right when
+		// endpoints are back.
+		if result.CodeOf(err) == result.NoEndpoint {
+			if usable, _ := d.usableEndpoints(false, now); len(usable) > 0 {
+				d.load.Add(-j.queuedMilliCPU(), now)
+			}
+		}
 		if !j.mayHaveRun {
 			var overload *overloadError
 			if errors.As(err, &overload) {
