Tasks wait 10 ms before they are redirected; cheaper placement decision

Change: a task that is sent as if there was capacity may wait for 10 ms at the runner, which refuses it when this ends instead of at its next periodic check. Placement divides once for each request, keeps its working set on the stack and builds the queues once for each job.

--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 )
 
 const (
@@ -45,124 +44,171 @@
 	return max(minSpeed, min(speed, maxSpeed))
 }
 
-// SetMedianSpeeds sets the median speed of each endpoint's service. With it,
-// placement compares the endpoints of a fleet whose run times are all longer, or
-// all shorter, than estimated.
+// comparedSpeed holds the speeds of an endpoint by which it is compared to others.
+type comparedSpeed struct {
+	// relative is the speed relative to the median of the service. grouped is the
+	// same, but 1 near the median, and absolute is grouped relative to the estimates.
+	relative, grouped, absolute float64
+}
+
+func newComparedSpeed(speed, median float64) comparedSpeed {
+	relative := speed / median
+	grouped := 1.0
+	if relative < 1/usualSpeed || relative > usualSpeed {
+		grouped = max(relative, minSpeed)
+	}
+	return comparedSpeed{relative: relative, grouped: grouped, absolute: grouped * median}
+}
+
+// speeds returns the endpoint's speeds, with a median of 1 before SetMedianSpeeds.
+func (e *Endpoint) speeds() *comparedSpeed {
+	if e.compared.absolute == 0 {
+		e.compared = newComparedSpeed(e.Speed, 1)
+	}
+	return &e.compared
+}
+
+// SetMedianSpeeds sets what the endpoints' speeds are compared to: the median of each
+// service. With it, placement compares the endpoints of a fleet whose run times are
+// all longer, or all shorter, than estimated.
 func SetMedianSpeeds(endpoints []Endpoint) {
-	speeds := make([]float64, 0, len(endpoints))
+	var buffer [inlineEndpoints]float64
 	for i := range endpoints {
-		if endpoints[i].MedianSpeed > 0 {
+		endpoints[i].compared = comparedSpeed{}
+	}
+	for i := range endpoints {
+		if endpoints[i].compared.absolute > 0 {
 			continue
 		}
-		speeds = speeds[:0]
-		for k := range endpoints[i:] {
-			if e := &endpoints[i+k]; e.Service == endpoints[i].Service {
-				speeds = append(speeds, e.Speed)
+		service := endpoints[i].Service
+		speeds := buffer[:0]
+		for k := i; k < len(endpoints); k++ {
+			if endpoints[k].Service == service {
+				speeds = append(speeds, endpoints[k].Speed)
 			}
 		}
 		slices.Sort(speeds)
 		median := max(minSpeed, speeds[len(speeds)/2])
-		for k := range endpoints[i:] {
-			if e := &endpoints[i+k]; e.Service == endpoints[i].Service {
-				e.MedianSpeed = median
+		for k := i; k < len(endpoints); k++ {
+			if e := &endpoints[k]; e.Service == service {
+				e.compared = newComparedSpeed(e.Speed, median)
 			}
 		}
 	}
 }
 
-// relativeSpeed returns the speed relative to the median of the service.
-func (e *Endpoint) relativeSpeed() float64 {
-	if e.MedianSpeed <= 0 {
-		return e.Speed
+// neededSpeed returns the speed below which an endpoint's tasks take so long that the
+// job misses its objective.
+func (r *Request) neededSpeed() float64 {
+	if r.Estimate <= 0 {
+		return 0
 	}
-	return e.Speed / e.MedianSpeed
+	available := float64(r.Estimate) + float64(r.Slack)
+	if available <= 0 {
+		return math.Inf(1)
+	}
+	return slowestTask * float64(r.Estimate) / available
 }
 
-// comparedSpeed returns the speed relative to the median by which endpoints are
-// compared: 1 for all that are near the median.
-func (e *Endpoint) comparedSpeed() float64 {
-	if s := e.relativeSpeed(); s < 1/usualSpeed || s > usualSpeed {
-		return max(s, minSpeed)
-	}
-	return 1
+// inlineEndpoints is the number of endpoints up to which a decision allocates no
+// memory for its working set.
+const inlineEndpoints = 96
+
+// queue is the queue of an endpoint's runner.
+type queue struct {
+	index, class int
+	// wait is the time until a further task starts there, in units of the mean
+	// duration of tasks, and waitPerTask what a task adds to it.
+	wait, waitPerTask float64
+	// headroom is the CPU for which further tasks may be queued.
+	headroom float64
 }
 
-// misses reports whether the job would miss its objective at the endpoint, because
-// the tasks take longer there than estimated.
-func (r *Request) misses(e *Endpoint) bool {
-	speed := e.comparedSpeed()
-	if e.MedianSpeed > 0 {
-		speed *= e.MedianSpeed
+// assignToQueues adds the tasks to the queues of runners where they start first, in
+// queues at which the job meets its objective if there are any. Tasks are not queued
+// at probed or avoided endpoints, nor if the request has a bound of tasks per endpoint.
+func assignToQueues(r *Request, endpoints []Endpoint, assignments []Assignment) []Assignment {
+	if r.MaxPerEndpoint > 0 {
+		return assignments
+	}
+	var buffer [inlineEndpoints]queue
+	queues := r.appendQueues(buffer[:0], endpoints)
+	for range r.Count {
+		var best *queue
+		for i := range queues {
+			if q := &queues[i]; q.headroom > 0 && (best == nil || q.before(best)) {
+				best = q
+			}
+		}
+		if best == nil {
+			break
+		}
+		best.wait += best.waitPerTask
+		best.headroom -= float64(r.Resources.MilliCPU)
+		endpoints[best.index].Reserve(r.Resources)
+		assignments = addQueued(assignments, best.index)
 	}
-	extra := slowestTask*float64(r.Estimate)/speed - float64(r.Estimate)
-	return r.Estimate > 0 && time.Duration(extra) > r.Slack
+	return assignments
 }
 
-// queueTime returns the time until one of the tasks would start at the endpoint's
-// runner, in units of the mean duration of tasks.
-func (r *Request) queueTime(e *Endpoint) float64 {
-	queued := r.Resources.MilliCPU - e.Free.MilliCPU
-	return float64(queued) / (float64(e.Capacity.MilliCPU) * e.comparedSpeed())
+// before reports whether the queue is better than another one.
+func (q *queue) before(other *queue) bool {
+	if q.class != other.class {
+		return q.class < other.class
+	}
+	return q.wait < other.wait
 }
 
-// shortestQueue returns the index of the eligible endpoint with queue headroom
-// at which a task would start first, or -1 if there is none. Endpoints at which
-// the job misses its objective come last. Tasks are not queued at probed or
-// avoided endpoints, nor if the request has a bound of tasks per endpoint.
-func (r *Request) shortestQueue(endpoints []Endpoint) int {
-	best, bestMisses, bestTime := -1, false, 0.0
-	if r.MaxPerEndpoint > 0 {
-		return best
-	}
+func (r *Request) appendQueues(queues []queue, endpoints []Endpoint) []queue {
+	needed, need := r.neededSpeed(), float64(r.Resources.MilliCPU)
 	for i := range endpoints {
 		e := &endpoints[i]
-		tier := r.tier(e)
-		if tier > tierSlow || tier == tierProbe || !r.Resources.Fits(e.Capacity) || e.queueHeadroom() <= 0 {
+		headroom := e.queueHeadroom()
+		if headroom <= 0 || !r.Resources.Fits(e.Capacity) {
 			continue
 		}
-		misses, queueTime := r.misses(e), r.queueTime(e)
-		if best < 0 || (bestMisses && !misses) || (misses == bestMisses && queueTime < bestTime) {
-			best, bestMisses, bestTime = i, misses, queueTime
+		if tier := r.tier(e); tier != tierPreferred && tier != tierSlow {
+			continue
 		}
+		speeds := e.speeds()
+		perMilliCPU := 1 / (float64(e.Capacity.MilliCPU) * speeds.grouped)
+		queues = append(queues, queue{
+			index: i, class: class(tierPreferred, speeds.absolute < needed),
+			wait: (need - float64(e.Free.MilliCPU)) * perMilliCPU, waitPerTask: need * perMilliCPU,
+			headroom: headroom,
+		})
 	}
-	return best
+	return queues
 }
 
-// candidate is an endpoint that can take at least one task.
+// candidate is an endpoint that can take at least one task. Those of a lower class
+// are used first, at any speed.
 type candidate struct {
-	index, fit, tier int
-	misses           bool
-	speed            float64
+	index, fit, class int
+	speed             float64
 }
 
-// before reports whether the candidate is used before another one at any speed.
-func (c *candidate) before(other *candidate) bool {
-	if c.tier != other.tier {
-		return c.tier < other.tier
+// class orders endpoints by tier, then by whether the job meets its objective there.
+func class(tier int, misses bool) int {
+	if misses {
+		return 2*tier + 1
 	}
-	return !c.misses && other.misses
-}
-
-// ties reports whether only speed and fit distinguish the candidates.
-func (c *candidate) ties(other *candidate) bool {
-	return c.tier == other.tier && c.misses == other.misses
+	return 2 * tier
 }
 
 // pickBest returns the index of a random candidate among the best: those of the
-// best tier at which the job meets its objective, of the speed that the job needs
-// to end first, that take all of the tasks, or else the most.
+// best class, of the speed that the job needs to end first, that take all of the
+// tasks, or else the most.
 func pickBest(candidates []candidate, count int, randIntN func(n int) int) int {
-	best := candidates[0]
+	best := candidates[0].class
 	for i := range candidates {
-		if candidates[i].before(&best) {
-			best = candidates[i]
-		}
+		best = min(best, candidates[i].class)
 	}
 	slowest := leastSpeed(candidates, best, count)
 	most, equal := 0, 0
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.ties(&best) || c.speed < slowest {
+		if c.class != best || c.speed < slowest {
 			continue
 		}
 		switch fit := min(c.fit, count); {
@@ -173,29 +219,25 @@
 		}
 	}
 	skip := randIntN(equal)
-	for i := range candidates {
-		c := &candidates[i]
-		if !c.ties(&best) || c.speed < slowest || min(c.fit, count) != most {
-			continue
-		}
-		if skip == 0 {
-			return i
+	return slices.IndexFunc(candidates, func(c candidate) bool {
+		if c.class != best || c.speed < slowest || min(c.fit, count) != most {
+			return false
 		}
 		skip--
-	}
-	return 0
+		return skip < 0
+	})
 }
 
-// leastSpeed returns the least compared speed of the endpoints that a step uses,
-// from those that tie in all but speed. A step ends when its slowest task ends, so
-// this is the highest speed above which enough of the tasks fit: to put a part of
-// them at still faster endpoints would spread the job without an earlier end.
-func leastSpeed(candidates []candidate, best candidate, count int) float64 {
+// leastSpeed returns the least grouped speed of the endpoints of a class that a step
+// uses. A step ends when its slowest task ends, so this is the highest speed above
+// which enough of the tasks fit: to put a part of them at still faster endpoints would
+// spread the job without an earlier end.
+func leastSpeed(candidates []candidate, class, count int) float64 {
 	group := math.Inf(1)
 	for {
 		fastest, fit := 0.0, 0
 		for i := range candidates {
-			if c := &candidates[i]; c.ties(&best) && c.speed < group {
+			if c := &candidates[i]; c.class == class && c.speed < group {
 				fastest = max(fastest, c.speed)
 			}
 		}
@@ -204,7 +246,7 @@
 		}
 		group = fastest / nearlyEqualSpeed
 		for i := range candidates {
-			if c := &candidates[i]; c.ties(&best) && c.speed >= group {
+			if c := &candidates[i]; c.class == class && c.speed >= group {
 				fit += c.fit
 			}
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,9 +21,9 @@
 	// Speed is the endpoint's speed relative to the task estimates; 1 means
 	// that tasks take as long as estimated.
 	Speed float64
-	// MedianSpeed is the median speed of the endpoints of the service; zero counts
-	// as 1.
-	MedianSpeed float64
+	// compared holds the speeds by which endpoints are compared; see
+	// SetMedianSpeeds.
+	compared comparedSpeed
 	// Healthy is false for an endpoint that gets probe tasks only.
 	Healthy bool
 	// Rank orders the endpoints alike at all dispatchers, and has nothing to do
@@ -43,13 +43,9 @@
 // Reserve subtracts resources from the free capacity.
 func (e *Endpoint) Reserve(resources workload.Resources) { e.Free = e.Free.Minus(resources) }
 
-// queueHeadroom returns the fraction of the capacity for which further tasks
-// may be queued at the runner.
+// queueHeadroom returns the CPU for which further tasks may be queued at the runner.
 func (e *Endpoint) queueHeadroom() float64 {
-	if e.Capacity.MilliCPU <= 0 {
-		return 0
-	}
-	return maxQueueFraction + float64(e.Free.MilliCPU)/float64(e.Capacity.MilliCPU)
+	return maxQueueFraction*float64(e.Capacity.MilliCPU) + float64(e.Free.MilliCPU)
 }
 
 // Request asks for the placement of a group of equal tasks of one step.
@@ -97,11 +93,11 @@
 	switch {
 	case e.Service != r.Service, !r.Area.Includes(e), r.RequiredLabel != "" && !slices.Contains(e.Labels, r.RequiredLabel):
 		return tierIneligible
-	case r.Avoid[e.Name]:
+	case len(r.Avoid) > 0 && r.Avoid[e.Name]:
 		return tierAvoided
 	case !e.Healthy:
 		return tierProbe
-	case e.relativeSpeed() < slowThreshold:
+	case e.speeds().relative < slowThreshold:
 		return tierSlow
 	}
 	return tierPreferred
@@ -116,16 +112,21 @@
 	if r.MaxPerEndpoint > 0 {
 		n = min(n, r.MaxPerEndpoint-r.PlacedByEndpoint[e.Name])
 	}
-	for _, p := range [][2]int64{
-		{r.Resources.MilliCPU, e.Free.MilliCPU}, {r.Resources.MemoryMB, e.Free.MemoryMB}, {r.Resources.GPUs, e.Free.GPUs},
-	} {
-		if p[0] > 0 {
-			n = min(n, int(p[1]/p[0]))
-		}
-	}
+	n = boundByFree(n, r.Resources.MilliCPU, e.Free.MilliCPU)
+	n = boundByFree(n, r.Resources.MemoryMB, e.Free.MemoryMB)
+	n = boundByFree(n, r.Resources.GPUs, e.Free.GPUs)
 	return max(n, 0)
 }
 
+// boundByFree returns n, or how many tasks fit if each needs an amount of what is
+// free and fewer fit.
+func boundByFree(n int, need, free int64) int {
+	if need <= 0 || need*int64(n) <= free {
+		return n
+	}
+	return int(free / need)
+}
+
 // CanEverFit reports whether one task would fit at the endpoint if it were
 // empty.
 func (r *Request) CanEverFit(e *Endpoint) bool {
@@ -147,14 +148,8 @@
 		remaining.Count -= a.Count
 		endpoints[a.EndpointIndex].Reserve(r.Resources.Times(a.Count))
 	}
-	for remaining.Count > 0 {
-		index := remaining.shortestQueue(endpoints)
-		if index < 0 {
-			break
-		}
-		remaining.Count--
-		endpoints[index].Reserve(r.Resources)
-		assignments = addQueued(assignments, index)
+	if remaining.Count > 0 {
+		assignments = assignToQueues(&remaining, endpoints, assignments)
 	}
 	return assignments
 }
@@ -175,7 +170,8 @@
 // jobs that use fewer endpoints fail less often. The choice between equal
 // endpoints is random because other dispatchers choose at the same time.
 func assignToFree(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment {
-	candidates := r.candidates(endpoints)
+	var buffer [inlineEndpoints]candidate
+	candidates := r.appendCandidates(buffer[:0], endpoints)
 	remaining := r.Count
 	var assignments []Assignment
 	for remaining > 0 && len(candidates) > 0 {
@@ -189,17 +185,21 @@
 	return assignments
 }
 
-func (r *Request) candidates(endpoints []Endpoint) []candidate {
-	candidates := make([]candidate, 0, len(endpoints))
+func (r *Request) appendCandidates(candidates []candidate, endpoints []Endpoint) []candidate {
+	needed := r.neededSpeed()
 	for i := range endpoints {
 		e := &endpoints[i]
-		tier := r.tier(e)
 		fit := r.FitCount(e)
+		if fit == 0 {
+			continue
+		}
+		tier := r.tier(e)
 		if tier == tierProbe {
 			fit = min(fit, maxProbeTasks)
 		}
-		if tier < tierIneligible && fit > 0 {
-			candidates = append(candidates, candidate{index: i, fit: fit, tier: tier, misses: r.misses(e), speed: e.comparedSpeed()})
+		if tier < tierIneligible {
+			speeds := e.speeds()
+			candidates = append(candidates, candidate{index: i, fit: fit, class: class(tier, speeds.absolute < needed), speed: speeds.grouped})
 		}
 	}
 	return candidates
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -181,6 +181,36 @@
 	must.Eq(t, run, runref.Decode(f.GetEvents()[0].GetRun()))
 }
 
+// An order that may wait for some milliseconds must not wait for the periodic check,
+// which doesn't run here: its job would lose the time that another endpoint needs.
+func TestOrderIsRefusedWhenItsShortWaitEnds(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	out.TryTakeAll()
+	now := clock.SinceBoot()
+	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
+	r.mu.Lock()
+	r.session = &session{
+		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, tracker: capacity.New(workload.Resources{MilliCPU: 1000}),
+		health: capacity.NewHealth(), lastResponseAt: now, heartbeatAt: now,
+	}
+	d.leaseEnd = now + time.Minute
+	r.handleOrder(&order{owner: d.owner(), runID: workload.RunID{Task: "j.0.0.0", Attempt: 1}, service: "svc", waitDeadline: now + 10*time.Millisecond}, now)
+	queued := len(r.queue)
+	r.mu.Unlock()
+	must.Eq(t, 1, queued)
+	var code uint32
+	for end := time.Now().Add(5 * time.Second); code == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		items, _ := out.TryTakeAll()
+		for _, item := range items {
+			for _, e := range item.GetEvents() {
+				code = e.GetCode()
+			}
+		}
+	}
+	must.Eq(t, uint32(result.NoFreeSlot), code)
+}
+
 // After a suspension of the runner, a response of the endpoint may be handled
 // before the periodic check of the leases. An order that was queued before must
 // not start then if its dispatcher's lease has expired meanwhile: the caller may
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -121,6 +121,7 @@
 		return
 	}
 	r.queue = append(r.queue, o)
+	r.refuseAfterWait(o, now)
 	r.startQueued(now)
 }
 
