--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -142,6 +142,7 @@
 	}
 	// An order that may not wait is started or refused now.
 	r.queue = append(r.queue, o)
+	r.refuseAfterWait(o, now)
 	r.startQueued(now)
 }
 
