--- a/internal/admission/callers.go
+++ b/internal/admission/callers.go
@@ -49,9 +49,9 @@
 func (c *Callers) Seen(caller string, now time.Duration) { c.known.touch(caller, now) }
 
 // Add counts admitted work of a caller.
-func (c *Callers) Add(caller string, work float64, now time.Duration) {
+func (c *Callers) Add(caller string, w Work, now time.Duration) {
 	v := &c.known.touch(caller, now).value
-	v.work = v.at(now) + Bounded(work)
+	v.work = v.at(now) + Bounded(w.MilliCPUSeconds)
 	v.updatedAt = now
 }
 
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/policy"
+)
 
 const (
 	// MinShare is the fraction of the started work that a level with waiting jobs gets
@@ -24,8 +28,12 @@
 	// CapacityMilliCPU is the CPU of all endpoints, each multiplied by its speed,
 	// which counts as 1 if it is higher.
 	CapacityMilliCPU int64
-	// MeanTaskDuration is the mean duration of all tasks.
-	MeanTaskDuration time.Duration
+	// TaskDurations holds for each level the mean duration of the tasks of this level
+	// and those after it. These tasks occupy the capacity that the levels before leave
+	// free, so they determine how often a part of it becomes free for the level: where
+	// its tasks are long and those of the levels before short, the mean of all tasks
+	// would give a wait that is several times too short.
+	TaskDurations [policy.MaxLevels]time.Duration
 	// Backlog is the CPU that queued tasks of all dispatchers need, and Demand that
 	// of the work that they recently admitted, both in thousandths of a core.
 	Backlog ByLevel
@@ -89,8 +97,9 @@
 	if s.CapacityMilliCPU <= 0 {
 		return maxWait
 	}
-	queued = min(queued/s.FreeFraction(level), s.Backlog[clampLevel(level)]/MinShare)
-	wait := queued / float64(s.CapacityMilliCPU) * float64(s.MeanTaskDuration)
+	level = clampLevel(level)
+	queued = min(queued/s.FreeFraction(level), s.Backlog[level]/MinShare)
+	wait := queued / float64(s.CapacityMilliCPU) * float64(s.TaskDurations[level])
 	return time.Duration(min(wait, float64(maxWait)))
 }
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -46,27 +46,27 @@
 
 // overloadError is the refusal of a job because of queued work.
 type overloadError struct {
-	// err is the error for the caller.
-	err      *result.Error
+	jobID    string
+	slack    time.Duration
 	decision admission.Decision
 	// retryAfter is the delay for the caller, zero if it doesn't follow from the load.
 	retryAfter time.Duration
 }
 
 // Error returns the text of the error for the caller.
-func (e *overloadError) Error() string { return e.err.Error() }
+func (e *overloadError) Error() string { return e.result().Error() }
 
 // Unwrap returns the error for the caller.
-func (e *overloadError) Unwrap() error { return e.err }
+func (e *overloadError) Unwrap() error { return e.result() }
 
-// newOverloadError returns the refusal of a job by a decision.
-func newOverloadError(j *job, decision admission.Decision, slack time.Duration) *overloadError {
+// result returns the error for the caller. Its text is not made with the decision, which
+// holds the dispatcher's lock.
+func (e *overloadError) result() *result.Error {
 	cause := "queued work delays it"
-	if decision.Unfair {
+	if e.decision.Unfair {
 		cause = "its caller has more demand than others, and queued work delays it"
 	}
-	return &overloadError{decision: decision, err: result.Errorf(result.Overloaded, "job %s: %s by %s, its slack is %s",
-		j.spec.ID, cause, decision.Wait, slack)}
+	return result.Errorf(result.Overloaded, "job %s: %s by %s, its slack is %s", e.jobID, cause, e.decision.Wait, e.slack)
 }
 
 // checkPriority returns an error for a job that would have to wait for longer than it
@@ -88,34 +88,52 @@
 			return nil
 		}
 	}
-	refusal := newOverloadError(j, decision, arriving.Slack)
-	refusal.retryAfter = admission.Spread(decision.RetryAfter, rand.IntN)
-	return refusal
+	return &overloadError{
+		jobID: j.spec.ID, slack: arriving.Slack, decision: decision,
+		retryAfter: admission.Spread(decision.RetryAfter, rand.IntN),
+	}
 }
 
 // fits reports whether the healthy endpoints have free capacity for all queued tasks of
 // the job.
 func (j *job) fits(endpoints []placement.Endpoint, area placement.Area) bool {
-	free := slices.Clone(endpoints)
+	var requests []*placement.Request
 	for s := range j.spec.Steps {
-		req := j.placementRequest(s, len(j.queuedTasks(s)), area)
-		for i := range free {
-			if req.Count == 0 {
-				break
-			}
-			if e := &free[i]; e.Healthy && req.CanEverFit(e) {
-				n := req.FitCount(e)
-				e.Reserve(req.Resources.Times(n))
-				req.Count -= n
-			}
+		if n := len(j.queuedTasks(s)); n > 0 {
+			requests = append(requests, j.placementRequest(s, n, area))
 		}
-		if req.Count > 0 {
+	}
+	if len(requests) > 1 {
+		// Steps share the free capacity: what one takes is reserved in a copy.
+		endpoints = slices.Clone(endpoints)
+	}
+	for _, req := range requests {
+		if !takeFree(req, endpoints, len(requests) > 1) {
 			return false
 		}
 	}
 	return true
 }
 
+// takeFree reports whether healthy endpoints have free capacity for all requested
+// tasks, and reserves it if reserve is set.
+func takeFree(req *placement.Request, endpoints []placement.Endpoint, reserve bool) bool {
+	for i := range endpoints {
+		e := &endpoints[i]
+		if !e.Healthy || e.Free.MilliCPU < req.Resources.MilliCPU || !req.CanEverFit(e) {
+			continue
+		}
+		n := req.FitCount(e)
+		if reserve {
+			e.Reserve(req.Resources.Times(n))
+		}
+		if req.Count -= n; req.Count == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // retryAfterExpiry returns the delay for the caller of a job that was admitted and has
 // not started in time.
 func (d *Dispatcher) retryAfterExpiry(j *job, now time.Duration) time.Duration {
@@ -148,7 +166,7 @@
 		return nil
 	}
 	decision := admission.Decision{Level: d.level(j), Wait: b.Wait(), BacklogMilliCPU: b.QueuedMilliCPU, CapacityMilliCPU: capacityMilliCPU}
-	return newOverloadError(j, decision, u.Slack(now))
+	return &overloadError{jobID: j.spec.ID, slack: u.Slack(now), decision: decision}
 }
 
 // totalMilliCPU returns the CPU of all endpoints, each multiplied by its speed,
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -70,6 +70,8 @@
 	connected int
 	// waiting is the CPU that waits at usable runners, in thousandths of a core.
 	waiting admission.ByLevel
+	// otherLoad is as in loadShare.
+	otherLoad float64
 	// otherDemand and otherCallers are those of the other dispatchers.
 	otherDemand  admission.ByLevel
 	otherCallers float64
@@ -80,25 +82,37 @@
 // fleet.
 const maxSumAge = 5 * time.Millisecond
 
+// maxReportAge is the age from which a state isn't used for the demand of the other
+// dispatchers. A runner whose endpoint is idle sends no new state while that changes.
+const maxReportAge = 2 * time.Second
+
 // fleetSums returns the sums of what the runners report. A runner that is connected but
-// doesn't get work still reports the demand of the other dispatchers.
+// doesn't get work still reports the demand of the other dispatchers. As they report
+// equal parts to all, the parts that are missing are like the others.
 func (d *Dispatcher) fleetSums(now time.Duration) *fleetSums {
 	f := &d.contention.fleet
 	if f.summedAt > 0 && now-f.summedAt < maxSumAge {
 		return f
 	}
 	*f = fleetSums{summedAt: now}
+	reports := 0
 	for _, r := range d.runners {
 		if r.outbox == nil {
 			continue
 		}
 		f.connected++
-		f.otherDemand = f.otherDemand.Plus(admission.DecodeLevels(r.state.GetOtherDemandByPriority()))
-		f.otherCallers += admission.Bounded(r.state.GetOtherCallers())
+		if now-r.stateAt < maxReportAge {
+			reports++
+			f.otherDemand = f.otherDemand.Plus(admission.DecodeLevels(r.state.GetOtherDemandByPriority()))
+			f.otherCallers += admission.Bounded(r.state.GetOtherCallers())
+		}
 		if r.usable(now) {
+			f.otherLoad += admission.Bounded(r.state.GetOtherLoad())
 			f.waiting = f.waiting.Plus(admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority()))
 		}
 	}
+	missing := float64(f.connected) / float64(max(1, reports))
+	f.otherDemand, f.otherCallers = f.otherDemand.Times(missing), f.otherCallers*missing
 	return f
 }
 
@@ -108,9 +122,9 @@
 	c, fleet := &d.contention, d.fleetSums(now)
 	// The other dispatchers' queues and refusals are assumed to be proportional to
 	// their load.
-	others := 1 / d.loadShare(now)
+	others := 1 / placement.Share(d.load.Value(now), fleet.otherLoad)
 	return &admission.State{
-		CapacityMilliCPU: capacityMilliCPU, MeanTaskDuration: d.meanTaskDuration,
+		CapacityMilliCPU: capacityMilliCPU, TaskDurations: c.demand.TaskDurations(d.meanTaskDuration),
 		Backlog:     c.queued[area].Times(others).Plus(fleet.waiting),
 		Demand:      c.demand.Rate(now).Plus(fleet.otherDemand),
 		RefusedWork: c.refused.Work(now).Times(others),
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -12,6 +13,7 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
@@ -29,7 +31,7 @@
 
 // newServingDispatcher returns a dispatcher with a policy, a linked runner and
 // its connection, which neither listens nor dials.
-func newServingDispatcher(t *testing.T) (*Dispatcher, *runner) {
+func newServingDispatcher(t testing.TB) (*Dispatcher, *runner) {
 	s := DefaultSettings()
 	s.Name = "d-0"
 	d, err := New(network.TCP, &s, zap.NewNop())
@@ -53,6 +55,10 @@
 		&pb.RunnerFrame{Beat: &pb.RunnerBeat{SentNs: -1 << 63, PolicyRevision: 1 << 63}, Held: []*pb.RunRef{{}}},
 		&pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 1 << 63, UsedCpu: 1<<64 - 1, SpeedPercent: 1 << 63, Handled: 1<<64 - 1, OtherLoad: -1, WaitingCpu: 1 << 63}},
 		&pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}, Policy: &pb.Policy{Revision: 9, Config: []byte("{")}},
+		&pb.RunnerFrame{State: &pb.RunnerState{
+			Ready: true, Healthy: true, Service: "svc", CapacityCpu: 1, SpeedPercent: 100, WaitingCpuByPriority: []uint64{1<<64 - 1, 1, 1, 1, 1 << 63},
+			OtherDemandByPriority: []float64{math.NaN(), math.Inf(1), -1, 1e308, 1e308}, OtherCallers: math.Inf(-1),
+		}},
 		&pb.RunnerFrame{Crashes: []*pb.CrashReport{{}, {Life: "1", AgeUs: -1 << 63, Runs: []*pb.CrashedRun{{}, {Task: run.GetTask(), AgeUs: -1 << 63, Contained: true}}}, {Life: "2", AgeUs: 1 << 62, Runs: []*pb.CrashedRun{{Task: run.GetTask(), Route: "r"}}}}},
 	)
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -61,6 +67,7 @@
 			return
 		}
 		d, r := newServingDispatcher(t)
+		d.applyPriorities(0, 1)
 		job := &workload.Job{ID: "j", Steps: []workload.Step{{Count: 2, Resources: workload.Resources{MilliCPU: 1000}}}}
 		now := clock.SinceBoot()
 		route := &d.policy.Current().Config.Routes[0]
@@ -71,6 +78,11 @@
 		_, _ = d.admit(&second, route, "192.0.2.1", now, now+defaultCallerTimeout)
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		for level, figure := range d.contentionState(placement.Anywhere, 1, now).Demand {
+			if !(figure >= 0 && !math.IsInf(figure, 0)) {
+				t.Fatalf("the demand of level %d is %v", level, figure)
+			}
+		}
 		if share := d.loadShare(now); !(share > 0 && share <= 1) {
 			t.Fatalf("the share of the load is %v", share)
 		}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
@@ -229,14 +230,16 @@
 	return sum
 }
 
-// work returns the work of all tasks, in thousandths of a core times seconds.
-func (j *job) work() float64 {
-	sum := 0.0
+// work returns the work of all tasks.
+func (j *job) work() admission.Work {
+	var w admission.Work
 	for s := range j.spec.Steps {
 		step := &j.spec.Steps[s]
-		sum += float64(step.Count) * float64(step.Resources.MilliCPU) * step.Estimate.Seconds()
+		milliCPU := float64(step.Count) * float64(step.Resources.MilliCPU)
+		w.MilliCPU += milliCPU
+		w.MilliCPUSeconds += milliCPU * step.Estimate.Seconds()
 	}
-	return sum
+	return w
 }
 
 // done reports whether every task is done.
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -42,6 +42,8 @@
 	// connection.
 	incarnation string
 	state       *pb.RunnerState
+	// stateAt is when the state was received.
+	stateAt time.Duration
 	// outbox is the outbox of the current connection, nil while there is none.
 	outbox *outbox.Outbox[*pb.DispatcherFrame]
 	// hasInheritedRuns is set while the runs were requested from an earlier
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -177,7 +177,7 @@
 func (d *Dispatcher) applyState(r *runner, s *pb.RunnerState) {
 	r.account(s.GetHandled(), r.lastFrameAt)
 	before := r.state
-	r.state = s
+	r.state, r.stateAt = s, r.lastFrameAt
 	if before.GetReady() != s.GetReady() || before.GetHealthy() != s.GetHealthy() {
 		d.log.Info("runner: state changed", zap.String("runner", r.node.Name), zap.Bool("ready", s.GetReady()), zap.Bool("healthy", s.GetHealthy()),
 			zap.String("life", s.GetLife()), zap.Float64("speed", r.speed()))
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -219,3 +220,24 @@
 	}
 	must.Eq(t, []string{"a", "a", "", "", "b", "b"}, specs)
 }
+
+// The demand of the other dispatchers must be their sum, and that of a dispatcher that
+// is frozen must no longer count: the capacity that it left would be refused to others.
+func TestDemandOfSilentDispatcherDoesNotCount(t *testing.T) {
+	r := newTestRunner(t)
+	link := func(name string, demand []float64) *dispatcher {
+		d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: name, Incarnation: "1"}, func() {})
+		r.handleFrame(d, out, &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{LinkDemandByPriority: demand, LinkCallers: 1.5}})
+		return d
+	}
+	first, second := link("first", []float64{1, 2}), link("second", []float64{10, math.NaN(), math.Inf(-1), 1, 2})
+	link("old version", nil).linkCallers = 0
+	asker := link("asker", []float64{100})
+	s := r.stateFor(asker)
+	must.Eq(t, []float64{11, 2, 0, 3}, s.GetOtherDemandByPriority())
+	must.Eq(t, 3, s.GetOtherCallers())
+	second.lastReceivedAt -= maxDemandAge
+	must.Eq(t, []float64{1, 2}, r.stateFor(asker).GetOtherDemandByPriority(), must.Sprint("silent"))
+	r.detach(first, first.outbox)
+	must.SliceEmpty(t, r.stateFor(asker).GetOtherDemandByPriority(), must.Sprint("disconnected"))
+}
