Admission by priority: bound the wait by the slack of most jobs of the level

Cause: the slack of a job grows with its run time. Change: the bound is the smaller of the job's slack and the slack that 80 % of the recent jobs of its level have at least.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -20,6 +20,30 @@
 	return s
 }
 
+// One job in ten with less slack must not bound the wait of all, and the value must
+// follow the load.
+func TestLowSlackIsThatOfMostJobs(t *testing.T) {
+	var s Slacks
+	must.Eq(t, 0, s.Low()[1])
+	for i := range 2000 {
+		slack := 100 * ms
+		if i%10 == 0 {
+			slack = 10 * ms
+		}
+		s.Add(1, slack)
+		s.Add(1, -slack)
+	}
+	must.Between(t, 90*ms, s.Low()[1], 110*ms)
+	for range 100 {
+		s.Add(1, 30*ms)
+	}
+	must.Between(t, 27*ms, s.Low()[1], 33*ms)
+	state := newState(ByLevel{}, ByLevel{})
+	state.LowSlack = s.Low()
+	must.Less(t, 20*ms, Decide(&Job{Level: 1, Slack: time.Hour}, state).Limit)
+	must.Eq(t, 6*ms, Decide(&Job{Level: 1, Slack: 10 * ms}, state).Limit)
+}
+
 // A wrong bound would refuse jobs that can be answered in time, or admit jobs that
 // can't.
 func TestDecide(t *testing.T) {
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -38,6 +38,9 @@
 	// of the work that they recently admitted, both in thousandths of a core.
 	Backlog ByLevel
 	Demand  ByLevel
+	// LowSlack is the slack that most jobs of a level have at least, zero where it is
+	// unknown.
+	LowSlack [policy.MaxLevels]time.Duration
 	// RefusedWork is the work that all dispatchers recently refused, in thousandths of
 	// a core times seconds.
 	RefusedWork ByLevel
@@ -103,13 +106,18 @@
 	return time.Duration(min(wait, float64(maxWait)))
 }
 
-// Limit returns the longest wait with which the job is admitted.
-func (j *Job) Limit() time.Duration {
+// Limit returns the longest wait with which the job is admitted, where the low slack of
+// its level is known unless it is zero.
+func (j *Job) Limit(lowSlack time.Duration) time.Duration {
+	slack := j.Slack
+	if lowSlack > 0 {
+		slack = min(slack, lowSlack)
+	}
 	fraction := maxSlackFraction
 	if j.Returned {
 		fraction = returningSlackFraction
 	}
-	return time.Duration(fraction * float64(max(j.Slack, 0)))
+	return time.Duration(fraction * float64(max(slack, 0)))
 }
 
 // Decide returns whether an arriving job is admitted. It addresses an overload by
@@ -119,7 +127,7 @@
 // others is refused first.
 func Decide(j *Job, s *State) Decision {
 	d := Decision{
-		Level: j.Level, Wait: s.Wait(j.Level), Limit: j.Limit(), CallerExcess: j.CallerExcess,
+		Level: j.Level, Wait: s.Wait(j.Level), Limit: j.Limit(s.LowSlack[clampLevel(j.Level)]), CallerExcess: j.CallerExcess,
 		BacklogMilliCPU: int64(min(s.Backlog.Through(j.Level), maxFigure)), CapacityMilliCPU: s.CapacityMilliCPU,
 	}
 	limit := d.Limit
--- a/internal/admission/replay_test.go
+++ b/internal/admission/replay_test.go
@@ -26,6 +26,7 @@
 	// reportInterval is the age of a dispatcher's view of the others' demand.
 	reportInterval = 50 * ms
 	taskMilliCPU   = 1000
+	longFactor     = 7
 )
 
 // replayRoute is a route, whose level is its index.
@@ -58,6 +59,7 @@
 
 type replayDispatcher struct {
 	demand, refused Demand
+	slacks          Slacks
 	callers         *Callers
 	queued          ByLevel
 	// others is the last report of the other dispatchers.
@@ -79,8 +81,10 @@
 	callerNames  []string
 	chooseCaller func() int
 	admit        func(j *replayJob, s *State, now time.Duration) bool
+	// longFraction of the jobs take longFactor times as long as the others.
+	longFraction float64
 	// The counters hold jobs by level; large ones are the tenth with the highest
-	// duration of a level.
+	// duration of a level, or the long jobs if there are any.
 	submitted, inTime, large, largeInTime [3]float64
 	callerSubmitted, callerAdmitted       map[int]float64
 	admittedWork                          float64
@@ -160,6 +164,12 @@
 	d := r.dispatchers[r.rng.IntN(len(r.dispatchers))]
 	j := &replayJob{level: level, large: size > 0.9, caller: r.chooseCaller(), queued: route.tasks, arrivedAt: now, dispatcher: d}
 	j.duration = time.Duration(float64(route.duration) * (0.6 + 0.8*size)).Round(ms)
+	if r.longFraction > 0 {
+		if j.large = r.rng.Float64() < r.longFraction; j.large {
+			j.duration *= longFactor
+		}
+	}
+	d.slacks.Add(level, j.slack(now))
 	if counted(now) {
 		r.submitted[level]++
 		r.callerSubmitted[j.caller]++
@@ -171,7 +181,7 @@
 	n := float64(len(r.dispatchers))
 	s := &State{
 		CapacityMilliCPU: int64(r.slots) * taskMilliCPU, TaskDurations: d.demand.TaskDurations(r.meanDuration()), Backlog: d.queued.Times(n),
-		Demand: d.demand.Rate(now).Plus(d.others), RefusedWork: d.refused.Work(now).Times(n),
+		Demand: d.demand.Rate(now).Plus(d.others), RefusedWork: d.refused.Work(now).Times(n), LowSlack: d.slacks.Low(),
 	}
 	d.callers.Seen(r.callerNames[j.caller], now)
 	if !r.admit(j, s, now) {
@@ -282,6 +292,21 @@
 	must.Less(t, 0.9, before.fractionInTime(0), must.Sprint("the replay doesn't show the fault"))
 }
 
+// Jobs that take several times as long as others of their route have several times the
+// slack. They must not be admitted behind a backlog that refuses the others, nor be
+// refused instead of them.
+func TestLongJobsAreServedAsOthers(t *testing.T) {
+	r := newReplay(4, 1.4, replayRoutes)
+	r.longFraction = 0.03
+	r.run()
+	for level := range replayRoutes {
+		long, others := r.largeInTime[level]/r.large[level], (r.inTime[level]-r.largeInTime[level])/(r.submitted[level]-r.large[level])
+		t.Logf("level %d: %.3f of the long jobs in time, %.3f of the others", level, long, others)
+		must.Between(t, others/2, long, 2*others)
+	}
+	must.GreaterEq(t, 0.97, r.fractionInTime(0))
+}
+
 // Levels whose demand exceeds the capacity must leave the later ones their minimum
 // share, which the order of queued work reserves for them.
 func TestFloodOfFirstLevelsLeavesMinimumShare(t *testing.T) {
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -72,9 +72,11 @@
 // checkPriority returns an error for a job that would have to wait for longer than it
 // may behind the queued work of its level and those before it.
 func (d *Dispatcher) checkPriority(j *job, area placement.Area, endpoints []placement.Endpoint, capacityMilliCPU int64, now time.Duration) error {
+	level, slack := d.level(j), j.urgency().Slack(now)
+	d.contention.slacks.Add(level, slack)
 	state := d.contentionState(area, capacityMilliCPU, now)
 	arriving := &admission.Job{
-		Level: d.level(j), Slack: j.urgency().Slack(now), Returned: d.contention.refusedJobs.Returned(j.spec.ID, now),
+		Level: level, Slack: slack, Returned: d.contention.refusedJobs.Returned(j.spec.ID, now),
 		CallerExcess: d.contention.callers.Excess(j.caller, d.population(now), now),
 	}
 	decision := admission.Decide(arriving, state)
@@ -82,14 +84,14 @@
 	if decision.Admitted {
 		return nil
 	}
-	if d.contention.queued[area].Through(arriving.Level) == 0 && j.fits(endpoints, area) {
+	if d.contention.queued[area].Through(level) == 0 && j.fits(endpoints, area) {
 		arriving.FitsNow = true
 		if admission.Decide(arriving, state).Admitted {
 			return nil
 		}
 	}
 	return &overloadError{
-		jobID: j.spec.ID, slack: arriving.Slack, decision: decision,
+		jobID: j.spec.ID, slack: slack, decision: decision,
 		retryAfter: admission.Spread(decision.RetryAfter, rand.IntN),
 	}
 }
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -18,6 +18,7 @@
 	// demand measures the work of the jobs that were admitted here, and refused that
 	// of the jobs that were refused because of queued work.
 	demand, refused admission.Demand
+	slacks          admission.Slacks
 	callers         *admission.Callers
 	refusedJobs     *admission.RefusedJobs
 	// queued is the CPU of the waiting jobs' queued tasks by area, in thousandths of a
@@ -128,6 +129,7 @@
 		Backlog:     c.queued[area].Times(others).Plus(fleet.waiting),
 		Demand:      c.demand.Rate(now).Plus(fleet.otherDemand),
 		RefusedWork: c.refused.Work(now).Times(others),
+		LowSlack:    c.slacks.Low(),
 	}
 }
 
