--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -79,14 +79,14 @@
 		Level: level, Slack: slack, Returned: d.contention.refusedJobs.Returned(j.spec.ID, now),
 		CallerExcess: d.contention.callers.Excess(j.caller, d.population(now), now),
 	}
-	decision := admission.Decide(arriving, state)
+	decision := admission.Decide(arriving, &state)
 	d.contention.limits[decision.Level] = decision.Limit
 	if decision.Admitted {
 		return nil
 	}
 	if d.contention.queued[area].Through(level) == 0 && j.fits(endpoints, area) {
 		arriving.FitsNow = true
-		if admission.Decide(arriving, state).Admitted {
+		if admission.Decide(arriving, &state).Admitted {
 			return nil
 		}
 	}
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -119,12 +119,12 @@
 
 // contentionState returns the inputs of decisions about jobs that may be placed in the
 // area.
-func (d *Dispatcher) contentionState(area placement.Area, capacityMilliCPU int64, now time.Duration) *admission.State {
+func (d *Dispatcher) contentionState(area placement.Area, capacityMilliCPU int64, now time.Duration) admission.State {
 	c, fleet := &d.contention, d.fleetSums(now)
 	// The other dispatchers' queues and refusals are assumed to be proportional to
 	// their load.
 	others := 1 / placement.Share(d.load.Value(now), fleet.otherLoad)
-	return &admission.State{
+	return admission.State{
 		CapacityMilliCPU: capacityMilliCPU, TaskDurations: c.demand.TaskDurations(d.meanTaskDuration),
 		Backlog:     c.queued[area].Times(others).Plus(fleet.waiting),
 		Demand:      c.demand.Rate(now).Plus(fleet.otherDemand),
--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -65,6 +68,25 @@
 	must.Error(t, err, must.Sprint("the configuration has swapped the priorities"))
 }
 
+// A job that returns as it was told to may use all of its slack for waiting; without
+// that it could be refused again and again.
+func TestReturningJobIsAdmittedBehindLongerBacklog(t *testing.T) {
+	d, now := newBusyDispatcher(t, 1), clock.SinceBoot()
+	// The wait is 100 ms, between 0.6 of the slack and the slack.
+	d.runners["r-0"].state.WaitingCpuByPriority = []uint64{0, 4000}
+	_, err := d.admitRouteJob("s", "j", now)
+	must.Error(t, err)
+	w := httptest.NewRecorder()
+	d.refuse(w, httptest.NewRequest(http.MethodPost, "/p/j", nil), "s", err)
+	seconds, _ := strconv.Atoi(w.Header().Get("Retry-After"))
+	must.Between(t, 1, seconds, 20)
+	d.runners["r-0"].lastFrameAt = now + time.Second
+	_, err = d.admitRouteJob("s", "k", now+time.Second)
+	must.Error(t, err, must.Sprint("another job"))
+	_, err = d.admitRouteJob("s", "j", now+time.Second)
+	must.NoError(t, err)
+}
+
 // A runner's queue must not refuse a job for which other endpoints have free capacity.
 func TestJobThatFitsIsAdmitted(t *testing.T) {
 	d, now := newBusyDispatcher(t, 2), clock.SinceBoot()
