--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/placement"
+	"github.com/pomelosill/pomelosill/internal/policy"
 )
 
 const (
@@ -28,12 +29,19 @@
 	// CapacityMilliCPU is the CPU of all endpoints, each multiplied by its speed,
 	// which counts as 1 if it is higher.
 	CapacityMilliCPU int64
-	// MeanTaskDuration is the mean duration of all tasks.
-	MeanTaskDuration time.Duration
+	// TaskDurations holds for each level the mean duration of the tasks of this level
+	// and those after it. These tasks occupy the capacity that the levels before leave
+	// free, so they determine how often a part of it becomes free for the level: where
+	// its tasks are long and those of the levels before short, the mean of all tasks
+	// would give a wait that is several times too short.
+	TaskDurations [policy.MaxLevels]time.Duration
 	// Backlog is the CPU that queued tasks of all dispatchers need, and Demand that
 	// of the work that they recently admitted, both in thousandths of a core.
 	Backlog ByLevel
 	Demand  ByLevel
+	// LowSlack is the slack that most jobs of a level have at least, zero where it is
+	// unknown.
+	LowSlack [policy.MaxLevels]time.Duration
 	// RefusedWork is the work that all dispatchers recently refused, in thousandths of
 	// a core times seconds.
 	RefusedWork ByLevel
@@ -93,18 +101,24 @@
 	if s.CapacityMilliCPU <= 0 {
 		return maxWait
 	}
-	queued = min(queued/s.FreeFraction(level), s.Backlog[clampLevel(level)]/minShare)
-	wait := queued / float64(s.CapacityMilliCPU) * float64(s.MeanTaskDuration)
+	level = clampLevel(level)
+	queued = min(queued/s.FreeFraction(level), s.Backlog[level]/minShare)
+	wait := queued / float64(s.CapacityMilliCPU) * float64(s.TaskDurations[level])
 	return time.Duration(min(wait, float64(maxWait)))
 }
 
-// Limit returns the longest wait with which the job is admitted.
-func (j *Job) Limit() time.Duration {
+// Limit returns the longest wait with which the job is admitted, where the low slack of
+// its level is known unless it is zero.
+func (j *Job) Limit(lowSlack time.Duration) time.Duration {
+	slack := j.Slack
+	if lowSlack > 0 {
+		slack = min(slack, lowSlack)
+	}
 	fraction := maxSlackFraction
 	if j.Returned {
 		fraction = returningSlackFraction
 	}
-	return time.Duration(fraction * float64(max(j.Slack, 0)))
+	return time.Duration(fraction * float64(max(slack, 0)))
 }
 
 // Decide returns whether an arriving job is admitted. It addresses an overload by
@@ -114,7 +128,7 @@
 // others is refused first.
 func Decide(j *Job, s *State) Decision {
 	d := Decision{
-		Level: j.Level, Wait: s.Wait(j.Level), Limit: j.Limit(), CallerExcess: j.CallerExcess,
+		Level: j.Level, Wait: s.Wait(j.Level), Limit: j.Limit(s.LowSlack[clampLevel(j.Level)]), CallerExcess: j.CallerExcess,
 		BacklogMilliCPU: int64(min(s.Backlog.Through(j.Level), maxFigure)), CapacityMilliCPU: s.CapacityMilliCPU,
 	}
 	limit := d.Limit
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -18,6 +18,7 @@
 	// demand measures the work of the jobs that were admitted here, and refused that
 	// of the jobs that were refused because of queued work.
 	demand, refused admission.Demand
+	slacks          admission.Slacks
 	callers         *admission.Callers
 	refusedJobs     *admission.RefusedJobs
 	// queued is the CPU of the waiting jobs' queued tasks by area, in thousandths of a
@@ -70,6 +71,8 @@
 	connected int
 	// waiting is the CPU that waits at usable runners, in thousandths of a core.
 	waiting admission.ByLevel
+	// otherLoad is as in loadShare.
+	otherLoad float64
 	// otherDemand and otherCallers are those of the other dispatchers.
 	otherDemand  admission.ByLevel
 	otherCallers float64
@@ -80,40 +83,53 @@
 // fleet.
 const maxSumAge = 5 * time.Millisecond
 
+// maxReportAge is the age from which a state isn't used for the demand of the other
+// dispatchers. A runner whose endpoint is idle sends no new state while that changes.
+const maxReportAge = 2 * time.Second
+
 // fleetSums returns the sums of what the runners report. A runner that is connected but
-// doesn't get work still reports the demand of the other dispatchers.
+// doesn't get work still reports the demand of the other dispatchers. As they report
+// equal parts to all, the parts that are missing are like the others.
 func (d *Dispatcher) fleetSums(now time.Duration) *fleetSums {
 	f := &d.contention.fleet
 	if f.summedAt > 0 && now-f.summedAt < maxSumAge {
 		return f
 	}
 	*f = fleetSums{summedAt: now}
+	reports := 0
 	for _, r := range d.runners {
 		if r.outbox == nil {
 			continue
 		}
 		f.connected++
-		f.otherDemand = f.otherDemand.Plus(admission.DecodeLevels(r.state.GetOtherDemandByPriority()))
-		f.otherCallers += admission.Bounded(r.state.GetOtherCallers())
+		if now-r.stateAt < maxReportAge {
+			reports++
+			f.otherDemand = f.otherDemand.Plus(admission.DecodeLevels(r.state.GetOtherDemandByPriority()))
+			f.otherCallers += admission.Bounded(r.state.GetOtherCallers())
+		}
 		if r.usable(now) {
+			f.otherLoad += admission.Bounded(r.state.GetOtherLoad())
 			f.waiting = f.waiting.Plus(admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority()))
 		}
 	}
+	missing := float64(f.connected) / float64(max(1, reports))
+	f.otherDemand, f.otherCallers = f.otherDemand.Times(missing), f.otherCallers*missing
 	return f
 }
 
 // contentionState returns the inputs of decisions about jobs that may be placed in the
 // area.
-func (d *Dispatcher) contentionState(area placement.Area, capacityMilliCPU int64, now time.Duration) *admission.State {
+func (d *Dispatcher) contentionState(area placement.Area, capacityMilliCPU int64, now time.Duration) admission.State {
 	c, fleet := &d.contention, d.fleetSums(now)
 	// The other dispatchers' queues and refusals are assumed to be proportional to
 	// their load.
-	others := 1 / d.loadShare(now)
-	return &admission.State{
-		CapacityMilliCPU: capacityMilliCPU, MeanTaskDuration: d.meanTaskDuration,
+	others := 1 / placement.Share(d.load.Value(now), fleet.otherLoad)
+	return admission.State{
+		CapacityMilliCPU: capacityMilliCPU, TaskDurations: c.demand.TaskDurations(d.meanTaskDuration),
 		Backlog:     c.queued[area].Times(others).Plus(fleet.waiting),
 		Demand:      c.demand.Rate(now).Plus(fleet.otherDemand),
 		RefusedWork: c.refused.Work(now).Times(others),
+		LowSlack:    c.slacks.Low(),
 	}
 }
 
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -18,14 +18,6 @@
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
-// applyPriorities applies a configuration with the routes "a" and "b" of the given
-// priorities.
-func (d *Dispatcher) applyPriorities(revision uint64, a, b int) {
-	d.policy.Apply(&policy.Snapshot{Revision: revision, Config: &policy.Config{Routes: []policy.Route{
-		{Name: "a", Prefix: "/a/", Service: "svc", Priority: a}, {Name: "b", Prefix: "/b/", Service: "svc", Priority: b},
-	}}})
-}
-
 // enqueueTestJob adds a waiting job of one task.
 func (d *Dispatcher) enqueueTestJob(id, route string) *job {
 	spec := &workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{MilliCPU: 1000}, Estimate: 50 * time.Millisecond}}}
@@ -46,15 +38,15 @@
 // Guards against jobs that keep the level of an earlier configuration while they wait.
 func TestWaitingJobsFollowSwappedPriorities(t *testing.T) {
 	d, _ := newServingDispatcher(t)
-	for i, route := range []string{"b", "a", "b", "a"} {
+	for i, route := range []string{"s", "r", "s", "r"} {
 		d.enqueueTestJob(string(rune('1'+i)), route)
 	}
-	d.applyPriorities(2, 5, 5)
+	d.applyPriorities(5, 5)
 	must.Len(t, 1, d.State().Levels)
-	d.applyPriorities(3, 0, 7)
-	must.Eq(t, []string{"a", "a", "b", "b"}, d.waitingRoutes())
-	d.applyPriorities(4, 7, 0)
-	must.Eq(t, []string{"b", "b", "a", "a"}, d.waitingRoutes())
+	d.applyPriorities(0, 7)
+	must.Eq(t, []string{"r", "r", "s", "s"}, d.waitingRoutes())
+	d.applyPriorities(7, 0)
+	must.Eq(t, []string{"s", "s", "r", "r"}, d.waitingRoutes())
 	level := d.State().Levels[1]
 	must.Eq(t, 2, level.WaitingJobs)
 	must.Eq(t, 2000, level.WaitingMilliCPU)
@@ -64,9 +56,9 @@
 // them, and against a time until the first start that ignores the wait at the runner.
 func TestRefusedStartsDontCountForTheShare(t *testing.T) {
 	d, r := newServingDispatcher(t)
-	d.applyPriorities(2, 0, 1)
+	d.applyPriorities(0, 1)
 	r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 4000, SpeedPercent: 100}
-	j := d.enqueueTestJob("1", "b")
+	j := d.enqueueTestJob("1", "s")
 	event := func(end pb.RunEnd, code result.Code, runTime time.Duration) {
 		run := slices.Collect(maps.Keys(r.runs))[0]
 		d.handleRunEvent(r, &pb.RunEvent{Run: runref.Encode(run), End: end, Code: uint32(code), RunUs: runTime.Microseconds()})
