--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -141,6 +141,9 @@
 	b := d.newHeartbeat(d.runners["r-0"], now).GetBeat()
 	must.Eq(t, []float64{0, 1000}, b.GetLinkDemandByPriority())
 	must.Eq(t, 0.5, b.GetLinkCallers())
+	d.runners["r-1"].outbox, d.contention.fleet.summedAt = nil, 0
+	must.Eq(t, []float64{0, 2000}, d.newHeartbeat(d.runners["r-0"], now).GetBeat().GetLinkDemandByPriority(), must.Sprint("cut off from half of the runners"))
+	d.runners["r-1"].outbox = d.runners["r-0"].outbox
 	d.applyPriorities(1, 1)
 	must.SliceEmpty(t, d.newHeartbeat(d.runners["r-0"], now).GetBeat().GetLinkDemandByPriority(), must.Sprint("one level"))
 	d.runners["r-0"].state.OtherDemandByPriority, d.runners["r-0"].state.OtherCallers = []float64{500}, 1.5
