--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -5,11 +5,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/placement"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
@@ -195,11 +197,21 @@
 	return placement.EffectiveSpeed(r.ratedSpeed(), r.measuredSpeed())
 }
 
+// queuedByLevel returns the CPU of the tasks that are queued at the runner, in
+// thousandths of a core by priority level.
+func (r *runner) queuedByLevel() [policy.MaxLevels]int64 {
+	var all [policy.MaxLevels]int64
+	for level, queued := range admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority()) {
+		all[level] = int64(queued)
+	}
+	return all
+}
+
 func (r *runner) endpoint() placement.Endpoint {
 	return placement.Endpoint{
 		Name: r.node.Name, Service: r.state.GetService(), Labels: r.state.GetLabels(),
 		Free: r.free(), Capacity: r.capacity(), Speed: r.speed(), Healthy: r.state.GetHealthy(),
-		Rank: r.hash,
+		Rank: r.hash, QueuedByLevel: r.queuedByLevel(),
 	}
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -99,7 +99,7 @@
 				continue
 			}
 			request := j.placementRequest(s, len(queued), area)
-			request.Slack = j.urgency().Slack(now)
+			request.Slack, request.Level = j.urgency().Slack(now), d.level(j)
 			for _, a := range placement.Assign(request, endpoints, rand.IntN) {
 				if area == placement.Inside {
 					endpoints[a.EndpointIndex].HasContained = true
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -163,7 +163,8 @@
 	needed, need := r.neededSpeed(), float64(r.Resources.MilliCPU)
 	for i := range endpoints {
 		e := &endpoints[i]
-		headroom := e.queueHeadroom()
+		free := e.freeForQueued(r.Level)
+		headroom := maxQueueFraction*float64(e.Capacity.MilliCPU) + free
 		if headroom <= 0 || !r.Resources.Fits(e.Capacity) {
 			continue
 		}
@@ -174,7 +175,7 @@
 		perMilliCPU := 1 / (float64(e.Capacity.MilliCPU) * speeds.grouped)
 		queues = append(queues, queue{
 			index: i, class: class(tierPreferred, speeds.absolute < needed),
-			wait: (need - float64(e.Free.MilliCPU)) * perMilliCPU, waitPerTask: need * perMilliCPU,
+			wait: (need - free) * perMilliCPU, waitPerTask: need * perMilliCPU,
 			headroom: headroom,
 		})
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
@@ -18,6 +19,9 @@
 	// negative while tasks are queued at the endpoint's runner.
 	Free     workload.Resources
 	Capacity workload.Resources
+	// QueuedByLevel is the CPU of the tasks queued at the endpoint's runner, in
+	// thousandths of a core by priority level. Free includes it.
+	QueuedByLevel [policy.MaxLevels]int64
 	// Speed is the endpoint's speed relative to the task estimates; 1 means
 	// that tasks take as long as estimated.
 	Speed float64
@@ -43,9 +47,16 @@
 // Reserve subtracts resources from the free capacity.
 func (e *Endpoint) Reserve(resources workload.Resources) { e.Free = e.Free.Minus(resources) }
 
-// queueHeadroom returns the CPU for which further tasks may be queued at the runner.
-func (e *Endpoint) queueHeadroom() float64 {
-	return maxQueueFraction*float64(e.Capacity.MilliCPU) + float64(e.Free.MilliCPU)
+// freeForQueued returns the free CPU in thousandths of a core as seen by queued tasks
+// of a priority level. Queued tasks of lower levels don't count, because the runner
+// starts them later: otherwise a flood of a lower level fills the queues, and tasks
+// wait at dispatchers, which learn of each place that becomes free with a delay.
+func (e *Endpoint) freeForQueued(level int) float64 {
+	free := e.Free.MilliCPU
+	for _, queued := range e.QueuedByLevel[level+1:] {
+		free += queued
+	}
+	return float64(free)
 }
 
 // Request asks for the placement of a group of equal tasks of one step.
@@ -66,6 +77,8 @@
 	// speed 1.
 	Estimate time.Duration
 	Slack    time.Duration
+	// Level is the priority level of the job's route; 0 comes first.
+	Level int
 	// Area bounds the endpoints by their Containment.
 	Area Area
 }
