Queued work of lower levels leaves space at runners

Cause: a dispatcher queues tasks at a runner up to half of the endpoint's capacity. A flood of the last level fills these queues, and tasks of the first level wait at their dispatcher for each place that becomes free.

Change: the space for a task counts only queued orders of its level and those before, from RunnerState.waiting_cpu_by_priority. With one level nothing changes.

--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -179,7 +179,7 @@
 	return placement.Endpoint{
 		Name: r.node.Name, Service: r.state.GetService(), Labels: r.state.GetLabels(),
 		Free: r.free(), Capacity: r.capacity(), Speed: r.speed(), Healthy: r.state.GetHealthy(),
-		Rank: r.hash,
+		Rank: r.hash, QueuedByLevel: waitingCPUByLevel(r.state),
 	}
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -88,7 +88,9 @@
 			if len(queued) == 0 {
 				continue
 			}
-			for _, a := range placement.Assign(j.placementRequest(s, len(queued), area), endpoints, rand.IntN) {
+			req := j.placementRequest(s, len(queued), area)
+			req.Level = d.level(j)
+			for _, a := range placement.Assign(req, endpoints, rand.IntN) {
 				if area == placement.Inside {
 					endpoints[a.EndpointIndex].HasContained = true
 				}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
@@ -18,6 +19,9 @@
 	// negative while tasks are queued at the endpoint's runner.
 	Free     workload.Resources
 	Capacity workload.Resources
+	// QueuedByLevel is the CPU of the tasks queued at the endpoint's runner, in
+	// thousandths of a core by priority level. Free includes it.
+	QueuedByLevel [policy.MaxLevels]int64
 	// Speed is the endpoint's speed relative to the task estimates; 1 means
 	// that tasks take as long as estimated.
 	Speed float64
@@ -40,13 +44,20 @@
 // Reserve subtracts resources from the free capacity.
 func (e *Endpoint) Reserve(resources workload.Resources) { e.Free = e.Free.Minus(resources) }
 
-// queueHeadroom returns the fraction of the capacity for which further tasks
-// may be queued at the runner.
-func (e *Endpoint) queueHeadroom() float64 {
+// queueHeadroom returns the fraction of the capacity for which further tasks of a
+// priority level may be queued at the runner. Queued tasks of lower levels don't
+// count, because the runner starts them later: otherwise a flood of a lower level
+// fills the queues, and tasks wait at dispatchers, which learn of each place that
+// becomes free with a delay.
+func (e *Endpoint) queueHeadroom(level int) float64 {
 	if e.Capacity.MilliCPU <= 0 {
 		return 0
 	}
-	return maxQueueFraction + float64(e.Free.MilliCPU)/float64(e.Capacity.MilliCPU)
+	free := e.Free.MilliCPU
+	for _, queued := range e.QueuedByLevel[level+1:] {
+		free += queued
+	}
+	return maxQueueFraction + float64(free)/float64(e.Capacity.MilliCPU)
 }
 
 // Request asks for the placement of a group of equal tasks of one step.
@@ -64,6 +75,8 @@
 	Avoid map[string]bool
 	// Area bounds the endpoints by their Containment.
 	Area Area
+	// Level is the priority level of the job's route; 0 comes first.
+	Level int
 }
 
 // Assignment assigns Count tasks to the endpoint with index EndpointIndex in
@@ -176,7 +189,7 @@
 		if r.tier(e) > tierSlow || r.tier(e) == tierProbe || !r.Resources.Fits(e.Capacity) || r.MaxPerEndpoint > 0 {
 			continue
 		}
-		if e.queueHeadroom() > 0 && (best < 0 || e.queueHeadroom() > endpoints[best].queueHeadroom()) {
+		if e.queueHeadroom(r.Level) > 0 && (best < 0 || e.queueHeadroom(r.Level) > endpoints[best].queueHeadroom(r.Level)) {
 			best = i
 		}
 	}
--- a/internal/placement/priority_test.go
+++ b/internal/placement/priority_test.go
@@ -88,6 +88,21 @@
 	must.Eq(t, want, slices.Collect(InOrder(waiting, &started)))
 }
 
+// Guards against tasks that wait at their dispatcher because lower levels have filled
+// the queues of the runners.
+func TestLowerLevelsLeaveSpaceInTheQueue(t *testing.T) {
+	queuedTasks := func(level int) int {
+		full := newEndpoint("full", -5000)
+		full.QueuedByLevel[1] = 5000
+		r := newRequest(8)
+		r.Level = level
+		return countByEndpoint(Assign(r, []Endpoint{full}, firstIndex), []Endpoint{full})["full"]
+	}
+	must.Eq(t, 5, queuedTasks(0))
+	must.Eq(t, 0, queuedTasks(1), must.Sprint("its own level"))
+	must.Eq(t, 0, queuedTasks(3))
+}
+
 // Guards against work that distorts the shares for ever: no estimate, an absurd one,
 // and a start that was counted and refused.
 func TestStartedWorkIsBounded(t *testing.T) {
