Replay of a flood with old views and the space at runners by level

Cause: the space at runners by level had a unit test, but no replay of the load that it addresses.

Change: the replay with old views can order tasks by rank and has its size and rates as fields.

--- a/internal/placement/stale_test.go
+++ b/internal/placement/stale_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
@@ -52,7 +53,8 @@
 type staleReplay struct {
 	rng         *rand.Rand
 	views       [staleDispatchers][]Endpoint
-	used        [staleEndpoints]int
+	used        []int
+	slots       int
 	pending     []stalePending
 	travelling  []*staleTask
 	waiting     []*staleTask
@@ -61,17 +63,36 @@
 	inTime      []int
 	submitted   []int
 	wait        func(queued bool, refusals int) time.Duration
+	// levels are the priority levels by kind. If they are set, dispatchers and
+	// runners order tasks by rank, and late tasks are dropped. oneQueue lets the
+	// space at runners ignore the levels.
+	levels   []int
+	oneQueue bool
+	// rates are the factors of the arrival rate by kind.
+	rates []float64
 }
 
-func newStaleReplay(seed uint64, wait func(queued bool, refusals int) time.Duration) *staleReplay {
+// rank returns the rank of a job's task.
+func (r *staleReplay) rank(j *staleJob, now time.Duration) Rank {
+	return NewRank(r.levels[j.kind], j.arrivedAt+j.duration*8/5+60*ms-j.duration-now, false, false)
+}
+
+// orderPending sorts the tasks that dispatchers hold, and drops late ones.
+func (r *staleReplay) orderPending(now time.Duration) {
+	r.pending = slices.DeleteFunc(r.pending, func(p stalePending) bool { return r.rank(p.job, now).class == classLate })
+	slices.SortStableFunc(r.pending, func(a, b stalePending) int { return r.rank(a.job, now).Compare(r.rank(b.job, now)) })
+}
+
+func newStaleReplay(seed uint64, endpoints, slots int, wait func(queued bool, refusals int) time.Duration) *staleReplay {
 	r := &staleReplay{
-		rng: rand.New(rand.NewPCG(seed, 1)), wait: wait,
+		rng: rand.New(rand.NewPCG(seed, 1)), wait: wait, rates: []float64{1, 1, 1},
+		used: make([]int, endpoints), slots: slots,
 		inTime: make([]int, len(jobKinds)), submitted: make([]int, len(jobKinds)),
 	}
 	for d := range r.views {
-		for range staleEndpoints {
-			e := newEndpoint("e", staleSlots*replayTaskMilliCPU)
-			e.Capacity.MilliCPU = staleSlots * replayTaskMilliCPU
+		for range endpoints {
+			e := newEndpoint("e", int64(slots*replayTaskMilliCPU))
+			e.Capacity.MilliCPU = int64(slots * replayTaskMilliCPU)
 			r.views[d] = append(r.views[d], e)
 		}
 	}
@@ -80,13 +101,15 @@
 
 // run returns the fraction of jobs answered in time by kind.
 func (r *staleReplay) run(load float64) []float64 {
-	factor := load * staleEndpoints * staleSlots / meanRunningTasks()
+	factor := load * float64(len(r.used)*r.slots) / meanRunningTasks()
 	for now := time.Duration(0); now < replayDuration; now += ms {
 		r.complete(now)
 		r.refreshViews(now)
 		for k := range jobKinds {
-			if r.rng.Float64() < jobKinds[k].arrivalsPerSecond*factor*ms.Seconds() {
-				r.submit(k, now)
+			for expected := jobKinds[k].arrivalsPerSecond * r.rates[k] * factor * ms.Seconds(); expected > 0; expected-- {
+				if r.rng.Float64() < expected {
+					r.submit(k, now)
+				}
 			}
 		}
 		r.placePending(now)
@@ -106,6 +129,9 @@
 
 // placePending assigns tasks by their dispatchers' views.
 func (r *staleReplay) placePending(now time.Duration) {
+	if r.levels != nil {
+		r.orderPending(now)
+	}
 	pending := r.pending
 	r.pending = nil
 	for _, p := range pending {
@@ -119,6 +145,12 @@
 // place sends tasks to the endpoints that Assign chooses, and returns how many.
 func (r *staleReplay) place(p stalePending, now time.Duration) int {
 	req := &Request{Service: "s", Resources: workload.Resources{MilliCPU: replayTaskMilliCPU}, Count: p.count}
+	if r.levels != nil {
+		req.Level = r.levels[p.job.kind]
+	}
+	if r.oneQueue {
+		req.Level = policy.MaxLevels - 1
+	}
 	placed := 0
 	for _, a := range Assign(req, r.views[p.dispatcher], r.rng.IntN) {
 		placed += a.Count
@@ -146,11 +178,14 @@
 // that may wait no longer to their dispatcher, which learns the endpoint's
 // state.
 func (r *staleReplay) startWaiting(now time.Duration) {
+	if r.levels != nil {
+		slices.SortStableFunc(r.waiting, func(a, b *staleTask) int { return r.rank(a.job, now).Compare(r.rank(b.job, now)) })
+	}
 	queued := r.waiting
 	r.waiting = nil
 	for _, t := range queued {
 		switch {
-		case r.used[t.endpoint] < staleSlots:
+		case r.used[t.endpoint] < r.slots:
 			r.used[t.endpoint]++
 			r.completions = append(r.completions, completion{at: now + t.job.duration, endpoint: t.endpoint})
 			r.ends = append(r.ends, t.job)
@@ -187,7 +222,7 @@
 // updated once in viewAge.
 func (r *staleReplay) refreshViews(now time.Duration) {
 	for d := range r.views {
-		for e := range staleEndpoints {
+		for e := range r.used {
 			if (int(now/ms)+7*d+3*e)%int(viewAge/ms) == 0 {
 				r.view(d, e)
 			}
@@ -197,12 +232,17 @@
 
 // view updates a dispatcher's view of one endpoint.
 func (r *staleReplay) view(dispatcher, endpoint int) {
-	free := staleSlots - r.used[endpoint]
+	free := r.slots - r.used[endpoint]
+	var byLevel [policy.MaxLevels]int64
 	for _, t := range append(slices.Clone(r.waiting), r.travelling...) {
 		if t.endpoint == endpoint {
 			free--
+			if r.levels != nil {
+				byLevel[r.levels[t.job.kind]] += replayTaskMilliCPU
+			}
 		}
 	}
+	r.views[dispatcher][endpoint].QueuedByLevel = byLevel
 	r.views[dispatcher][endpoint].Free.MilliCPU = int64(free * replayTaskMilliCPU)
 }
 
@@ -219,10 +259,26 @@
 	waitAnywhere := func(bool, int) time.Duration { return maxRunnerWait }
 	var redirected, waiting []float64
 	for seed := range uint64(seeds) {
-		redirected = append(redirected, newStaleReplay(seed, RunnerWait).run(load)[0])
-		waiting = append(waiting, newStaleReplay(seed, waitAnywhere).run(load)[0])
+		redirected = append(redirected, newStaleReplay(seed, staleEndpoints, staleSlots, RunnerWait).run(load)[0])
+		waiting = append(waiting, newStaleReplay(seed, staleEndpoints, staleSlots, waitAnywhere).run(load)[0])
 	}
 	t.Logf("in time: %.3f if redirected, %.3f if they wait anywhere", mean(redirected), mean(waiting))
 	must.Greater(t, inTime, mean(redirected))
 	must.Less(t, inTime, mean(waiting))
 }
+
+// Guards against a flood of the last level that fills the queues of runners, so that
+// tasks of the first level wait at their dispatchers. The load is that of
+// TestFloodOfLastLevelMakesNoOtherLate, with views up to 60 ms old.
+func TestFloodLeavesSpaceAtRunners(t *testing.T) {
+	const endpoints, slots = 10, 14
+	flood := func(oneQueue bool) []float64 {
+		r := newStaleReplay(7, endpoints, slots, RunnerWait)
+		r.levels, r.oneQueue, r.rates = overloadLevels, oneQueue, []float64{1, 2.5, 1}
+		return r.run(0.99)
+	}
+	byLevel, oneQueue := flood(false), flood(true)
+	t.Logf("in time: %.3f with space by level, %.3f with one space for all", byLevel, oneQueue)
+	must.Greater(t, 0.7, byLevel[0])
+	must.Less(t, 0.5, oneQueue[0])
+}
