Assign returns early if no endpoint has space

Change: Assign first checks for any endpoint with free CPU or space in its queue. The result is the same; tasks that need no CPU skip the check.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -150,6 +150,9 @@
 // assigned capacity in endpoints. randIntN returns a random number that is at
 // least 0 and less than n.
 func Assign(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment {
+	if !r.anySpace(endpoints) {
+		return nil
+	}
 	remaining := *r
 	assignments := assignToFree(&remaining, endpoints, randIntN)
 	for _, a := range assignments {
@@ -168,6 +171,20 @@
 	return assignments
 }
 
+// anySpace reports whether any endpoint may have space for a task. It is a fast check
+// for the many jobs that wait under overload. Tasks that need no CPU may always have.
+func (r *Request) anySpace(endpoints []Endpoint) bool {
+	if r.Resources.MilliCPU <= 0 {
+		return true
+	}
+	for i := range endpoints {
+		if endpoints[i].Free.MilliCPU > 0 || endpoints[i].queueHeadroom(r.Level) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addQueued adds one task to those that are to wait at the endpoint's runner.
 func addQueued(assignments []Assignment, index int) []Assignment {
 	for i := range assignments {
--- a/internal/placement/priority_test.go
+++ b/internal/placement/priority_test.go
@@ -140,3 +140,19 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/jobs, "ns/job")
 }
+
+// BenchmarkAssignWithoutSpace assigns a task of the last level while 70 endpoints have
+// space for none, as each of 1,000 waiting jobs does under overload.
+func BenchmarkAssignWithoutSpace(b *testing.B) {
+	var endpoints []Endpoint
+	for range 70 {
+		endpoints = append(endpoints, newEndpoint("e", -maxQueueFraction*replaySlots*replayTaskMilliCPU))
+	}
+	r := newRequest(4)
+	r.Level = 2
+	for b.Loop() {
+		if len(Assign(r, endpoints, firstIndex)) > 0 {
+			b.Fatal("a task was assigned")
+		}
+	}
+}
