--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -164,7 +164,7 @@
 	for i := range endpoints {
 		e := &endpoints[i]
 		free := e.freeForQueued(r.Level)
-		headroom := maxQueueFraction*float64(e.Capacity.MilliCPU) + free
+		headroom := e.queueHeadroom(r.Level)
 		if headroom <= 0 || !r.Resources.Fits(e.Capacity) {
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -47,6 +47,12 @@
 // Reserve subtracts resources from the free capacity.
 func (e *Endpoint) Reserve(resources workload.Resources) { e.Free = e.Free.Minus(resources) }
 
+// queueHeadroom returns the CPU, in thousandths of a core, for which further tasks of a
+// priority level may be queued at the runner.
+func (e *Endpoint) queueHeadroom(level int) float64 {
+	return maxQueueFraction*float64(e.Capacity.MilliCPU) + e.freeForQueued(level)
+}
+
 // freeForQueued returns the free CPU in thousandths of a core as seen by queued tasks
 // of a priority level. Queued tasks of lower levels don't count, because the runner
 // starts them later: otherwise a flood of a lower level fills the queues, and tasks
@@ -155,6 +161,9 @@
 // assigned capacity in endpoints. randIntN returns a random number that is at
 // least 0 and less than n.
 func Assign(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment {
+	if !r.anySpace(endpoints) {
+		return nil
+	}
 	remaining := *r
 	assignments := assignToFree(&remaining, endpoints, randIntN)
 	for _, a := range assignments {
@@ -167,6 +176,20 @@
 	return assignments
 }
 
+// anySpace reports whether any endpoint may have space for a task. It is a fast check
+// for the many jobs that wait under overload. Tasks that need no CPU may always have.
+func (r *Request) anySpace(endpoints []Endpoint) bool {
+	if r.Resources.MilliCPU <= 0 {
+		return true
+	}
+	for i := range endpoints {
+		if endpoints[i].Free.MilliCPU > 0 || endpoints[i].queueHeadroom(r.Level) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addQueued adds one task to those that are to wait at the endpoint's runner.
 func addQueued(assignments []Assignment, index int) []Assignment {
 	for i := range assignments {
