Runner: a process with an earlier start time replaces one that is gone

Cause: a heartbeat or response with a start time in the future, or a host's clock that was set back before a restart, made all later heartbeats count as old: the endpoint was lost until the runner was restarted. Change: after 5 s without a heartbeat or response of a process that is down or has never responded, a heartbeat of another one is accepted whatever its start time is. Measured: the test fails without the change and passes with it; tests of internal/runner pass.

--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -241,3 +241,23 @@
 	must.Eq(t, 0, o.estimate)
 	must.Less(t, time.Hour, max(o.waitDeadline, o.startDeadline))
 }
+
+// The start time of a process may be wrong once, or go back with the clock of its host.
+// If later heartbeats counted as old for ever, the endpoint would be lost until the
+// runner is restarted.
+func TestProcessWithEarlierStartTimeReplacesOneThatIsGone(t *testing.T) {
+	r := newTestRunner(t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	heartbeat := func(startedAtMS int64) int64 {
+		r.applyEndpointHeartbeat(&workload.Endpoint{ID: "e", Address: "127.0.0.1:1", StartedAtMS: startedAtMS})
+		return r.session.endpoint.StartedAtMS
+	}
+	must.Eq(t, math.MaxInt64, heartbeat(math.MaxInt64))
+	must.Eq(t, math.MaxInt64, heartbeat(5), must.Sprint("it may have been delayed"))
+	r.session.heartbeatAt -= 2 * maxHeartbeatDelay
+	must.Eq(t, 5, heartbeat(5))
+	r.session.heartbeatAt -= 2 * maxHeartbeatDelay
+	r.session.lastResponseAt = clock.SinceBoot()
+	must.Eq(t, 5, heartbeat(4), must.Sprint("the known process responds"))
+}
--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -41,7 +41,7 @@
 	case s != nil && s.endpoint.ID == ep.ID && s.endpoint.Address == ep.Address && ep.StartedAtMS > s.endpoint.StartedAtMS:
 		r.restartSession(s, ep, clock.SinceBoot())
 		s.setCapacity(ep.Capacity, clock.SinceBoot())
-	case s == nil || (s.endpoint.Incarnation() != ep.Incarnation() && ep.Newer(s.endpoint)):
+	case s == nil || (s.endpoint.Incarnation() != ep.Incarnation() && (ep.Newer(s.endpoint) || s.gone(clock.SinceBoot()))):
 		r.startSession(ep)
 	case s.endpoint.Incarnation() == ep.Incarnation() && ep.Newer(s.endpoint):
 		r.updateEndpoint(s, ep)
@@ -53,6 +53,18 @@
 	r.markStateChanged()
 }
 
+// maxHeartbeatDelay bounds the time that a heartbeat takes: its sender has given it up by
+// then.
+const maxHeartbeatDelay = 5 * time.Second
+
+// gone reports whether the endpoint's process has been silent for so long that another
+// one replaces it even if that appears to have started earlier, as it does after the
+// host's clock was set back. No run is left there: it has never responded, or its lease
+// has expired.
+func (s *session) gone(now time.Duration) bool {
+	return (s.down || s.lastResponseAt == 0) && now-max(s.heartbeatAt, s.lastResponseAt) > maxHeartbeatDelay
+}
+
 // updateEndpoint applies a newer heartbeat of the same endpoint process.
 func (r *Runner) updateEndpoint(s *session, ep *workload.Endpoint) {
 	if ep.Draining && !s.endpoint.Draining {
