--- a/internal/dispatch/overflow.go
+++ b/internal/dispatch/overflow.go
@@ -53,7 +53,8 @@
 	}
 	endpoints, runners := d.selectEndpoints(area != placement.Anywhere, func(r *runner) bool { return r.takesOverflow(now) })
 	for i, r := range runners {
-		endpoints[i].Speed, endpoints[i].HasContained = r.speed(), r.hasContained()
+		endpoints[i].Speed = float64(r.state.GetSpeedPercent()) / percent
+		endpoints[i].HasContained = r.hasContained()
 	}
 	p := overflowPlan{runners: runners}
 	var requests []*placement.Request
