Overflow runs don't count in learned run times and speeds

Cause: an overflow run is several times as long as usual because its endpoint is slow. Change: such runs give no sample.

--- a/internal/capacity/rating.go
+++ b/internal/capacity/rating.go
@@ -72,8 +72,12 @@
 	return math.Exp(r.logMean), r.runs >= minRatedRuns
 }
 
-// rateRun adds a run that has succeeded to the rating of the endpoint.
+// rateRun adds a run that has succeeded to the rating of the endpoint. Overflow runs
+// don't count: they run only while the endpoint is slower than usual.
 func (t *Tracker) rateRun(res *Reservation, now time.Duration) {
+	if res.Overflow {
+		return
+	}
 	task, _ := workload.ParseTaskID(res.Run.Task)
 	t.rating.Observe(task.Job, res.Estimate, now-res.StartSentAt)
 }
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -71,10 +71,10 @@
 const maxRunMicroseconds = int64(24 * time.Hour / time.Microsecond)
 
 // recordRunTime records the run time of a task's run that has succeeded. Runs that
-// were contained or reported as stalled say nothing about the usual run time. A run
+// were contained, overflow or reported as stalled say nothing about the usual run time. A run
 // can't have taken longer than the time since it was requested.
 func (d *Dispatcher) recordRunTime(r *runner, t *task, runMicroseconds int64) {
-	if t.contained || t.moving {
+	if t.contained || t.overflow || t.moving {
 		return
 	}
 	took := time.Duration(min(max(runMicroseconds, 0), maxRunMicroseconds)) * time.Microsecond
