--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -133,30 +133,29 @@
 	}
 	var buffer [inlineEndpoints]queue
 	queues := r.appendQueues(buffer[:0], endpoints)
-	for range r.Count {
-		var best *queue
-		for i := range queues {
-			if q := &queues[i]; q.headroom > 0 && (best == nil || q.before(best)) {
-				best = q
-			}
-		}
-		if best == nil {
-			break
-		}
-		best.wait += best.waitPerTask
-		best.headroom -= float64(r.Resources.MilliCPU)
+	for n := r.Count; n > 0 && len(queues) > 0; n-- {
+		i := firstToStart(queues)
+		best := &queues[i]
 		endpoints[best.index].Reserve(r.Resources)
 		assignments = addQueued(assignments, best.index)
+		best.wait += best.waitPerTask
+		if best.headroom -= float64(r.Resources.MilliCPU); best.headroom <= 0 {
+			queues = slices.Delete(queues, i, i+1)
+		}
 	}
 	return assignments
 }
 
-// before reports whether the queue is better than another one.
-func (q *queue) before(other *queue) bool {
-	if q.class != other.class {
-		return q.class < other.class
+// firstToStart returns the index of the best queue.
+func firstToStart(queues []queue) int {
+	best, bestClass, bestWait := 0, queues[0].class, queues[0].wait
+	for i := range queues {
+		q := &queues[i]
+		if q.class < bestClass || (q.class == bestClass && q.wait < bestWait) {
+			best, bestClass, bestWait = i, q.class, q.wait
+		}
 	}
-	return q.wait < other.wait
+	return best
 }
 
 func (r *Request) appendQueues(queues []queue, endpoints []Endpoint) []queue {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -112,6 +112,9 @@
 	if r.MaxPerEndpoint > 0 {
 		n = min(n, r.MaxPerEndpoint-r.PlacedByEndpoint[e.Name])
 	}
+	if e.Free.MilliCPU < r.Resources.MilliCPU {
+		return 0
+	}
 	n = boundByFree(n, r.Resources.MilliCPU, e.Free.MilliCPU)
 	n = boundByFree(n, r.Resources.MemoryMB, e.Free.MemoryMB)
 	n = boundByFree(n, r.Resources.GPUs, e.Free.GPUs)
