Placement: medians only where tasks are placed, fewer passes over the endpoints

Cause: admission computed the medians too and doesn't use them; a product of need and count was not bounded for jobs that ask for absurd amounts. Change: schedule() sets the medians; placement skips endpoints without free capacity early and looks at the candidates once for each group of speeds.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -69,7 +69,6 @@
 			usable++
 		}
 	}
-	placement.SetMedianSpeeds(all[:usable])
 	return all[:usable], runners[:usable]
 }
 
@@ -84,6 +83,7 @@
 	if len(endpoints) == 0 {
 		return
 	}
+	placement.SetMedianSpeeds(endpoints)
 	for _, j := range waiting {
 		area := d.areaOf(j, now)
 		for s := range j.spec.Steps {
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -199,11 +199,17 @@
 // best class, of the speed that the job needs to end first, that take all of the
 // tasks, or else the most.
 func pickBest(candidates []candidate, count int, randIntN func(n int) int) int {
-	best := candidates[0].class
+	best, fastest := candidates[0].class, 0.0
 	for i := range candidates {
-		best = min(best, candidates[i].class)
+		c := &candidates[i]
+		if c.class < best {
+			best, fastest = c.class, 0
+		}
+		if c.class == best {
+			fastest = max(fastest, c.speed)
+		}
 	}
-	slowest := leastSpeed(candidates, best, count)
+	slowest := leastSpeed(candidates, best, fastest, count)
 	most, equal := 0, 0
 	for i := range candidates {
 		c := &candidates[i]
@@ -228,29 +234,26 @@
 }
 
 // leastSpeed returns the least grouped speed of the endpoints of a class that a step
-// uses. A step ends when its slowest task ends, so this is the highest speed above
-// which enough of the tasks fit: to put a part of them at still faster endpoints would
-// spread the job without an earlier end.
-func leastSpeed(candidates []candidate, class, count int) float64 {
-	group := math.Inf(1)
-	for {
-		fastest, fit := 0.0, 0
-		for i := range candidates {
-			if c := &candidates[i]; c.class == class && c.speed < group {
-				fastest = max(fastest, c.speed)
-			}
-		}
-		if fastest == 0 {
-			return 0
-		}
-		group = fastest / nearlyEqualSpeed
+// uses, where fastest is the highest there is. A step ends when its slowest task ends,
+// so this is the highest speed above which enough of the tasks fit: to put a part of
+// them at still faster endpoints would spread the job without an earlier end.
+func leastSpeed(candidates []candidate, class int, fastest float64, count int) float64 {
+	for fastest > 0 {
+		group := fastest / nearlyEqualSpeed
+		fit := 0
+		fastest = 0
 		for i := range candidates {
-			if c := &candidates[i]; c.class == class && c.speed >= group {
+			switch c := &candidates[i]; {
+			case c.class != class:
+			case c.speed >= group:
 				fit += c.fit
+			case c.speed > fastest:
+				fastest = c.speed
 			}
 		}
 		if fit >= spareFit*count {
 			return group
 		}
 	}
+	return 0
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -112,9 +112,6 @@
 	if r.MaxPerEndpoint > 0 {
 		n = min(n, r.MaxPerEndpoint-r.PlacedByEndpoint[e.Name])
 	}
-	if e.Free.MilliCPU < r.Resources.MilliCPU {
-		return 0
-	}
 	n = boundByFree(n, r.Resources.MilliCPU, e.Free.MilliCPU)
 	n = boundByFree(n, r.Resources.MemoryMB, e.Free.MemoryMB)
 	n = boundByFree(n, r.Resources.GPUs, e.Free.GPUs)
@@ -124,7 +121,12 @@
 // boundByFree returns n, or how many tasks fit if each needs an amount of what is
 // free and fewer fit.
 func boundByFree(n int, need, free int64) int {
-	if need <= 0 || need*int64(n) <= free {
+	switch {
+	case need <= 0:
+		return n
+	case need > free:
+		return 0
+	case need*int64(n) <= free:
 		return n
 	}
 	return int(free / need)
@@ -192,6 +194,9 @@
 	needed := r.neededSpeed()
 	for i := range endpoints {
 		e := &endpoints[i]
+		if e.Free.MilliCPU < r.Resources.MilliCPU {
+			continue
+		}
 		fit := r.FitCount(e)
 		if fit == 0 {
 			continue
