--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -76,7 +76,6 @@
 			n++
 		}
 	}
-	placement.SetMedianSpeeds(all[:n])
 	return all[:n], runners[:n]
 }
 
@@ -91,6 +90,7 @@
 	if len(endpoints) == 0 {
 		return
 	}
+	placement.SetMedianSpeeds(endpoints)
 	for j := range placement.InOrder(d.rankedWaiting(now), &d.started) {
 		area := d.areaOf(j, now)
 		for s := range j.spec.Steps {
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -133,30 +133,29 @@
 	}
 	var buffer [inlineEndpoints]queue
 	queues := r.appendQueues(buffer[:0], endpoints)
-	for range r.Count {
-		var best *queue
-		for i := range queues {
-			if q := &queues[i]; q.headroom > 0 && (best == nil || q.before(best)) {
-				best = q
-			}
-		}
-		if best == nil {
-			break
-		}
-		best.wait += best.waitPerTask
-		best.headroom -= float64(r.Resources.MilliCPU)
+	for n := r.Count; n > 0 && len(queues) > 0; n-- {
+		i := firstToStart(queues)
+		best := &queues[i]
 		endpoints[best.index].Reserve(r.Resources)
 		assignments = addQueued(assignments, best.index)
+		best.wait += best.waitPerTask
+		if best.headroom -= float64(r.Resources.MilliCPU); best.headroom <= 0 {
+			queues = slices.Delete(queues, i, i+1)
+		}
 	}
 	return assignments
 }
 
-// before reports whether the queue is better than another one.
-func (q *queue) before(other *queue) bool {
-	if q.class != other.class {
-		return q.class < other.class
+// firstToStart returns the index of the best queue.
+func firstToStart(queues []queue) int {
+	best, bestClass, bestWait := 0, queues[0].class, queues[0].wait
+	for i := range queues {
+		q := &queues[i]
+		if q.class < bestClass || (q.class == bestClass && q.wait < bestWait) {
+			best, bestClass, bestWait = i, q.class, q.wait
+		}
 	}
-	return q.wait < other.wait
+	return best
 }
 
 func (r *Request) appendQueues(queues []queue, endpoints []Endpoint) []queue {
@@ -201,11 +200,17 @@
 // best class, of the speed that the job needs to end first, that take all of the
 // tasks, or else the most.
 func pickBest(candidates []candidate, count int, randIntN func(n int) int) int {
-	best := candidates[0].class
+	best, fastest := candidates[0].class, 0.0
 	for i := range candidates {
-		best = min(best, candidates[i].class)
+		c := &candidates[i]
+		if c.class < best {
+			best, fastest = c.class, 0
+		}
+		if c.class == best {
+			fastest = max(fastest, c.speed)
+		}
 	}
-	slowest := leastSpeed(candidates, best, count)
+	slowest := leastSpeed(candidates, best, fastest, count)
 	most, equal := 0, 0
 	for i := range candidates {
 		c := &candidates[i]
@@ -230,29 +235,26 @@
 }
 
 // leastSpeed returns the least grouped speed of the endpoints of a class that a step
-// uses. A step ends when its slowest task ends, so this is the highest speed above
-// which enough of the tasks fit: to put a part of them at still faster endpoints would
-// spread the job without an earlier end.
-func leastSpeed(candidates []candidate, class, count int) float64 {
-	group := math.Inf(1)
-	for {
-		fastest, fit := 0.0, 0
-		for i := range candidates {
-			if c := &candidates[i]; c.class == class && c.speed < group {
-				fastest = max(fastest, c.speed)
-			}
-		}
-		if fastest == 0 {
-			return 0
-		}
-		group = fastest / nearlyEqualSpeed
+// uses, where fastest is the highest there is. A step ends when its slowest task ends,
+// so this is the highest speed above which enough of the tasks fit: to put a part of
+// them at still faster endpoints would spread the job without an earlier end.
+func leastSpeed(candidates []candidate, class int, fastest float64, count int) float64 {
+	for fastest > 0 {
+		group := fastest / nearlyEqualSpeed
+		fit := 0
+		fastest = 0
 		for i := range candidates {
-			if c := &candidates[i]; c.class == class && c.speed >= group {
+			switch c := &candidates[i]; {
+			case c.class != class:
+			case c.speed >= group:
 				fit += c.fit
+			case c.speed > fastest:
+				fastest = c.speed
 			}
 		}
 		if fit >= spareFit*count {
 			return group
 		}
 	}
+	return 0
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -140,7 +140,12 @@
 // boundByFree returns n, or how many tasks fit if each needs an amount of what is
 // free and fewer fit.
 func boundByFree(n int, need, free int64) int {
-	if need <= 0 || need*int64(n) <= free {
+	switch {
+	case need <= 0:
+		return n
+	case need > free:
+		return 0
+	case need*int64(n) <= free:
 		return n
 	}
 	return int(free / need)
@@ -225,6 +230,9 @@
 	needed := r.neededSpeed()
 	for i := range endpoints {
 		e := &endpoints[i]
+		if e.Free.MilliCPU < r.Resources.MilliCPU {
+			continue
+		}
 		fit := r.FitCount(e)
 		if fit == 0 {
 			continue
