Placement passes take a bounded part of a dispatcher's time

Cause: while jobs wait, each frame from a runner starts a pass over all of them. Change: a token bucket for the time of passes, a tenth of the time and at most 2 ms saved; a pass that comes too early is put off.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -230,7 +230,7 @@
 	d.metrics.recordAdmission(d.runCtx, route.Name)
 	d.log.Info("job: admitted", zap.String("job", spec.ID), zap.String("route", route.Name),
 		zap.Int("tasks", spec.TaskCount()), zap.Duration("objective", j.objective), zap.Duration("wait", deadline-now))
-	d.schedule(now)
+	d.requestPass(now)
 	return j, nil
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,8 @@
 	load placement.Load
 	// started measures the work that was placed recently, by priority level.
 	started placement.StartedWork
+	// passes spaces the placement passes.
+	passes passLimiter
 	// contention is the state of admission by priority.
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -154,7 +154,7 @@
 		d.applyState(r, s)
 	}
 	if len(f.GetEvents()) > 0 || f.GetState() != nil {
-		d.schedule(now)
+		d.requestPass(now)
 	}
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -82,10 +82,11 @@
 // schedule assigns free capacity to waiting jobs, the most urgent first. It is
 // called with the lock held.
 func (d *Dispatcher) schedule(now time.Duration) {
-	d.scheduleOverflow(now)
 	if len(d.waiting) == 0 {
 		return
 	}
+	defer func() { d.passes.finished(now, clock.SinceBoot()) }()
+	d.scheduleOverflow(now)
 	endpoints, runners := d.usableEndpoints(d.anyContained(now), now)
 	if len(endpoints) == 0 {
 		return
