--- a/internal/placement/stale_test.go
+++ b/internal/placement/stale_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
@@ -51,6 +52,11 @@
 
 func (j *staleJob) objective() time.Duration { return j.duration*8/5 + 60*ms }
 
+// slack returns how long a task of the job can still wait.
+func (j *staleJob) slack(now time.Duration) time.Duration {
+	return j.arrivedAt + j.objective() - now - j.duration
+}
+
 // assignFunc and waitFunc are the types of Assign and RunnerWait.
 type (
 	assignFunc func(r *Request, endpoints []Endpoint, randIntN func(n int) int) []Assignment
@@ -62,7 +68,7 @@
 type staleReplay struct {
 	rng         *rand.Rand
 	views       [staleDispatchers][]Endpoint
-	used        [staleEndpoints]int
+	used        []int
 	pending     []stalePending
 	travelling  []*staleTask
 	waiting     []*staleTask
@@ -74,29 +80,58 @@
 	assign      assignFunc
 	// slots and speeds are those of the endpoints. Views have speeds that differ from
 	// those by speedNoise (standard deviation).
-	slots            [staleEndpoints]int
-	speeds           [staleEndpoints]float64
+	slots            []int
+	speeds           []float64
 	speedNoise       float64
 	starts, refusals int
+	// levels are the priority levels by kind. If they are set, dispatchers and
+	// runners order tasks by rank, and late tasks are dropped. oneQueue lets the
+	// space at runners ignore the levels.
+	levels   []int
+	oneQueue bool
+	// rates are the factors of the arrival rate by kind.
+	rates []float64
+}
+
+// rank returns the rank of a job's task.
+func (r *staleReplay) rank(j *staleJob, now time.Duration) Rank {
+	return NewRank(r.levels[j.kind], j.slack(now), false, false)
+}
+
+// level returns the job's priority level, 0 if no levels are set.
+func (r *staleReplay) level(j *staleJob) int {
+	if r.levels == nil {
+		return 0
+	}
+	return r.levels[j.kind]
+}
+
+// orderPending sorts the tasks that dispatchers hold, and drops late ones.
+func (r *staleReplay) orderPending(now time.Duration) {
+	r.pending = slices.DeleteFunc(r.pending, func(p stalePending) bool { return r.rank(p.job, now).class == classLate })
+	slices.SortStableFunc(r.pending, func(a, b stalePending) int { return r.rank(a.job, now).Compare(r.rank(b.job, now)) })
 }
 
-func newStaleReplay(seed uint64, wait waitFunc) *staleReplay {
+// newStaleReplay returns a replay with equal endpoints of the given number of slots.
+func newStaleReplay(seed uint64, endpoints, slots int, wait waitFunc) *staleReplay {
 	r := &staleReplay{
-		rng: rand.New(rand.NewPCG(seed, 1)), wait: wait,
+		rng: rand.New(rand.NewPCG(seed, 1)), wait: wait, rates: []float64{1, 1, 1},
+		used: make([]int, endpoints), slots: make([]int, endpoints), speeds: make([]float64, endpoints),
 		inTime: make([]int, len(jobKinds)), submitted: make([]int, len(jobKinds)), assign: Assign,
 	}
-	r.setEndpoints([]float64{1}, []float64{1}, 0)
+	r.setEndpoints(slots, []float64{1}, []float64{1}, 0)
 	return r
 }
 
-// setEndpoints gives the endpoints all combinations of these speeds and sizes.
-func (r *staleReplay) setEndpoints(speeds, sizes []float64, speedNoise float64) {
+// setEndpoints gives the endpoints all combinations of these speeds and sizes, which
+// are factors of slots.
+func (r *staleReplay) setEndpoints(slots int, speeds, sizes []float64, speedNoise float64) {
 	r.speedNoise = speedNoise
 	for d := range r.views {
 		r.views[d] = nil
-		for i := range staleEndpoints {
+		for i := range r.used {
 			r.speeds[i] = speeds[i%len(speeds)]
-			r.slots[i] = int(staleSlots * sizes[i/len(speeds)%len(sizes)])
+			r.slots[i] = int(float64(slots) * sizes[i/len(speeds)%len(sizes)])
 			e := newEndpoint("e", int64(r.slots[i]*replayTaskMilliCPU))
 			e.Capacity.MilliCPU = e.Free.MilliCPU
 			e.Speed = r.speeds[i]
@@ -122,8 +157,10 @@
 		r.complete(now)
 		r.refreshViews(now)
 		for k := range jobKinds {
-			if r.rng.Float64() < jobKinds[k].arrivalsPerSecond*factor*ms.Seconds() {
-				r.submit(k, now)
+			for expected := jobKinds[k].arrivalsPerSecond * r.rates[k] * factor * ms.Seconds(); expected > 0; expected-- {
+				if r.rng.Float64() < expected {
+					r.submit(k, now)
+				}
 			}
 		}
 		r.placePending(now)
@@ -143,6 +180,9 @@
 
 // placePending assigns tasks by their dispatchers' views.
 func (r *staleReplay) placePending(now time.Duration) {
+	if r.levels != nil {
+		r.orderPending(now)
+	}
 	pending := r.pending
 	r.pending = nil
 	for _, p := range pending {
@@ -157,7 +197,10 @@
 func (r *staleReplay) place(p stalePending, now time.Duration) int {
 	req := &Request{
 		Service: "s", Resources: workload.Resources{MilliCPU: replayTaskMilliCPU}, Count: p.count,
-		Estimate: p.job.duration, Slack: p.job.arrivedAt + p.job.objective() - now - p.job.duration,
+		Estimate: p.job.duration, Slack: p.job.slack(now), Level: r.level(p.job),
+	}
+	if r.oneQueue {
+		req.Level = policy.MaxLevels - 1
 	}
 	placed := 0
 	SetMedianSpeeds(r.views[p.dispatcher])
@@ -187,6 +230,9 @@
 // that may wait no longer to their dispatcher, which learns the endpoint's
 // state.
 func (r *staleReplay) startWaiting(now time.Duration) {
+	if r.levels != nil {
+		slices.SortStableFunc(r.waiting, func(a, b *staleTask) int { return r.rank(a.job, now).Compare(r.rank(b.job, now)) })
+	}
 	queued := r.waiting
 	r.waiting = nil
 	for _, t := range queued {
@@ -230,7 +276,7 @@
 // updated once in viewAge.
 func (r *staleReplay) refreshViews(now time.Duration) {
 	for d := range r.views {
-		for e := range staleEndpoints {
+		for e := range r.used {
 			if (int(now/ms)+7*d+3*e)%int(viewAge/ms) == 0 {
 				r.view(d, e)
 			}
@@ -241,11 +287,14 @@
 // view updates a dispatcher's view of one endpoint.
 func (r *staleReplay) view(dispatcher, endpoint int) {
 	free := r.slots[endpoint] - r.used[endpoint]
+	var byLevel [policy.MaxLevels]int64
 	for _, t := range append(slices.Clone(r.waiting), r.travelling...) {
 		if t.endpoint == endpoint {
 			free--
+			byLevel[r.level(t.job)] += replayTaskMilliCPU
 		}
 	}
+	r.views[dispatcher][endpoint].QueuedByLevel = byLevel
 	r.views[dispatcher][endpoint].Free.MilliCPU = int64(free * replayTaskMilliCPU)
 	r.views[dispatcher][endpoint].Speed = r.noisySpeed(endpoint)
 }
@@ -263,8 +312,8 @@
 	waitAnywhere := func(bool, int) time.Duration { return maxRunnerWait }
 	var redirected, waiting []float64
 	for seed := range uint64(seeds) {
-		redirected = append(redirected, newStaleReplay(seed, RunnerWait).run(load)[0])
-		waiting = append(waiting, newStaleReplay(seed, waitAnywhere).run(load)[0])
+		redirected = append(redirected, newStaleReplay(seed, staleEndpoints, staleSlots, RunnerWait).run(load)[0])
+		waiting = append(waiting, newStaleReplay(seed, staleEndpoints, staleSlots, waitAnywhere).run(load)[0])
 	}
 	t.Logf("in time: %.3f if redirected, %.3f if they wait anywhere", mean(redirected), mean(waiting))
 	must.Greater(t, inTime, mean(redirected))
@@ -311,8 +360,8 @@
 			t.Parallel()
 			run := func(assign assignFunc, wait waitFunc) (late, refused float64) {
 				for seed := range uint64(seeds) {
-					r := newStaleReplay(seed, wait)
-					r.setEndpoints([]float64{0.6, 1, 1.6}, []float64{1, 1.5}, 0.07)
+					r := newStaleReplay(seed, staleEndpoints, staleSlots, wait)
+					r.setEndpoints(staleSlots, []float64{0.6, 1, 1.6}, []float64{1, 1.5}, 0.07)
 					r.assign = assign
 					late += 1 - r.inTimeOfAll(load)
 					refused += float64(r.refusals) / float64(r.starts)
@@ -340,3 +389,19 @@
 	}
 	return float64(inTime) / float64(submitted)
 }
+
+// Guards against a flood of the last level that fills the queues of runners, so that
+// tasks of the first level wait at their dispatchers. The load is that of
+// TestFloodOfLastLevelMakesNoOtherLate, with views up to 60 ms old.
+func TestFloodLeavesSpaceAtRunners(t *testing.T) {
+	const endpoints, slots = 10, 14
+	flood := func(oneQueue bool) []float64 {
+		r := newStaleReplay(7, endpoints, slots, RunnerWait)
+		r.levels, r.oneQueue, r.rates = overloadLevels, oneQueue, []float64{1, 2.5, 1}
+		return r.run(0.99)
+	}
+	byLevel, oneQueue := flood(false), flood(true)
+	t.Logf("in time: %.3f with space by level, %.3f with one space for all", byLevel, oneQueue)
+	must.Greater(t, 0.7, byLevel[0])
+	must.Less(t, 0.5, oneQueue[0])
+}
