Runner: refused starts and overflow runs don't count in a level's share

The runner counted each requested start in the started work of its level, also those that the endpoint refused and overflow runs. A level whose starts are often refused seemed to have its minimum share. Dispatchers count neither.

The runner takes a refused start back and doesn't count overflow runs. The test fails without the change; the tests of runner, capacity and placement pass.

--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -28,6 +28,8 @@
 	// overflow is set if the run is to start at an endpoint that is suspended
 	// because it is slow. The order is not queued.
 	overflow bool
+	// startedAt is when the run was counted in the started work of its level.
+	startedAt time.Duration
 	// waitDeadline is the time until which the order may wait for capacity.
 	waitDeadline time.Duration
 	// startDeadline is the latest time at which the run can start and still end
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -79,6 +79,24 @@
 	return len(r.queue) > 0 && !slices.ContainsFunc(r.queue, func(queued *order) bool { return queued.level <= o.level })
 }
 
+// countStarted counts the order's run, which starts now, in the work of its level.
+// Overflow runs don't count: they use no capacity that another level could get.
+func (r *Runner) countStarted(o *order, now time.Duration) {
+	if o.overflow {
+		return
+	}
+	o.startedAt = now
+	r.started.Add(o.level, placement.TaskWork(o.resources, o.estimate), now)
+}
+
+// uncountStarted takes back an order's run that the endpoint refused. Otherwise a level
+// whose starts are often refused would seem to have its minimum share.
+func (r *Runner) uncountStarted(o *order, now time.Duration) {
+	if !o.overflow {
+		r.started.Remove(o.level, placement.TaskWork(o.resources, o.estimate), o.startedAt, now)
+	}
+}
+
 // waitingCPUByLevel returns the CPU that queued orders need by priority level, without
 // the levels after the last one that has any. It is nil if there are none.
 func (r *Runner) waitingCPUByLevel() []uint64 {
--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -110,3 +110,19 @@
 		must.Eq(t, 1, levels[c.startedLevel].StartedFraction)
 	}
 }
+
+// Guards against a level that seems to have its minimum share because of starts that
+// were refused, or of overflow runs.
+func TestRefusedAndOverflowRunsHaveNoShare(t *testing.T) {
+	r, d := newServingRunner(t, 2000)
+	now := clock.SinceBoot()
+	o := newOrder(d.owner(), "", &pb.RunOrder{Run: &pb.RunRef{Task: "a", Attempt: 1}, CpuMilli: 1000, Priority: 1}, now)
+	r.started.Add(0, 0.1, now)
+	r.countStarted(o, now)
+	must.Greater(t, 0.5, r.started.Fraction(1))
+	r.startOnEndpoint(r.session, o, workload.StartRequest{Run: o.runID}, 0)
+	must.Less(t, 1e-9, r.started.Fraction(1))
+	o.overflow = true
+	r.countStarted(o, now)
+	must.Less(t, 1e-9, r.started.Fraction(1))
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -10,7 +10,6 @@
 	"github.com/pomelosill/pomelosill/internal/capacity"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/lease"
-	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
@@ -27,7 +26,7 @@
 		return
 	}
 	r.counters.starts.Add(r.baseCtx, 1)
-	r.started.Add(o.level, placement.TaskWork(o.resources, o.estimate), now)
+	r.countStarted(o, now)
 	start := workload.StartRequest{Run: o.runID, Spec: o.spec, LeaseEndMS: r.nextLeaseEnd(s, now), FencingToken: s.fencingToken}
 	go r.startOnEndpoint(s, o, start, now+lease.EndpointTTL(r.settings.LeaseMax.Std()))
 }
@@ -74,6 +73,7 @@
 		if code == result.Overloaded {
 			s.runFailed(o.job(), o.overflow, now)
 		}
+		r.uncountStarted(o, now)
 		s.tracker.StartRefused(o.runID, now)
 		r.sendEvent(o.owner, newRunEvent(o.runID, endRefused, code, 0))
 		r.startQueued(now)
