Waiting jobs of a removed route keep their level

A route that is not in the configuration has level 0. When a configuration removed a route, its waiting jobs moved to the first level: they overtook the jobs of all other routes and counted as backlog before each of them.

A job now remembers the level of the last configuration that has its route. The new test fails without that (level 0 instead of 1); tests of internal/dispatch pass.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -93,6 +93,9 @@
 	callerCount int
 	// caller is the network address of the first of them, without the port.
 	caller string
+	// lastLevel is the priority level of the route in the last configuration that had
+	// it, as of the last call of Dispatcher.level.
+	lastLevel int
 	// counted is the job's part of the dispatcher's queued work.
 	counted countedWork
 }
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -8,16 +8,22 @@
 )
 
 // level returns the priority level of the job's route in the current configuration.
-// Jobs that wait while the configuration changes follow it.
-func (d *Dispatcher) level(j *job) int { return d.policy.Current().Level(j.route.Name) }
+// Jobs that wait while the configuration changes follow it. If it removes their route,
+// they keep their level: that of an unknown route is the first, and they would overtake
+// the jobs of all others.
+func (d *Dispatcher) level(j *job) int {
+	if p := d.policy.Current(); p.KnowsRoute(j.route.Name) {
+		j.lastLevel = p.Level(j.route.Name)
+	}
+	return j.lastLevel
+}
 
 // rankedWaiting returns the waiting jobs with their ranks.
 func (d *Dispatcher) rankedWaiting(now time.Duration) []placement.Waiting[*job] {
-	p := d.policy.Current()
 	all := make([]placement.Waiting[*job], 0, len(d.waiting))
 	for _, j := range d.waiting {
 		u := j.urgency()
-		u.Level = p.Level(j.route.Name)
+		u.Level = d.level(j)
 		all = append(all, placement.Waiting[*job]{Item: j, Rank: u.Rank(now)})
 	}
 	return all
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -52,6 +52,19 @@
 	must.Eq(t, 2000, level.WaitingMilliCPU)
 }
 
+// Guards against waiting jobs that move to the first level when the configuration
+// removes their route.
+func TestWaitingJobsOfRemovedRouteKeepTheirLevel(t *testing.T) {
+	d, _ := newServingDispatcher(t)
+	d.applyPriorities(0, 7)
+	j := d.enqueueTestJob("1", "s")
+	must.Eq(t, 1, d.level(j))
+	d.policy.Apply(&policy.Snapshot{Revision: d.policy.Revision() + 1, Config: &policy.Config{Routes: []policy.Route{{Name: "r"}}}})
+	d.enqueueTestJob("2", "r")
+	must.Eq(t, 1, d.level(j))
+	must.Eq(t, []string{"r", "s"}, d.waitingRoutes())
+}
+
 // Guards against starts that count for a level's share although the runner refused
 // them, and against a time until the first start that ignores the wait at the runner.
 func TestRefusedStartsDontCountForTheShare(t *testing.T) {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -112,6 +112,15 @@
 	return s.levels.byRoute[route]
 }
 
+// KnowsRoute reports whether the named route is in the configuration.
+func (s *Snapshot) KnowsRoute(route string) bool {
+	if s == nil || s.levels == nil {
+		return false
+	}
+	_, known := s.levels.byRoute[route]
+	return known
+}
+
 // LevelCount returns the number of priority levels in use, at least 1.
 func (s *Snapshot) LevelCount() int {
 	if s == nil || s.levels == nil {
