Work that waits at a runner is bounded by its capacity

A runner's waiting_cpu counted up to 2^40 thousandths of a core. One runner with a wrong figure made the backlog of the whole fleet so long that all jobs were refused, and made room for any amount of queued work of levels before.

The dispatcher now counts at most eight times the endpoint's capacity: up to 12 dispatchers queue at most half of it each. The levels are reduced in proportion. The new test fails without the bound; tests of internal/dispatch and internal/admission pass.

--- a/internal/admission/levels.go
+++ b/internal/admission/levels.go
@@ -54,6 +54,14 @@
 	return b
 }
 
+// AtMost returns the figures, reduced in proportion if their sum exceeds a bound.
+func (b ByLevel) AtMost(total float64) ByLevel {
+	if sum := b.Total(); sum > total {
+		return b.Times(max(total, 0) / sum)
+	}
+	return b
+}
+
 // Before returns the sum of the levels that come before the given one.
 func (b ByLevel) Before(level int) float64 {
 	sum := 0.0
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -197,7 +197,7 @@
 func (d *Dispatcher) queuedAtRunners() int64 {
 	var all int64
 	for _, r := range d.runners {
-		all += workload.DecodeAmount(r.state.GetWaitingCpu())
+		all += min(workload.DecodeAmount(r.state.GetWaitingCpu()), maxWaitingFraction*r.capacity().MilliCPU)
 	}
 	return all
 }
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -109,7 +109,7 @@
 		}
 		if r.usable(now) {
 			f.otherLoad += admission.Bounded(r.state.GetOtherLoad())
-			f.waiting = f.waiting.Plus(admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority()))
+			f.waiting = f.waiting.Plus(r.waiting())
 		}
 	}
 	missing := float64(f.connected) / float64(max(1, reports))
--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -153,6 +153,15 @@
 	must.Eq(t, 3, sums.otherCallers)
 }
 
+// One runner with an absurd figure must not cause the refusal of all jobs.
+func TestWaitingWorkIsBoundedByCapacity(t *testing.T) {
+	d, now := newBusyDispatcher(t, 2), clock.SinceBoot()
+	s := d.runners["r-0"].state
+	s.WaitingCpu, s.WaitingCpuByPriority = 1<<63, []uint64{1 << 40, 1 << 40}
+	must.Eq(t, admission.ByLevel{32_000, 32_000 + 8000}, d.fleetSums(now).waiting)
+	must.Eq(t, 64_000+8000, d.queuedAtRunners())
+}
+
 // Each arriving job costs a decision, and a part of the sums over the runners: at 10,000
 // jobs a second, 50 jobs share them.
 func BenchmarkCheckPriority(b *testing.B) {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -197,11 +197,23 @@
 	return placement.EffectiveSpeed(r.ratedSpeed(), r.measuredSpeed())
 }
 
+// maxWaitingFraction bounds the work that waits at a runner, as a fraction of its
+// capacity. Each of up to 12 dispatchers queues at most half of the capacity there.
+const maxWaitingFraction = 8
+
+// waiting returns the CPU of all dispatchers' tasks that wait at the runner, in
+// thousandths of a core. It is bounded, so that one runner with a wrong figure doesn't
+// cause the refusal of all jobs.
+func (r *runner) waiting() admission.ByLevel {
+	reported := admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority())
+	return reported.AtMost(maxWaitingFraction * float64(r.capacity().MilliCPU))
+}
+
 // queuedByLevel returns the CPU of the tasks that are queued at the runner, in
 // thousandths of a core by priority level.
 func (r *runner) queuedByLevel() [policy.MaxLevels]int64 {
 	var all [policy.MaxLevels]int64
-	for level, queued := range admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority()) {
+	for level, queued := range r.waiting() {
 		all[level] = int64(queued)
 	}
 	return all
