Overflow jobs don't count in the demand of their callers

The demand of all callers leaves out overflow jobs, but that of each caller included them. With many overflow jobs, every caller appeared to have more than twice the mean demand, and the jobs of all callers were refused at half of their limit.

Both sums now leave them out. The new test fails without that; the overflow, caller and level tests of internal/dispatch pass.

--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -146,14 +146,15 @@
 // if these differ.
 func (d *Dispatcher) byPriority() bool { return d.policy.Current().LevelCount() > 1 }
 
-// countAdmitted counts the demand of an admitted job. Overflow jobs don't count: they
-// leave the capacity to others.
+// countAdmitted counts the demand of an admitted job and of its caller. Overflow jobs
+// don't count: they leave the capacity to others. A caller's demand is compared with
+// the mean of the same demand, so both must leave out the same jobs.
 func (d *Dispatcher) countAdmitted(j *job, now time.Duration) {
 	c, work := &d.contention, j.work()
 	if !j.overflow {
 		c.demand.Add(d.level(j), work, now)
+		c.callers.Add(j.caller, work, now)
 	}
-	c.callers.Add(j.caller, work, now)
 	c.refusedJobs.Remove(j.spec.ID)
 }
 
--- a/internal/dispatch/overflow_test.go
+++ b/internal/dispatch/overflow_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/internal/admission"
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
@@ -132,6 +133,16 @@
 	must.SliceLen(t, 2, ordered(sys.full), must.Sprint("an ordinary job goes to the sound endpoint"))
 }
 
+// Overflow jobs must not make their callers appear to have more demand than the mean,
+// which doesn't include these jobs.
+func TestOverflowJobsAreNoDemandOfTheirCallers(t *testing.T) {
+	sys := newOverflowSystem(t)
+	sys.mustAdmit()
+	now := clock.SinceBoot()
+	must.Eq(t, 0, sys.d.contention.demand.Rate(now).Total())
+	must.Eq(t, 0, sys.d.contention.callers.Excess("caller", admission.Population{MilliCPU: 1000, Callers: 2}, now))
+}
+
 // The endpoint may be suspended for failures, recover, or be taken out of service
 // while the orders are on their way. Nothing has run, and the caller must be told as soon
 // as no other slow endpoint has capacity.
