A tick no longer compares each late job with all waiting jobs

Each late job that has not started searched all waiting jobs for one that can still be answered in time. With 5,000 late jobs a tick held the dispatcher's lock for 12.4 s, so that it appeared silent to all runners.

The first level with such a job is now computed once a tick. A waiting job whose deadline has passed isn't one: it ends in the same tick. The existing test of late jobs passes the level, with unchanged checks.

--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -115,12 +115,12 @@
 	}
 	late := add("r", "late", now-110*time.Millisecond)
 	add("s", "in time", now)
-	d.expireJob(late, now)
+	d.expireJob(late, d.firstLevelInTime(now), now)
 	must.False(t, late.answered)
 	must.Eq(t, 0, d.contention.queued[placement.Anywhere].Through(0), must.Sprint("late jobs don't count as backlog"))
 	must.Eq(t, 1000, d.contention.queued[placement.Anywhere][1])
 	first := add("r", "first", now)
-	d.expireJob(late, now)
+	d.expireJob(late, d.firstLevelInTime(now), now)
 	must.Eq(t, result.Overloaded, (<-late.answer).Code)
 	d.applyPriorities(1, 0)
 	for _, j := range d.waiting {
@@ -132,6 +132,22 @@
 	must.Eq(t, 1000, d.contention.queued[placement.Anywhere].Total())
 }
 
+// A tick must not take longer than a runner's time-out while thousands of late jobs
+// wait. With a search of all waiting jobs for each of them, it took seconds.
+func TestTickWithManyLateJobs(t *testing.T) {
+	d, now := newBusyDispatcher(t, 1), clock.SinceBoot()
+	for i := range maxJobs {
+		spec := &workload.Job{ID: fmt.Sprint(i), Steps: []workload.Step{{Count: 1, Resources: workload.Resources{MilliCPU: 1000}}}}
+		j := newJob(d.estimates, spec, &policy.Route{Name: "r", TargetLatency: 100 * time.Millisecond}, now-110*time.Millisecond, now+time.Second)
+		d.jobs[spec.ID] = j
+		d.addWaiting(j)
+	}
+	startedAt := clock.SinceBoot()
+	d.expireJobs(now)
+	must.Less(t, placementTimeout, clock.SinceBoot()-startedAt)
+	must.MapLen(t, maxJobs, d.jobs)
+}
+
 // The demand that a dispatcher tells must add up over its runners, and what the others
 // tell must count in full while some of the runners have nothing new to tell.
 func TestDemandIsToldInEqualParts(t *testing.T) {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -10,6 +10,7 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/placement"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/platform"
@@ -171,22 +172,29 @@
 			r.closeIfSilent(now)
 			d.dropRunsOfLostRunner(r, now)
 		}
-		for _, j := range d.jobs {
-			d.recount(j, now)
-			d.expireJob(j, now)
-		}
+		d.expireJobs(now)
 		d.refuseUnplaceable(now)
 		d.schedule(now)
 		d.mu.Unlock()
 	}
 }
 
+// expireJobs counts the jobs that have become late and ends those that have expired.
+func (d *Dispatcher) expireJobs(now time.Duration) {
+	firstInTime := d.firstLevelInTime(now)
+	for _, j := range d.jobs {
+		d.recount(j, now)
+		d.expireJob(j, firstInTime, now)
+	}
+}
+
 // expireJob ends a job whose deadline has passed, whose answer would come too
 // late to have a value, or which is late and has not started while another
-// waiting job of its priority level or one before it can still be answered in time.
-func (d *Dispatcher) expireJob(j *job, now time.Duration) {
+// waiting job of its priority level or one before it can still be answered in time;
+// firstInTime is the first level with such a job.
+func (d *Dispatcher) expireJob(j *job, firstInTime int, now time.Duration) {
 	u := j.urgency()
-	if now < j.deadline && !u.Expired(now) && (!u.LateUnstarted(now) || !d.anyWaitingInTime(d.level(j), now)) {
+	if now < j.deadline && !u.Expired(now) && (!u.LateUnstarted(now) || d.level(j) < firstInTime) {
 		return
 	}
 	a := platform.Answer{Code: result.StillRunning}
@@ -198,15 +206,17 @@
 	d.finish(j, a)
 }
 
-// anyWaitingInTime reports whether any waiting job of the level or one before it can
-// still be answered in time.
-func (d *Dispatcher) anyWaitingInTime(level int, now time.Duration) bool {
+// firstLevelInTime returns the first level of which a waiting job can still be answered
+// in time, or policy.MaxLevels if there is none. It is computed once a tick: in an
+// overload, thousands of late jobs wait, and each would search all others.
+func (d *Dispatcher) firstLevelInTime(now time.Duration) int {
+	first := policy.MaxLevels
 	for _, j := range d.waiting {
-		if d.level(j) <= level && j.urgency().Slack(now) >= 0 {
-			return true
+		if level := d.level(j); level < first && now < j.deadline && j.urgency().Slack(now) >= 0 {
+			first = level
 		}
 	}
-	return false
+	return first
 }
 
 // finish answers a job and stops its runs.
