--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -107,8 +107,8 @@
 	return time.Duration(min(wait, float64(maxWait)))
 }
 
-// Limit returns the longest wait with which the job is admitted, where the low slack of
-// its level is known unless it is zero.
+// Limit returns the longest wait with which the job is admitted. The low slack of its
+// level bounds it unless that is unknown (zero).
 func (j *Job) Limit(lowSlack time.Duration) time.Duration {
 	slack := j.Slack
 	if lowSlack > 0 {
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -10,8 +10,8 @@
 	maxRetryAfter = 10 * time.Second
 )
 
-// RetryAfter returns how long a job of the level should stay away that waits for the
-// given time longer than it may: until the excess of the backlog has drained and the
+// RetryAfter returns how long a refused job of the level should stay away. The excess is
+// the difference between its expected wait and its limit. The delay lasts until the excess of the backlog has drained and the
 // capacity left by the levels before it has served the work that was refused recently
 // and returns as well. It addresses a sustained overload, in which callers that return
 // earlier are refused again.
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -42,7 +42,9 @@
 }
 
 // recount updates the job's part of the queued work. Late unstarted jobs don't count:
-// an arriving job doesn't wait for them. Their lateness is noticed at the next tick.
+// an arriving job doesn't wait for them. It must be called after each change of the
+// job's queued tasks or of its presence in d.waiting. A job that becomes late, or whose
+// level or area changes, is counted anew at the next tick.
 func (d *Dispatcher) recount(j *job, now time.Duration) {
 	waits := d.waiting[j.spec.ID] == j
 	if !waits && j.counted.milliCPU == 0 {
--- a/internal/dispatch/overflow.go
+++ b/internal/dispatch/overflow.go
@@ -19,7 +19,8 @@
 // overflowPlan assigns tasks of one job to slow endpoints.
 type overflowPlan struct {
 	runners []*runner
-	// steps are those with tasks to place; assignments has one element for each.
+	// steps holds the indices of the steps with tasks to place, and assignments has one
+	// element for each of them. The endpoint index of an assignment is that in runners.
 	steps       []int
 	assignments [][]placement.Assignment
 }
