--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -11,10 +11,10 @@
 )
 
 // RetryAfter returns how long a refused job of the level should stay away. The excess is
-// the difference between its expected wait and its limit. The delay lasts until the excess of the backlog has drained and the
-// capacity left by the levels before it has served the work that was refused recently
-// and returns as well. It addresses a sustained overload, in which callers that return
-// earlier are refused again.
+// the difference between its expected wait and its limit. The delay lasts until the
+// excess of the backlog has drained, and the capacity left by the levels before it has
+// served the work that was refused recently and returns as well. It addresses a
+// sustained overload, in which callers that return earlier are refused again.
 func (s *State) RetryAfter(level int, excess time.Duration) time.Duration {
 	rate := float64(s.CapacityMilliCPU) * s.FreeFraction(level)
 	if rate <= 0 {
