--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -42,7 +42,9 @@
 }
 
 // recount updates the job's part of the queued work. Late unstarted jobs don't count:
-// an arriving job doesn't wait for them. Their lateness is noticed at the next tick.
+// an arriving job doesn't wait for them. It must be called after each change of the
+// job's queued tasks or of its presence in d.waiting. A job that becomes late, or whose
+// level or area changes, is counted anew at the next tick.
 func (d *Dispatcher) recount(j *job, now time.Duration) {
 	waits := d.waiting[j.spec.ID] == j
 	if !waits && j.counted.milliCPU == 0 {
@@ -109,7 +111,7 @@
 		}
 		if r.usable(now) {
 			f.otherLoad += admission.Bounded(r.state.GetOtherLoad())
-			f.waiting = f.waiting.Plus(admission.DecodeBacklog(r.state.GetWaitingCpu(), r.state.GetWaitingCpuByPriority()))
+			f.waiting = f.waiting.Plus(r.waiting())
 		}
 	}
 	missing := float64(f.connected) / float64(max(1, reports))
@@ -146,14 +148,15 @@
 // if these differ.
 func (d *Dispatcher) byPriority() bool { return d.policy.Current().LevelCount() > 1 }
 
-// countAdmitted counts the demand of an admitted job. Overflow jobs don't count: they
-// leave the capacity to others.
+// countAdmitted counts the demand of an admitted job and of its caller. Overflow jobs
+// don't count: they leave the capacity to others. A caller's demand is compared with
+// the mean of the same demand, so both must leave out the same jobs.
 func (d *Dispatcher) countAdmitted(j *job, now time.Duration) {
 	c, work := &d.contention, j.work()
 	if !j.overflow {
 		c.demand.Add(d.level(j), work, now)
+		c.callers.Add(j.caller, work, now)
 	}
-	c.callers.Add(j.caller, work, now)
 	c.refusedJobs.Remove(j.spec.ID)
 }
 
