A job whose start was refused as not new is never answered as not run

What callers could see: a job is said not to have run, though its first submission had. Cause: a caller sends a job again after its answer was lost. An endpoint refuses a start with AlreadyStarted if it has stopped or ended a run of the earlier submission with a later attempt. The dispatcher took this for a refusal like any other, and answered 116 or 119 when it gave up. Change: such a refusal counts as a run. Measured: TestJobWithAnEarlierRunIsNotAnsweredAsNotRun got Overloaded without the change, StillRunning with it.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -87,6 +87,8 @@
 	d.uncountStarted(t, r.lastFrameAt)
 	switch code {
 	case result.AlreadyStarted:
+		// An earlier submission of the job has run there, or may have.
+		t.job.mayHaveRun = true
 		t.attempt += attemptSkip
 	case result.NoFreeSlot:
 		t.redirects++
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -138,3 +138,22 @@
 	must.MapContainsKey(t, r.runs, run)
 	must.True(t, task.job.mayHaveRun)
 }
+
+// A caller sends its job again after its answer was lost, through another dispatcher. The
+// endpoint refuses the start because it has stopped or ended a run of the earlier
+// submission. If the dispatcher then gave up, it must not say that the job has not run.
+func TestJobWithAnEarlierRunIsNotAnsweredAsNotRun(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}
+	j := d.admitTestJob(t, "again")
+	run := runref.Encode(j.tasks[0][0].runID())
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{
+		Events: []*pb.RunEvent{{Run: run, End: pb.RunEnd_RUN_END_REFUSED, Code: uint32(result.AlreadyStarted)}},
+		State:  &pb.RunnerState{},
+	})
+	must.False(t, j.answered)
+	d.mu.Lock()
+	d.expireJobs(j.deadline)
+	d.mu.Unlock()
+	must.Eq(t, result.StillRunning, (<-j.answer).Code)
+}
