Operators: a command that needs no change reports the revision that it was checked against

What operators could see: OK, "no change needed" with a revision in which the opposite command holds. Cause: the reply named the newest revision that the entry knew when it answered. Another operator's command had created one since the check. Change: the reply names the revision that was examined.

--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -120,7 +120,11 @@
 	edit.KnownRevision = e.documentRevision()
 	wctx, cancel := context.WithTimeout(ctx, max(wait, e.settings.StoreTimeout.Std()))
 	defer cancel()
+	// examined is the revision that needed no change. By the time of the reply another
+	// operator may have created a later one, in which the opposite holds.
+	var examined uint64
 	next, err := e.writer.Write(wctx, func(d *control.Document, op string) (*control.Document, error) {
+		examined = d.Revision
 		if edit.RemoveMember != "" {
 			return e.removeMember(d, edit, op)
 		}
@@ -132,7 +136,7 @@
 	if next != nil {
 		e.log.Info("configuration changed", zap.String("who", edit.Operator), zap.String("what", edit.Statement), zap.Uint64("revision", next.Revision))
 	}
-	res := admin.EditResult{Revision: e.documentRevision(), Changed: next != nil}
+	res := admin.EditResult{Revision: examined, Changed: next != nil}
 	if next != nil {
 		res.Revision = next.Revision
 	}
