Placement passes are bounded by time; jobs that fit are not refused behind them

The bound by time had jobs refused at low load behind jobs that only waited for the next pass. Change: the bound by time, with 5 ms saved up; a job that fits beside all queued jobs of its level and those before is admitted.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -58,7 +58,7 @@
 	// Returned is set if the job was refused recently.
 	Returned bool
 	// FitsNow is set if healthy endpoints have free capacity for all of its tasks and
-	// no job of its level or one before it waits at the dispatcher.
+	// for the jobs of its level and those before it that wait at the dispatcher.
 	FitsNow bool
 }
 
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -94,7 +94,9 @@
 	if decision.Admitted {
 		return nil
 	}
-	if d.contention.queued[area].Through(level) == 0 && j.fits(endpoints, area) {
+	// Jobs that are queued here and fit as well only wait for the next placement pass.
+	queued := int64(d.contention.queued[area].Through(level))
+	if queued+j.queuedMilliCPU() <= freeMilliCPU(endpoints) && j.fits(endpoints, area) {
 		arriving.FitsNow = true
 		if admission.Decide(arriving, &state).Admitted {
 			return nil
@@ -106,6 +108,17 @@
 	}
 }
 
+// freeMilliCPU returns the free CPU of the healthy endpoints.
+func freeMilliCPU(endpoints []placement.Endpoint) int64 {
+	var free int64
+	for i := range endpoints {
+		if e := &endpoints[i]; e.Healthy {
+			free += max(e.Free.MilliCPU, 0)
+		}
+	}
+	return free
+}
+
 // fits reports whether the healthy endpoints have free capacity for all queued tasks of
 // the job.
 func (j *job) fits(endpoints []placement.Endpoint, area placement.Area) bool {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -25,6 +25,8 @@
 func (d *Dispatcher) admitTestJob(t *testing.T, id string) *job {
 	spec := &workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{MilliCPU: 1000}, Estimate: 50 * time.Millisecond}}}
 	now := clock.SinceBoot()
+	// Tests that admit many jobs at once expect each to be placed at once.
+	d.passes.usedUntil = 0
 	j, err := d.admit(spec, &policy.Route{Name: "r", Service: "svc", MaxAttempts: 2, Stretch: 1.6, TargetLatency: time.Second}, "", now, now+time.Second)
 	must.NoError(t, err)
 	return j
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -7,40 +7,41 @@
 )
 
 const (
-	// maxVisitsPerSecond bounds how many waiting jobs placement passes look at. Under
-	// overload every frame from a runner may bring capacity for one task, and a pass
-	// looks at every waiting job, some 3 us each: without a bound, a dispatcher with
+	// maxPassFraction bounds the part of the time that placement passes take while
+	// jobs wait. It is elapsed time, not processor time: if the process is throttled,
+	// passes become rarer. Under overload every frame from a runner may bring capacity for one
+	// task, and a pass looks at every waiting job: without a bound, a dispatcher with
 	// little processor time would place tasks instead of answering callers.
-	maxVisitsPerSecond = 30_000
-	// maxVisitBurst is how many visits may be saved up, so that passes are put off
-	// only under sustained load.
-	maxVisitBurst = 1000
-	// maxPassPause bounds the time for which a pass is put off.
+	maxPassFraction = 0.1
+	// maxPassBurst is the time for passes that a dispatcher may save up, so that
+	// passes are put off only under sustained load.
+	maxPassBurst = 5 * time.Millisecond
+	// maxPassPause bounds the time between two passes, so that one that took long
+	// because the process was suspended doesn't hold up the next.
 	maxPassPause = 10 * time.Millisecond
 )
 
-// passLimiter is a token bucket for the visits of placement passes. The dispatcher's
+// passLimiter is a token bucket for the time of placement passes. The dispatcher's
 // lock guards it.
 type passLimiter struct {
-	// usedUntil is when the visits so far will have become free again.
+	// usedUntil is when the fraction of the time for passes has made up for the
+	// passes so far.
 	usedUntil time.Duration
 	// pending is set while a timer is set for the next pass.
 	pending bool
 }
 
-// visitTime returns the time in which visits become free.
-func visitTime(visits int) time.Duration {
-	return time.Duration(visits) * time.Second / maxVisitsPerSecond
-}
-
 // pause returns the time until the next pass is allowed, not positive if it is now.
 func (p *passLimiter) pause(now time.Duration) time.Duration {
-	return min(p.usedUntil-visitTime(maxVisitBurst)-now, maxPassPause)
+	saved := time.Duration(float64(maxPassBurst) / maxPassFraction)
+	return min(p.usedUntil-saved-now, maxPassPause)
 }
 
-// count records a pass over waiting jobs.
-func (p *passLimiter) count(waiting int, now time.Duration) {
-	p.usedUntil = min(max(p.usedUntil, now)+visitTime(waiting), now+visitTime(maxVisitBurst)+maxPassPause)
+// finished records a pass.
+func (p *passLimiter) finished(startedAt, endedAt time.Duration) {
+	took := time.Duration(float64(max(endedAt-startedAt, 0)) / maxPassFraction)
+	saved := time.Duration(float64(maxPassBurst) / maxPassFraction)
+	p.usedUntil = min(max(p.usedUntil, startedAt)+took, endedAt+saved+maxPassPause)
 }
 
 // requestPass runs a placement pass as soon as one is allowed. It is called with the
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -86,7 +86,7 @@
 	if len(d.waiting) == 0 {
 		return
 	}
-	d.passes.count(len(d.waiting), now)
+	defer func() { d.passes.finished(now, clock.SinceBoot()) }()
 	d.scheduleOverflow(now)
 	endpoints, runners := d.usableEndpoints(d.anyContained(now), now)
 	if len(endpoints) == 0 {
