--- /dev/null
+++ b/internal/capacity/reconcile.go
@@ -0,0 +1,81 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
+// Reconcile applies the response to a renewal request that was sent at sentAt.
+// It returns the runs whose capacity it released.
+func (t *Tracker) Reconcile(resp workload.RenewalResponse, sentAt, now time.Duration) []ReleasedRun {
+	var released []ReleasedRun
+	for _, end := range resp.Ended {
+		if end.Sequence <= t.lastEndSequence {
+			continue
+		}
+		t.lastEndSequence = end.Sequence
+		delete(t.unknown, end.Run)
+		if res, found := t.reservations[end.Run]; found {
+			t.release(res, now)
+			if end.Outcome == workload.OutcomeDone {
+				t.speed.observeDone(res, now)
+				t.rateRun(res, now)
+			}
+			released = append(released, ReleasedRun{Reservation: *res, Outcome: end.Outcome, Elapsed: now - res.StartSentAt})
+		}
+	}
+	listed := t.applyRunning(resp.Running, sentAt, now)
+	released = append(released, t.releaseUnlisted(listed, sentAt, now)...)
+	t.synced = true
+	t.pruneReleased(now)
+	return released
+}
+
+// applyRunning records the progress of the listed runs, and which of them are
+// unknown. It returns the set of all listed runs.
+func (t *Tracker) applyRunning(running []workload.RunProgress, sentAt, now time.Duration) map[workload.RunID]bool {
+	listed := make(map[workload.RunID]bool, len(running))
+	for _, l := range running {
+		listed[l.Run] = true
+		res, found := t.reservations[l.Run]
+		if !found {
+			if at, known := t.released[l.Run]; !known || at < sentAt {
+				t.unknown[l.Run] = true
+			}
+			continue
+		}
+		res.listed, res.processEnded = true, false
+		if res.State == StartUnanswered {
+			res.State = Running
+			res.AcceptedAt = sentAt
+		}
+		t.speed.observeProgress(res, l.Percent, now)
+	}
+	for run := range t.unknown {
+		if !listed[run] {
+			delete(t.unknown, run)
+		}
+	}
+	return listed
+}
+
+// releaseUnlisted releases the runs that must have ended or can't start any
+// more: those that are not listed although their start was accepted, or their
+// stop acknowledged, before the request was sent. An endpoint that has
+// acknowledged a run's stop refuses its start if that arrives later.
+func (t *Tracker) releaseUnlisted(listed map[workload.RunID]bool, sentAt, now time.Duration) []ReleasedRun {
+	var released []ReleasedRun
+	for run, res := range t.reservations {
+		if listed[run] {
+			continue
+		}
+		accepted := res.AcceptedAt > 0 && res.AcceptedAt < sentAt
+		stopped := res.StopAcked && res.StopAckedAt < sentAt
+		if accepted || stopped {
+			t.release(res, now)
+			released = append(released, ReleasedRun{Reservation: *res, Outcome: res.inferredOutcome(), Elapsed: now - res.StartSentAt})
+		}
+	}
+	return released
+}
