A tick counts the tasks of open jobs without copying them

Cause: each tick lists the queued and the placed tasks of every open job to learn whether there are any: 169 us and 600 allocations for 300 jobs, 50 times a second, with the lock held. A dispatcher with a fifth of a core has little time to spare under load. Change: the tasks are counted.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -124,7 +124,7 @@
 func (j *job) fits(endpoints []placement.Endpoint, area placement.Area) bool {
 	var requests []*placement.Request
 	for s := range j.spec.Steps {
-		if n := len(j.queuedTasks(s)); n > 0 {
+		if n := j.countTasks(s, taskQueued); n > 0 {
 			requests = append(requests, j.placementRequest(s, n, area))
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -178,6 +178,17 @@
 	return all
 }
 
+// countTasks returns the number of the step's tasks in a state.
+func (j *job) countTasks(step int, state taskState) int {
+	n := 0
+	for _, t := range j.tasks[step] {
+		if t.state == state {
+			n++
+		}
+	}
+	return n
+}
+
 // placedByRunner counts the step's placed tasks by runner, if the step bounds
 // them.
 func (j *job) placedByRunner(step int) map[string]int {
@@ -215,22 +226,25 @@
 // tasks to be placed; tasks that are placed already may end at any moment.
 func (j *job) remainingWork() time.Duration {
 	return j.criticalPath(func(step int) bool {
-		for _, t := range j.tasks[step] {
-			if t.state == taskQueued || t.state == taskBlocked {
-				return false
-			}
-		}
-		return true
+		return j.countTasks(step, taskQueued) == 0 && j.countTasks(step, taskBlocked) == 0
 	})
 }
 
 // hasQueuedTasks reports whether any task waits for placement.
 func (j *job) hasQueuedTasks() bool {
-	for _, tasks := range j.tasks {
-		for _, t := range tasks {
-			if t.state == taskQueued {
-				return true
-			}
+	for step := range j.tasks {
+		if j.countTasks(step, taskQueued) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// hasPlacedTasks reports whether any task has a run that has not ended.
+func (j *job) hasPlacedTasks() bool {
+	for step := range j.tasks {
+		if j.countTasks(step, taskPlaced) > 0 {
+			return true
 		}
 	}
 	return false
@@ -238,13 +252,13 @@
 
 // started reports whether a run has started, or may have. From then on the job
 // must not be answered as not run.
-func (j *job) started() bool { return j.mayHaveRun || len(j.placedTasks()) > 0 }
+func (j *job) started() bool { return j.mayHaveRun || j.hasPlacedTasks() }
 
 // queuedMilliCPU returns the CPU needed by the tasks that wait for placement.
 func (j *job) queuedMilliCPU() int64 {
 	var sum int64
 	for s := range j.spec.Steps {
-		sum += j.spec.Steps[s].Resources.MilliCPU * int64(len(j.queuedTasks(s)))
+		sum += j.spec.Steps[s].Resources.MilliCPU * int64(j.countTasks(s, taskQueued))
 	}
 	return sum
 }
