Placement passes over few waiting jobs are not put off

Cause: the bound on the time of passes counted what a tick or an arriving job had cost before the pass, and at a dispatcher with a fifth of a core any pass takes long as elapsed time. So tasks whose start was refused waited for up to 10 ms for the next pass, at low load too. Ruled out: the decisions themselves; without processor time charged, the same code serves more jobs in time than before the bound. Change: the measurement begins with the pass, and passes over fewer than 16 waiting jobs are not put off.

--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -16,6 +16,10 @@
 	// maxPassBurst is the time for passes that a dispatcher may save up, so that
 	// passes are put off only under sustained load.
 	maxPassBurst = 5 * time.Millisecond
+	// minBoundedJobs is the number of waiting jobs from which passes are bounded. With
+	// fewer, a pass is cheap, and a pause would only delay them: tasks whose start was
+	// refused wait for their next endpoint.
+	minBoundedJobs = 16
 	// maxPassPause bounds the time between two passes, so that one that took long
 	// because the process was suspended doesn't hold up the next.
 	maxPassPause = 10 * time.Millisecond
@@ -51,7 +55,7 @@
 		return
 	}
 	pause := d.passes.pause(now)
-	if pause <= 0 {
+	if pause <= 0 || len(d.waiting) < minBoundedJobs {
 		d.schedule(now)
 		return
 	}
--- a/internal/dispatch/pass_test.go
+++ b/internal/dispatch/pass_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,7 +34,9 @@
 func TestDeferredPassRuns(t *testing.T) {
 	d, _ := newServingDispatcher(t)
 	d.mu.Lock()
-	d.enqueueTestJob("1", "r")
+	for i := range minBoundedJobs {
+		d.enqueueTestJob(strconv.Itoa(i), "r")
+	}
 	now := clock.SinceBoot()
 	d.passes.usedUntil = now + time.Second
 	d.requestPass(now)
@@ -45,3 +48,32 @@
 		return !d.passes.pending
 	}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 }
+
+// Guards against tasks that wait beside free capacity at low load, because earlier passes
+// took long in a process with little processor time.
+func TestPassOverFewJobsIsNotDeferred(t *testing.T) {
+	d, _ := newServingDispatcher(t)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.enqueueTestJob("1", "r")
+	now := clock.SinceBoot()
+	d.passes.usedUntil = now + time.Second
+	d.requestPass(now)
+	must.False(t, d.passes.pending)
+}
+
+// BenchmarkSchedule measures a pass over 1,000 waiting jobs for which there is no space,
+// of two levels: under overload each frame of a runner asks for one.
+func BenchmarkSchedule(b *testing.B) {
+	d := newBusyDispatcher(b, 70)
+	for _, r := range d.runners {
+		r.state.UsedCpu, r.state.WaitingCpu, r.state.WaitingCpuByPriority = 8000+4000, 4000, []uint64{4000, 0}
+	}
+	for i := range 1000 {
+		d.enqueueTestJob(strconv.Itoa(i), []string{"r", "s"}[i%2])
+	}
+	for b.Loop() {
+		d.schedule(clock.SinceBoot())
+	}
+	must.MapLen(b, 1000, d.waiting)
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -86,7 +86,9 @@
 	if len(d.waiting) == 0 {
 		return
 	}
-	defer func() { d.passes.finished(now, clock.SinceBoot()) }()
+	// Other work since now is not part of the pass.
+	startedAt := clock.SinceBoot()
+	defer func() { d.passes.finished(startedAt, clock.SinceBoot()) }()
 	d.scheduleOverflow(now)
 	endpoints, runners := d.usableEndpoints(d.anyContained(now), now)
 	if len(endpoints) == 0 {
