--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,6 +66,9 @@
 	started placement.StartedWork
 	// passes spaces the placement passes.
 	passes passLimiter
+	// usableViews holds the views of the endpoints that may get work, and
+	// overflowViews those of the endpoints that may get overflow runs.
+	usableViews, overflowViews endpointViews
 	// contention is the state of admission by priority.
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
--- a/internal/dispatch/overflow.go
+++ b/internal/dispatch/overflow.go
@@ -52,7 +52,7 @@
 	if area == placement.Inside || !d.anyTakesOverflow(now) {
 		return overflowPlan{}, false
 	}
-	endpoints, runners := d.selectEndpoints(area != placement.Anywhere, func(r *runner) bool { return r.takesOverflow(now) })
+	endpoints, runners := d.selectEndpoints(&d.overflowViews, area != placement.Anywhere, func(r *runner) bool { return r.takesOverflow(now) })
 	for i, r := range runners {
 		endpoints[i].Speed = float64(r.state.GetSpeedPercent()) / percent
 		endpoints[i].HasContained = r.hasContained()
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -44,19 +44,27 @@
 // usableEndpoints returns the endpoints that may get work, and their runners in
 // the same order. If containment is set, those for contained jobs are marked.
 func (d *Dispatcher) usableEndpoints(containment bool, now time.Duration) ([]placement.Endpoint, []*runner) {
-	return d.selectEndpoints(containment, func(r *runner) bool { return r.usable(now) })
+	return d.selectEndpoints(&d.usableViews, containment, func(r *runner) bool { return r.usable(now) })
+}
+
+// endpointViews is memory for selected endpoints and their runners.
+type endpointViews struct {
+	endpoints []placement.Endpoint
+	runners   []*runner
 }
 
 // selectEndpoints returns the selected endpoints of those that are not out of
 // service, and their runners in the same order. If containment is set, those for
-// contained jobs are marked.
-func (d *Dispatcher) selectEndpoints(containment bool, selected func(*runner) bool) ([]placement.Endpoint, []*runner) {
+// contained jobs are marked. The result is valid until the next call with the same
+// views: a fleet of views for each arriving job and each pass would be most of the
+// memory that a dispatcher allocates.
+func (d *Dispatcher) selectEndpoints(views *endpointViews, containment bool, selected func(*runner) bool) ([]placement.Endpoint, []*runner) {
 	p := d.policy.Current()
-	var all []placement.Endpoint
-	var runners []*runner
 	if p == nil {
 		return nil, nil
 	}
+	all, runners := views.endpoints[:0], views.runners[:0]
+	defer func() { views.endpoints, views.runners = all[:0], runners[:0] }()
 	for _, r := range d.runners {
 		// The containment area includes endpoints that can't be selected.
 		if !p.OutOfService(r.state.GetFailureDomain()) && (containment || selected(r)) {
