Entries refuse a control document without cells or with unsorted lists

A document from the store or from another entry was taken over if it was JSON. With one like {"revision":9}, the relay divides by the number of cells and the whole entry ends; with unsorted lists of what is out of service, the binary search misses a domain that is out. control.Decode now refuses both, for both sources; the entry keeps its document and reports the store's as unreadable.

--- a/internal/control/document.go
+++ b/internal/control/document.go
@@ -5,7 +5,11 @@
 package control
 
 import (
+	"encoding/json"
+	"slices"
 	"time"
+
+	"github.com/pomelosill/pomelosill/internal/result"
 )
 
 // DocumentKey is the key of the control document in the store.
@@ -30,6 +34,24 @@
 	History []Change `json:"history,omitempty"`
 }
 
+// Decode decodes a document from the store or from another entry. It refuses a
+// document that no entry writes: without a cell no submission has an owner, and
+// in unsorted lists InService would not find what is out of service. Its errors
+// have the code Internal.
+func Decode(data []byte) (*Document, error) {
+	var d Document
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, result.Wrap(result.Internal, err, "cannot decode the control document")
+	}
+	if d.Revision == 0 || len(d.Cells) == 0 {
+		return nil, result.Errorf(result.Internal, "the control document has no revision or no cells")
+	}
+	if !slices.IsSorted(d.Config.DomainsOut) || !slices.IsSorted(d.Config.EndpointsOut) {
+		return nil, result.Errorf(result.Internal, "the control document lists what is out of service unsorted")
+	}
+	return &d, nil
+}
+
 // Config is the configuration that operators set.
 type Config struct {
 	// DomainsOut lists the failure domains that are out of service, sorted.
--- a/internal/entry/control_state.go
+++ b/internal/entry/control_state.go
@@ -116,6 +116,17 @@
 	s.setDocumentLocked(d)
 }
 
+// updateFromExchange records the document in a message of another entry, if the
+// message has a valid one.
+func (s *controlState) updateFromExchange(text []byte) {
+	if len(text) == 0 {
+		return
+	}
+	if d, err := control.Decode(text); err == nil {
+		s.UpdateFromPeer(d)
+	}
+}
+
 // setDocumentLocked replaces the document by a newer one and keeps the
 // confirmations: a member that held nothing newer than the previous revision
 // held nothing newer than this one either.
--- a/internal/entry/document_writer_test.go
+++ b/internal/entry/document_writer_test.go
@@ -59,7 +59,9 @@
 func (s *testStore) document() *control.Document {
 	e, err := store.NewHTTP(s.url, s.client).Get(s.t.Context(), control.DocumentKey)
 	must.NoError(s.t, err)
-	return decodeDocument(e.Value)
+	d, err := control.Decode(e.Value)
+	must.NoError(s.t, err)
+	return d
 }
 
 func takeDomainOut(name string) changeFunc {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -170,30 +170,15 @@
 	if !ok {
 		return
 	}
-	if newer := decodeDocument(res.Msg.GetDocument()); newer != nil {
-		p.control.UpdateFromPeer(newer)
-	}
+	p.control.updateFromExchange(res.Msg.GetDocument())
 	p.control.RecordExchange(m.ID, res.Msg.GetRevision(), res.Msg.GetVouched(), requestedAt)
 }
 
-func decodeDocument(text []byte) *control.Document {
-	if len(text) == 0 {
-		return nil
-	}
-	var d control.Document
-	if json.Unmarshal(text, &d) != nil {
-		return nil
-	}
-	return &d
-}
-
 // Exchange answers another entry's exchange with the revision held here, whether
 // this entry confirms the other's revision, and the document if it is newer than
 // the other's.
 func (e *Entry) Exchange(_ context.Context, req *connect.Request[pb.ExchangeRequest]) (*connect.Response[pb.ExchangeResponse], error) {
-	if newer := decodeDocument(req.Msg.GetDocument()); newer != nil {
-		e.control.UpdateFromPeer(newer)
-	}
+	e.control.updateFromExchange(req.Msg.GetDocument())
 	e.control.RecordRevision(req.Msg.GetEntry(), req.Msg.GetRevision())
 	res := &pb.ExchangeResponse{Entry: e.id}
 	d := e.control.Document()
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,11 +83,11 @@
 		s.control.ConfirmFromStore(known, requestedAt)
 		return nil
 	}
-	var d control.Document
-	if err := json.Unmarshal(e.Value, &d); err != nil {
-		return result.Wrap(result.Internal, err, "cannot decode the control document in the store")
+	d, err := control.Decode(e.Value)
+	if err != nil {
+		return err
 	}
-	s.control.UpdateFromStore(&d, e.Revision, requestedAt)
+	s.control.UpdateFromStore(d, e.Revision, requestedAt)
 	return nil
 }
 
