Gate: no stamp permits starts through an overflow of its times

A stamp with the longest age, or with a heartbeat time before the agent's start, made the difference between now and the time of the confirmation overflow; the gate then took it for fresh for as long as the process ran. No entry sends such a stamp, but the gate is where the effect is checked, and one malformed message would have been a permission without an end. The time must not be negative, and the age is clamped.

The two new cases of TestStampPermitsStartsOnlyIfFreshAndCurrent were admitted before.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -9,6 +9,7 @@
 package gate
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -207,11 +208,11 @@
 
 // ApplyStamp applies an entry's stamp at the given time. A stamp of generation
 // zero, of another generation or of another cell only answers a heartbeat and
-// changes nothing. A stamp with a heartbeat time in the future or a negative age
-// is ignored. Whether the endpoint is in service is taken from the stamp with
+// changes nothing. A stamp with a negative time or age, or with a heartbeat time
+// in the future, is ignored. Whether the endpoint is in service is taken from the stamp with
 // the highest control revision.
 func (g *Gate) ApplyStamp(now time.Duration, s Stamp) {
-	if s.Generation == 0 || s.HeartbeatSentAt > now || s.ConfirmationAge < 0 {
+	if s.Generation == 0 || s.HeartbeatSentAt < 0 || s.HeartbeatSentAt > now || s.ConfirmationAge < 0 {
 		return
 	}
 	g.mu.Lock()
@@ -224,13 +225,18 @@
 		c.controlRevision = s.ControlRevision
 		c.inService = s.InService
 	}
-	confirmedAt := s.HeartbeatSentAt - s.ConfirmationAge
+	confirmedAt := s.HeartbeatSentAt - min(s.ConfirmationAge, maxConfirmationAge)
 	if !c.stamped || confirmedAt > c.confirmedAt {
 		c.stamped = true
 		c.confirmedAt = confirmedAt
 	}
 }
 
+// maxConfirmationAge limits the age of a confirmation. With a longer one, the
+// difference between now and the time of the confirmation could overflow and
+// make the stamp seem fresh.
+const maxConfirmationAge = math.MaxInt64 / 2
+
 // SetLeaving makes the gate refuse all further starts.
 func (g *Gate) SetLeaving() {
 	g.mu.Lock()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"testing"
 	"time"
 
@@ -126,6 +127,8 @@
 		{"late answer", Stamp{HeartbeatSentAt: 6 * time.Second, Generation: 1, InService: true}, result.StaleStamp},
 		{"heartbeat sent in the future", Stamp{HeartbeatSentAt: 11 * time.Second, Generation: 1, InService: true}, result.StaleStamp},
 		{"negative age", Stamp{HeartbeatSentAt: 5 * time.Second, ConfirmationAge: -9 * time.Second, Generation: 1, InService: true}, result.StaleStamp},
+		{"longest age", Stamp{HeartbeatSentAt: 9 * time.Second, ConfirmationAge: math.MaxInt64, Generation: 1, InService: true}, result.StaleStamp},
+		{"heartbeat sent before the start", Stamp{HeartbeatSentAt: math.MinInt64, ConfirmationAge: 1, Generation: 1, InService: true}, result.StaleStamp},
 		{"generation zero", Stamp{HeartbeatSentAt: 9 * time.Second, InService: true}, result.StaleStamp},
 		{"other cell", Stamp{HeartbeatSentAt: 9 * time.Second, Generation: 1, Cell: 7, InService: true}, result.StaleStamp},
 		{"higher generation", Stamp{HeartbeatSentAt: 9 * time.Second, Generation: 2, InService: true}, result.StaleStamp},
