Entry: cells tick with the current time, not the time at which a tick was due

A ticker that is read late delivers the time at which the tick was due. After a pause of the process a cell judged its confirmation, the deadlines and the time left for each task as of the start of the pause: it sent starts under a confirmation that had expired, and gave agents more time than was left. The agents' gates refuse starts without a fresh stamp, but a job whose deadline had passed in a pause shorter than the freshness limit could still start.

TestTicksAfterAPauseHaveTheCurrentTime: after a step of 5 s the next one got a time 4.98 s old before the change.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -206,14 +206,24 @@
 }
 
 func (e *Entry) tickCells(ctx context.Context) {
-	tick := time.NewTicker(cellTickInterval)
+	runTicks(ctx, cellTickInterval, func(now time.Time) {
+		for _, c := range e.ownership.Cells() {
+			c.Tick(now)
+		}
+	})
+}
+
+// runTicks calls step with the current time at each interval until ctx ends. It
+// does not use the time in the tick, which is when the tick was due: after a
+// pause of the process, permissions that have expired meanwhile would still seem
+// valid at that time.
+func runTicks(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
-		case now := <-tick.C:
-			for _, c := range e.ownership.Cells() {
-				c.Tick(now)
-			}
+		case <-tick.C:
+			step(time.Now())
 		case <-ctx.Done():
 			return
 		}
