A command that was written is not reported as refused

After a lost answer the writer looks for its operation, or for its change in the history. The removal of an entry has no history: if another write had followed it, the writer made the change again, found no such entry on the roster and reported the command as refused, which says that it did not run. Once the result of an attempt is unknown, every error of the write now has the code StoreAnswerLost; before, only an error of the very next store call had.

TestRefusedRepetitionKeepsTheWriteUnknown got CommandRefused before the change, for an entry that had been removed.

--- a/internal/entry/document_writer.go
+++ b/internal/entry/document_writer.go
@@ -36,20 +36,20 @@
 func (w *documentWriter) Write(ctx context.Context, change changeFunc) (*control.Document, error) {
 	op := uuid.NewString()
 	start := time.Now()
-	last := writeConflict
+	earlier := writeConflict
 	for range maxWriteAttempts {
 		d, storeRevision, err := w.latest(ctx)
 		if err != nil {
-			return nil, last.wrapError(err)
+			return nil, earlier.wrapError(err)
 		}
 		next, err := change(d.FinishRosterChange(w.control.Acked(d.Revision)), op)
 		if err != nil {
-			return nil, err
+			return nil, earlier.wrapError(err)
 		}
 		if next == nil && w.control.StoreConfirmedAt().Before(start) {
 			// The document may be outdated: read the store and check again.
 			if err := w.storeSync.readDocument(ctx); err != nil {
-				return nil, err
+				return nil, earlier.wrapError(err)
 			}
 			continue
 		}
@@ -58,14 +58,16 @@
 		}
 		attempt, err := w.writeOnce(ctx, next, storeRevision)
 		if err != nil {
-			return next, last.wrapError(err)
+			return next, earlier.wrapError(err)
 		}
 		if attempt == writeApplied {
 			return next, nil
 		}
-		last = attempt
+		if attempt == writeUnknown {
+			earlier = writeUnknown
+		}
 	}
-	return nil, last.wrapError(result.Errorf(result.CommandConflict, "other writers changed the control document first in every attempt"))
+	return nil, earlier.wrapError(result.Errorf(result.CommandConflict, "other writers changed the control document first in every attempt"))
 }
 
 // latest returns the document to change and its revision in the store.
@@ -91,18 +93,19 @@
 	writeConflict writeResult = iota
 	writeApplied
 	// writeUnknown means that the answer was lost and that the write was not in
-	// the store when it was read back. It may still take effect.
+	// the store when it was read back. It may still take effect, or another
+	// write may have followed it.
 	writeUnknown
 )
 
-// wrapError returns the error to report when err ends a write whose previous
-// attempt had the result r. If that attempt may still take effect, the code
-// becomes StoreAnswerLost, because err could say that nothing was written.
+// wrapError returns the error to report when err ends a write with an earlier
+// attempt of the result r. If that attempt may have taken effect or still may, the
+// code becomes StoreAnswerLost, because err could say that nothing was written.
 func (r writeResult) wrapError(err error) error {
 	if r != writeUnknown {
 		return err
 	}
-	return result.Wrap(result.StoreAnswerLost, err, "an earlier attempt to write the control document may still take effect")
+	return result.Wrap(result.StoreAnswerLost, err, "an earlier attempt to write the control document may have taken effect")
 }
 
 // writeOnce makes one attempt to write the next document.
--- a/internal/entry/document_writer_test.go
+++ b/internal/entry/document_writer_test.go
@@ -195,6 +195,45 @@
 	must.Eq(t, []string{"Comas"}, s.document().Config.DomainsOut)
 }
 
+// A change that was written, but whose answer was lost and which another write
+// followed, must not be reported as refused because it can't be made again.
+func TestRefusedRepetitionKeepsTheWriteUnknown(t *testing.T) {
+	s := newTestStore(t)
+	_, err := s.writer().Write(t.Context(), func(d *control.Document, op string) (*control.Document, error) {
+		return control.AddMember(d, control.Member{ID: "e2", Address: "127.0.0.1:2"}, op, func(string) bool { return true })
+	})
+	must.NoError(t, err)
+	w := s.writer()
+	must.NoError(t, w.storeSync.readDocument(t.Context()))
+	w.store = &overtakenWriteStore{Store: w.store, next: func() {
+		_, err := s.writer().Write(t.Context(), takeDomainOut("Comas"))
+		must.NoError(t, err)
+	}}
+	e := &Entry{control: w.control}
+	_, err = w.Write(t.Context(), func(d *control.Document, op string) (*control.Document, error) {
+		return e.removeMember(d, control.Edit{RemoveMember: "e2"}, op)
+	})
+	must.False(t, s.document().HasMember("e2"))
+	must.Eq(t, result.StoreAnswerLost, result.CodeOf(err))
+}
+
+// overtakenWriteStore loses the answer to the first write, which next follows.
+type overtakenWriteStore struct {
+	store.Store
+	next func()
+}
+
+func (s *overtakenWriteStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease store.LeaseID) (uint64, error) {
+	revision, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	if err != nil || s.next == nil {
+		return revision, err
+	}
+	next := s.next
+	s.next = nil
+	next()
+	return 0, result.Errorf(result.StoreAnswerLost, "")
+}
+
 // delayedWriteStore reports the answer to the first write as lost and keeps the
 // write in applyDelayed. For later writes it is unavailable.
 type delayedWriteStore struct {
