A process of an agent that comes back does not displace its successor

An agent that was paused, or that still drained, while a new process of the same endpoint started had lost its stream to it. It attached again, which the owner took for another restart: it marked the successor departed and its running tasks as of unknown outcome. Then the successor attached again, and so on for as long as both lived. The owner now refuses the stream of an incarnation that is on the agent list as departed while another one is attached; without another one it may return, as after a lost connection.

TestReplacedAgentDoesNotDisplaceItsSuccessor (cell) and TestStreamOfAReplacedAgentIsRefused (entry) fail without the check: the successor's job was answered as unknown.

--- a/internal/cell/agent_list.go
+++ b/internal/cell/agent_list.go
@@ -43,6 +43,12 @@
 	return slices.IndexFunc(l.Agents, func(a ListedAgent) bool { return a.Incarnation == incarnation })
 }
 
+// departed reports whether an incarnation is marked as departed.
+func (l *AgentList) departed(incarnation string) bool {
+	i := l.index(incarnation)
+	return i >= 0 && !l.Agents[i].DepartedAt.IsZero()
+}
+
 // initAgentList takes over the agent list of the previous owner. Every agent on
 // it may hold records and must be fenced.
 func (c *Cell) initAgentList(l AgentList, now time.Time) {
--- a/internal/cell/endpoint.go
+++ b/internal/cell/endpoint.go
@@ -62,13 +62,17 @@
 }
 
 // Attach registers a new stream of an agent and fences the agent. It does
-// nothing if the stream is already attached.
-func (c *Cell) Attach(h *pb.Hello, link Link, now time.Time) {
+// nothing if the stream is already attached. It returns false if a later process
+// of the agent is attached, which the stream may not displace.
+func (c *Cell) Attach(h *pb.Hello, link Link, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.endpoints[h.GetEndpoint()]
 	if c.phase == closed || (e != nil && e.link == link) {
-		return
+		return true
+	}
+	if e != nil && e.link != nil && e.incarnation != h.GetIncarnation() && c.agentList.departed(h.GetIncarnation()) {
+		return false
 	}
 	if e == nil {
 		e = &endpoint{name: h.GetEndpoint(), outstanding: map[taskKey]struct{}{}}
@@ -84,6 +88,7 @@
 	e.fenced, e.listed, e.stamped, e.leaving = false, false, false, false
 	c.updateEndpoint(e, now)
 	link.Fence(&pb.Fence{Cell: c.cfg.Number, Generation: c.cfg.Generation})
+	return true
 }
 
 // replaceIncarnation handles the restart of an agent. The outcomes of the tasks
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -184,3 +184,24 @@
 	must.Eq(t, 5000, f.cell.Jobs(f.now)[0].RemainingMS)
 	must.Len(t, 0, *got)
 }
+
+// A process of an agent that has been replaced, for example because it was paused,
+// may come back and attach again. It must not displace its successor, whose tasks
+// would count as unknown.
+func TestReplacedAgentDoesNotDisplaceItsSuccessor(t *testing.T) {
+	f := newFixture(t, 1, AgentList{})
+	f.cell.AcceptOwnership(f.now)
+	f.attach("e-1", "i1")
+	l := f.attach("e-1", "i2")
+	got := f.submit(f.newID(0), 1, 7)
+	starts := l.drainStarts()
+	must.Len(t, 1, starts)
+	f.attach("e-1", "i1")
+	must.SliceEmpty(t, *got)
+	f.reportOutcomes(l, starts, result.OK)
+	must.Eq(t, []result.Code{result.OK}, answerCodes(got))
+	f.cell.Detach("e-1", l, f.now)
+	back := f.attach("e-1", "i1")
+	f.submit(f.newID(0), 1, 7)
+	must.Len(t, 1, back.drainStarts())
+}
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -109,9 +109,12 @@
 	st.hello.Cell = uint32(control.CellOfEndpoint(st.hello.GetEndpoint(), len(d.Cells)))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go a.sendLocationUpdates(ctx, st)
-	a.attach(st)
+	if !a.attach(st) {
+		a.log.Warn("agent rejected", zap.String("endpoint", st.hello.GetEndpoint()), zap.Error(errAgentReplaced))
+		return connect.NewError(connect.CodeFailedPrecondition, errAgentReplaced)
+	}
 	defer a.detach(st)
+	go a.sendLocationUpdates(ctx, st)
 	a.handleFrame(st, first)
 	limit := a.freshness
 	timer := time.AfterFunc(limit, func() { a.disconnectSilent(st, cancel) })
@@ -148,17 +151,20 @@
 	}
 }
 
-func (a *agentRegistry) attach(st *agentStream) {
+// attach registers a stream and attaches it to the agent's cell if this entry owns
+// the cell. It returns false if a later process of the agent is attached there.
+func (a *agentRegistry) attach(st *agentStream) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if c := a.localCell(st.hello.GetCell()); c != nil && !c.Attach(st.hello, st, time.Now()) {
+		return false
+	}
 	if old := a.streams[st.hello.GetEndpoint()]; old != nil {
 		old.out.Close()
 	}
 	a.streams[st.hello.GetEndpoint()] = st
 	a.log.Info("agent attached", zap.String("endpoint", st.hello.GetEndpoint()))
-	if c := a.localCell(st.hello.GetCell()); c != nil {
-		c.Attach(st.hello, st, time.Now())
-	}
+	return true
 }
 
 func (a *agentRegistry) detach(st *agentStream) {
--- a/internal/entry/agents_test.go
+++ b/internal/entry/agents_test.go
@@ -73,3 +73,23 @@
 		})
 	}
 }
+
+// A process of an agent that comes back after its successor has attached must not
+// end the successor's stream.
+func TestStreamOfAReplacedAgentIsRefused(t *testing.T) {
+	a, _ := newServingRegistry(t)
+	attach := func(incarnation string) (*agentStream, bool) {
+		st := &agentStream{hello: &pb.Hello{Endpoint: "e-1", Incarnation: incarnation, Slots: 1}, out: outbox.New[*pb.OwnerFrame]()}
+		ok := a.attach(st)
+		a.handleFrame(st, &pb.AgentFrame{FenceAck: &pb.FenceAck{Generation: 4}})
+		return st, ok
+	}
+	_, ok := attach("i1")
+	must.True(t, ok)
+	successor, ok := attach("i2")
+	must.True(t, ok)
+	_, ok = attach("i1")
+	must.False(t, ok)
+	must.True(t, a.streams["e-1"] == successor)
+	must.True(t, successor.out.Put(&pb.OwnerFrame{}))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 var (
 	errNoDocument   = errors.New("this entry has not read a control document yet")
 	errAgentTimeout = errors.New("the agent sent nothing within the freshness limit")
+	// errAgentReplaced ends the stream of a process whose successor is attached.
+	errAgentReplaced = errors.New("a later process of the agent is attached")
 )
 
 // Entry is one entry process.
