An owner refuses a submission that was sent to an earlier generation

An entry that sends a submission again after a takeover no longer counts the copy that it sent to the first owner. If that copy was held up on the link, the second owner refused its own as not run, and the cell went back to the first one, the copy arrived at an owner that knew nothing of it: it ran after its caller had been told that it had not. A submission now carries the generation that it is meant for, and an owner under another one answers NotOwner, upon which it is sent again if it is still pending.

TestDelayedCopyForAnEarlierGenerationIsRefused: the copy was admitted before.

--- a/internal/entry/owner_stream.go
+++ b/internal/entry/owner_stream.go
@@ -133,9 +133,12 @@
 	}
 }
 
+// submitLocal passes a relayed submission to its cell. A submission that is meant
+// for an earlier generation was delayed on its way. Since then another owner may
+// have refused it as not run.
 func (e *Entry) submitLocal(sub *pb.Submission, out *outbox.Outbox[*pb.Answer]) {
 	c := e.ownership.Cell(sub.GetCell())
-	if c == nil {
+	if c == nil || (sub.GetGeneration() != 0 && sub.GetGeneration() != c.Generation()) {
 		out.Put(&pb.Answer{Id: sub.GetId(), Code: uint32(result.NotOwner)})
 		return
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -125,12 +125,13 @@
 		return
 	}
 	s := &pb.Submission{
-		Id:        j.submission.GetId(),
-		Team:      j.submission.GetTeam(),
-		Tasks:     j.submission.GetTasks(),
-		Digest:    j.submission.GetDigest(),
-		Cell:      uint32(n),
-		TimeoutNs: int64(time.Until(j.deadline)),
+		Id:         j.submission.GetId(),
+		Team:       j.submission.GetTeam(),
+		Tasks:      j.submission.GetTasks(),
+		Digest:     j.submission.GetDigest(),
+		Cell:       uint32(n),
+		Generation: owner.Generation,
+		TimeoutNs:  int64(time.Until(j.deadline)),
 	}
 	if owner.Owner == r.control.self {
 		r.sendLocal(j, s, owner)
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -211,3 +211,36 @@
 		})
 	}
 }
+
+// A copy of a submission that is delayed on its way to an owner may arrive after
+// the cell was taken over, the new owner has refused another copy as not run, and
+// the first owner has got the cell back. It must not be started then.
+func TestDelayedCopyForAnEarlierGenerationIsRefused(t *testing.T) {
+	f := newRelayFixture(t, documentOwnedBy(2, "e2", 4))
+	f.submit()
+	sent, _ := f.stream.out.TakeAll(t.Context())
+	must.Len(t, 1, sent)
+	for name, c := range map[string]struct {
+		generation uint64
+		active     int
+	}{
+		"the generation that it was sent to": {4, 1},
+		"a later generation":                 {6, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := documentOwnedBy(3, "e2", c.generation)
+			state := newControlState("e2")
+			state.UpdateFromStore(d, 30, time.Now())
+			owned := servingCell(t, d)
+			e := &Entry{
+				ownership: &ownership{cells: map[uint32]*ownedCell{0: {cell: owned}}},
+				confirmer: newAnswerConfirmer(state, func() {}, time.Minute),
+			}
+			out := outbox.New[*pb.Answer]()
+			e.submitLocal(sent[0].GetSubmissions()[0], out)
+			must.Eq(t, c.active, owned.State().ActiveJobs)
+			answers, _ := out.TryTakeAll()
+			must.Len(t, 1-c.active, answers)
+		})
+	}
+}
