An owner gives up no agent for the time in which it was itself paused

An agent without a stream for lost_after counts as lost, and its running tasks as of unknown outcome. An owner that had been paused counted the pause too: an agent whose stream had ended shortly before was given up in the first tick afterwards, before it could attach again. runTicks now measures pauses of a second or more, and the cell excludes them.

TestAgentIsNotLostInAPauseOfTheOwner fails without it: the job was answered as unknown although the agent held its result.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -270,6 +270,23 @@
 	must.Eq(t, []result.Code{result.OutcomeUnknown}, answerCodes(got))
 }
 
+// An agent that lost its stream just before the owner was paused could not attach
+// meanwhile. Its running tasks must not be given up when the owner goes on.
+func TestAgentIsNotLostInAPauseOfTheOwner(t *testing.T) {
+	f := newFixture(t, 1, AgentList{})
+	f.cell.AcceptOwnership(f.now)
+	l := f.attach("e-1", "i1")
+	id := f.newID(0)
+	got := f.submit(id, 1, 7)
+	f.cell.Detach("e-1", l, f.now)
+	f.now = f.now.Add(15 * time.Second)
+	f.cell.ExcludePause(15*time.Second, f.now)
+	f.tick(time.Second)
+	must.SliceEmpty(t, *got)
+	f.attach("e-1", "i1", outcomeOf(id, 0, false))
+	must.Eq(t, []result.Code{result.OK}, answerCodes(got))
+}
+
 func TestAgentRestartMakesOutcomesUnknown(t *testing.T) {
 	f := newFixture(t, 1, AgentList{})
 	f.cell.AcceptOwnership(f.now)
--- a/internal/cell/endpoint.go
+++ b/internal/cell/endpoint.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// ExcludePause gives agents without a stream as much more time to attach as this
+// process did not run. Call it before the Tick that follows the pause.
+func (c *Cell) ExcludePause(pause time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.endpoints {
+		e.detachedAt = e.detachedAt.Add(pause)
+		if e.detachedAt.After(now) {
+			e.detachedAt = now
+		}
+	}
+}
+
 // mayObeyPreviousOwner reports whether an agent may still start tasks for an
 // earlier owner: it has not acknowledged this generation, and the earlier owner
 // may still act. That it has no stream here does not mean that it has departed.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -208,27 +208,41 @@
 }
 
 func (e *Entry) tickCells(ctx context.Context) {
-	runTicks(ctx, cellTickInterval, func(now time.Time) {
+	runTicks(ctx, cellTickInterval, func(now time.Time, pause time.Duration) {
 		for _, c := range e.ownership.Cells() {
+			if pause > 0 {
+				c.ExcludePause(pause, now)
+			}
 			c.Tick(now)
 		}
 	})
 }
 
-// runTicks calls step with the current time at each interval until ctx ends. It
-// does not use the time in the tick, which is when the tick was due: after a
-// pause of the process, permissions that have expired meanwhile would still seem
-// valid at that time.
-func runTicks(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+// minPause is the shortest time without ticks that counts as a pause of the
+// process. Agents need up to a second to attach again.
+const minPause = time.Second
+
+// runTicks calls step with the current time at each interval until ctx ends, and
+// with the length of the pause of the process before it, if there was one. It does
+// not use the time in the tick, which is when the tick was due: after a pause,
+// permissions that have expired meanwhile would still seem valid at that time.
+func runTicks(ctx context.Context, interval time.Duration, step func(now time.Time, pause time.Duration)) {
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-tick.C:
-			step(time.Now())
 		case <-ctx.Done():
 			return
 		}
+		now := time.Now()
+		pause := now.Sub(last) - interval
+		if pause < minPause {
+			pause = 0
+		}
+		last = now
+		step(now, pause)
 	}
 }
 
