--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -73,3 +73,35 @@
 		must.Zero(t, c.State().Counters.InvariantFailures)
 	})
 }
+
+// FuzzRelayRequest relays requests with arbitrary content to the owner of a cell.
+// None may end the process, violate an invariant, or keep a submission from its
+// answer.
+func FuzzRelayRequest(f *testing.F) {
+	id := uuid.Must(uuid.NewV7())
+	addSeeds(f,
+		&pb.RelayRequest{},
+		&pb.RelayRequest{Submissions: []*pb.Submission{
+			{}, {Id: id[:], Team: "alerts"}, {Id: id[:], Team: "alerts", TimeoutNs: math.MinInt64, Tasks: []*pb.Task{{DeclaredRunNs: math.MinInt64}}},
+			{Id: id[:], Team: "alerts", Generation: 4, TimeoutNs: math.MaxInt64, Tasks: []*pb.Task{{DeclaredRunNs: math.MaxInt64}, {}}},
+		}, Cancels: []*pb.Cancel{{}, {Id: id[:]}, {Id: id[:], Cell: math.MaxUint32}}},
+	)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		req := &pb.RelayRequest{}
+		if proto.Unmarshal(data, req) != nil {
+			return
+		}
+		a, c := newServingRegistry(t)
+		e := &Entry{
+			control: a.control, counters: &counters{}, confirmer: newAnswerConfirmer(a.control, func() {}, time.Minute),
+			ownership: &ownership{cells: map[uint32]*ownedCell{0: {cell: c}}},
+		}
+		out := outbox.New[*pb.Answer]()
+		e.handleRelay(req, out)
+		c.Tick(time.Now().Add(time.Second))
+		c.Close()
+		answers, _ := out.TryTakeAll()
+		must.Len(t, len(req.GetSubmissions()), append(answers, make([]*pb.Answer, len(e.confirmer.held))...))
+		must.Zero(t, c.State().Counters.InvariantFailures)
+	})
+}
--- a/internal/entry/owner_stream.go
+++ b/internal/entry/owner_stream.go
@@ -121,14 +121,18 @@
 		if err != nil {
 			return err
 		}
-		for _, sub := range req.GetSubmissions() {
-			e.counters.relaysReceived.Add(1)
-			e.submitLocal(sub, out)
-		}
-		for _, cancel := range req.GetCancels() {
-			if c := e.ownership.Cell(cancel.GetCell()); c != nil && len(cancel.GetId()) == len(sched.Key{}) {
-				c.Cancel(sched.Key(cancel.GetId()), time.Now())
-			}
+		e.handleRelay(req, out)
+	}
+}
+
+func (e *Entry) handleRelay(req *pb.RelayRequest, out *outbox.Outbox[*pb.Answer]) {
+	for _, sub := range req.GetSubmissions() {
+		e.counters.relaysReceived.Add(1)
+		e.submitLocal(sub, out)
+	}
+	for _, cancel := range req.GetCancels() {
+		if c := e.ownership.Cell(cancel.GetCell()); c != nil && len(cancel.GetId()) == len(sched.Key{}) {
+			c.Cancel(sched.Key(cancel.GetId()), time.Now())
 		}
 	}
 }
