A malformed agent list opens no cell

A new owner reads from the store which agents may have started tasks, fences them and takes their records. The value null, {} or that of another cell was taken for a list without agents: the owner fenced nobody, served at once, and tasks that ran could be started again.

TestMalformedAgentListOpensNoCell: 4 of its 6 cases were accepted before.

--- a/internal/cell/agent_list.go
+++ b/internal/cell/agent_list.go
@@ -34,6 +34,12 @@
 	DepartedAt time.Time `json:"departed_at,omitzero"`
 }
 
+// Valid reports whether the list may have been written by an owner of the cell.
+func (l AgentList) Valid(cell uint32) bool {
+	unnamed := func(a ListedAgent) bool { return a.Endpoint == "" || a.Incarnation == "" }
+	return l.Cell == cell && l.Generation > 0 && !slices.ContainsFunc(l.Agents, unnamed)
+}
+
 func (l AgentList) clone() AgentList {
 	l.Agents = slices.Clone(l.Agents)
 	return l
--- a/internal/entry/agent_list.go
+++ b/internal/entry/agent_list.go
@@ -36,6 +36,9 @@
 	if err := json.Unmarshal(entry.Value, &list); err != nil {
 		return cell.AgentList{}, 0, result.Wrap(result.Internal, err, "cannot decode the agent list in the store")
 	}
+	if !list.Valid(n) {
+		return cell.AgentList{}, 0, result.Errorf(result.Internal, "the agent list in the store was not written by an owner of cell %d", n)
+	}
 	return list, entry.Revision, nil
 }
 
--- a/internal/entry/ownership_test.go
+++ b/internal/entry/ownership_test.go
@@ -99,3 +99,29 @@
 		})
 	}
 }
+
+// A list of agents that no owner has written must not be taken for an empty one:
+// the new owner would fence nobody and start tasks that already run.
+func TestMalformedAgentListOpensNoCell(t *testing.T) {
+	for name, c := range map[string]struct {
+		value string
+		want  result.Code
+	}{
+		"valid":              {`{"cell":3,"generation":1,"version":1,"agents":null}`, result.OK},
+		"no JSON":            {`{`, result.Internal},
+		"null":               {`null`, result.Internal},
+		"empty":              {`{}`, result.Internal},
+		"of another cell":    {`{"cell":2,"generation":1}`, result.Internal},
+		"agent without name": {`{"cell":3,"generation":1,"agents":[{}]}`, result.Internal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestStore(t)
+			st := store.NewHTTP(s.url, s.client)
+			_, err := st.CompareAndSwap(t.Context(), agentListKey(3), 0, []byte(c.value), 0)
+			must.NoError(t, err)
+			o := &ownership{store: st, settings: DefaultSettings()}
+			_, _, err = o.readAgentList(t.Context(), 3)
+			must.Eq(t, c.want, result.CodeOf(err))
+		})
+	}
+}
