--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -80,38 +80,6 @@
 
 func (p phase) String() string { return [...]string{"fencing", "serving", "closed"}[p] }
 
-// Counters counts the events of a cell since the cell was created.
-type Counters struct {
-	StartsSent        int64 `json:"starts_sent"`
-	OutcomesReceived  int64 `json:"outcomes_received"`
-	RefusalsReceived  int64 `json:"refusals_received"`
-	DuplicateOutcomes int64 `json:"duplicate_outcomes"`
-	CancelsSent       int64 `json:"cancels_sent"`
-	JobsAdmitted      int64 `json:"jobs_admitted"`
-	JobsRefused       int64 `json:"jobs_refused"`
-	JobsDone          int64 `json:"jobs_done"`
-	JobsFailed        int64 `json:"jobs_failed"`
-	Resubmissions     int64 `json:"resubmissions"`
-	OutcomeUnknown    int64 `json:"outcome_unknown"`
-	InvariantFailures int64 `json:"invariant_failures"`
-}
-
-// Add adds the counts of another cell to c.
-func (c *Counters) Add(o Counters) {
-	c.StartsSent += o.StartsSent
-	c.OutcomesReceived += o.OutcomesReceived
-	c.RefusalsReceived += o.RefusalsReceived
-	c.DuplicateOutcomes += o.DuplicateOutcomes
-	c.CancelsSent += o.CancelsSent
-	c.JobsAdmitted += o.JobsAdmitted
-	c.JobsRefused += o.JobsRefused
-	c.JobsDone += o.JobsDone
-	c.JobsFailed += o.JobsFailed
-	c.Resubmissions += o.Resubmissions
-	c.OutcomeUnknown += o.OutcomeUnknown
-	c.InvariantFailures += o.InvariantFailures
-}
-
 // Cell is a cell that this entry owns. Its methods are safe for concurrent use.
 type Cell struct {
 	mu      sync.Mutex
@@ -287,66 +255,6 @@
 	}
 }
 
-// dispatch starts waiting tasks on free slots.
-func (c *Cell) dispatch(now time.Time) {
-	if c.phase != serving {
-		return
-	}
-	if !c.cfg.IsFresh(now) {
-		c.invalidateStamps(now)
-		return
-	}
-	c.stampsInvalidated = false
-	for {
-		a, ok := c.sched.Next(now)
-		if !ok {
-			return
-		}
-		c.start(a, now)
-	}
-}
-
-// invalidateStamps makes every agent wait for a new stamp before it gets work
-// again. The stamps that the agents hold are as old as the confirmation that
-// went out of date.
-func (c *Cell) invalidateStamps(now time.Time) {
-	if c.stampsInvalidated {
-		return
-	}
-	c.stampsInvalidated = true
-	for _, e := range c.endpoints {
-		e.stamped = false
-		c.updateEndpoint(e, now)
-	}
-}
-
-func (c *Cell) start(a sched.Assignment, now time.Time) {
-	j := c.jobs[a.Key]
-	t := &j.tasks[a.Index]
-	e := c.endpoints[a.Endpoint]
-	if t.state != waiting {
-		c.counters.InvariantFailures++
-		return
-	}
-	t.state = running
-	t.endpoint = e.name
-	t.incarnation = e.incarnation
-	j.waiting--
-	j.running++
-	e.outstanding[taskKey{a.Key, uint32(a.Index)}] = struct{}{}
-	c.counters.StartsSent++
-	e.link.Start(&pb.Start{
-		Cell:       c.cfg.Number,
-		Generation: c.cfg.Generation,
-		Task:       &pb.TaskRef{Submission: j.key[:], Index: uint32(a.Index)},
-		Team:       j.team,
-		Payload:    t.payload,
-		Idempotent: t.idempotent,
-		TimeoutNs:  int64(j.deadline.Sub(now)),
-		Digest:     j.digest,
-	})
-}
-
 // idTime returns the wall clock time in a submission ID, which is a UUID of
 // version 7.
 func idTime(key sched.Key) time.Time {
