--- a/internal/cell/agent_list.go
+++ b/internal/cell/agent_list.go
@@ -34,6 +34,12 @@
 	DepartedAt time.Time `json:"departed_at,omitzero"`
 }
 
+// Valid reports whether the list may have been written by an owner of the cell.
+func (l AgentList) Valid(cell uint32) bool {
+	unnamed := func(a ListedAgent) bool { return a.Endpoint == "" || a.Incarnation == "" }
+	return l.Cell == cell && l.Generation > 0 && !slices.ContainsFunc(l.Agents, unnamed)
+}
+
 func (l AgentList) clone() AgentList {
 	l.Agents = slices.Clone(l.Agents)
 	return l
@@ -43,6 +49,12 @@
 	return slices.IndexFunc(l.Agents, func(a ListedAgent) bool { return a.Incarnation == incarnation })
 }
 
+// departed reports whether an incarnation is marked as departed.
+func (l *AgentList) departed(incarnation string) bool {
+	i := l.index(incarnation)
+	return i >= 0 && !l.Agents[i].DepartedAt.IsZero()
+}
+
 // initAgentList takes over the agent list of the previous owner. Every agent on
 // it may hold records and must be fenced.
 func (c *Cell) initAgentList(l AgentList, now time.Time) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 var (
 	errNoDocument   = errors.New("this entry has not read a control document yet")
 	errAgentTimeout = errors.New("the agent sent nothing within the freshness limit")
+	// errAgentReplaced ends the stream of a process whose successor is attached.
+	errAgentReplaced = errors.New("a later process of the agent is attached")
 )
 
 // Entry is one entry process.
@@ -206,17 +208,41 @@
 }
 
 func (e *Entry) tickCells(ctx context.Context) {
-	tick := time.NewTicker(cellTickInterval)
+	runTicks(ctx, cellTickInterval, func(now time.Time, pause time.Duration) {
+		for _, c := range e.ownership.Cells() {
+			if pause > 0 {
+				c.ExcludePause(pause, now)
+			}
+			c.Tick(now)
+		}
+	})
+}
+
+// minPause is the shortest time without ticks that counts as a pause of the
+// process. Agents need up to a second to attach again.
+const minPause = time.Second
+
+// runTicks calls step with the current time at each interval until ctx ends, and
+// with the length of the pause of the process before it, if there was one. It does
+// not use the time in the tick, which is when the tick was due: after a pause,
+// permissions that have expired meanwhile would still seem valid at that time.
+func runTicks(ctx context.Context, interval time.Duration, step func(now time.Time, pause time.Duration)) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
+	last := time.Now()
 	for {
 		select {
-		case now := <-tick.C:
-			for _, c := range e.ownership.Cells() {
-				c.Tick(now)
-			}
+		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
+		now := time.Now()
+		pause := now.Sub(last) - interval
+		if pause < minPause {
+			pause = 0
+		}
+		last = now
+		step(now, pause)
 	}
 }
 
--- a/internal/entry/owner_stream.go
+++ b/internal/entry/owner_stream.go
@@ -121,21 +121,28 @@
 		if err != nil {
 			return err
 		}
-		for _, sub := range req.GetSubmissions() {
-			e.counters.relaysReceived.Add(1)
-			e.submitLocal(sub, out)
-		}
-		for _, cancel := range req.GetCancels() {
-			if c := e.ownership.Cell(cancel.GetCell()); c != nil && len(cancel.GetId()) == len(sched.Key{}) {
-				c.Cancel(sched.Key(cancel.GetId()), time.Now())
-			}
+		e.handleRelay(req, out)
+	}
+}
+
+func (e *Entry) handleRelay(req *pb.RelayRequest, out *outbox.Outbox[*pb.Answer]) {
+	for _, sub := range req.GetSubmissions() {
+		e.counters.relaysReceived.Add(1)
+		e.submitLocal(sub, out)
+	}
+	for _, cancel := range req.GetCancels() {
+		if c := e.ownership.Cell(cancel.GetCell()); c != nil && len(cancel.GetId()) == len(sched.Key{}) {
+			c.Cancel(sched.Key(cancel.GetId()), time.Now())
 		}
 	}
 }
 
+// submitLocal passes a relayed submission to its cell. A submission that is meant
+// for an earlier generation was delayed on its way. Since then another owner may
+// have refused it as not run.
 func (e *Entry) submitLocal(sub *pb.Submission, out *outbox.Outbox[*pb.Answer]) {
 	c := e.ownership.Cell(sub.GetCell())
-	if c == nil {
+	if c == nil || (sub.GetGeneration() != 0 && sub.GetGeneration() != c.Generation()) {
 		out.Put(&pb.Answer{Id: sub.GetId(), Code: uint32(result.NotOwner)})
 		return
 	}
