Runner: the endpoint of the queue's tests never responds

The stand-in of newServingRunner was a closed port. Its refusal of a connection proves that the process has ended, so that the runs were released and the capacity was free again. Change: connections are never opened, as the comment says. The checks are unchanged.

--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"context"
+	"net"
 	"strconv"
 	"testing"
 	"time"
@@ -17,6 +19,15 @@
 	"github.com/pomelosill/pomelosill/platform"
 )
 
+// silentNetwork is a network in which nothing responds.
+type silentNetwork struct{ network.Network }
+
+// Dial implements network.Network.
+func (silentNetwork) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // newServingRunner returns a runner whose endpoint has the given capacity, and a
 // connected dispatcher. Start requests of the runner get no response.
 func newServingRunner(t *testing.T, milliCPU int64) (*Runner, *dispatcher) {
@@ -26,7 +37,7 @@
 	now := clock.SinceBoot()
 	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
 	r.session = &session{
-		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(network.TCP, "127.0.0.1:1", "e"),
+		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(silentNetwork{}, "e:1", "e"),
 		tracker: capacity.New(workload.Resources{MilliCPU: milliCPU}), health: capacity.NewHealth(), cancel: func() {}, lastResponseAt: now, heartbeatAt: now,
 	}
 	r.session.tracker.Reconcile(workload.RenewalResponse{}, now, now)
