Capacity: the first known rating of an endpoint follows its runs

All processes had been restarted, and a rating was known from 16 runs of a weight of 1/32 each on: the assumed speed 1 still had 0.6 of the weight then. Ruled out: the faults, which had ended; the queue, which was empty; the measured speed. Change: the assumed speed counts as 8 runs, and the weight of a run never falls below 1/32. At 16 runs it has a third of the weight, so that an endpoint of speed 0.6 is rated 0.71.

--- a/internal/capacity/rating.go
+++ b/internal/capacity/rating.go
@@ -8,9 +8,14 @@
 )
 
 const (
-	// ratingWeight is the weight of the first counted run of a job in the mean.
+	// ratingWeight is the least weight of the first counted run of a job in the mean.
 	// With it, a change of the speed is followed within some 60 runs.
 	ratingWeight = 1.0 / 32
+	// priorRuns is the weight of the assumed speed 1, in runs. At minRatedRuns it has
+	// a third of the weight. With a first weight of 1/32 it still had 0.6: endpoints of
+	// speed 0.6 were rated 0.8, and jobs that miss their objective there were placed
+	// there beside free endpoints.
+	priorRuns = 8
 	// maxRatingDeviation is the factor around the mean so far within which one
 	// run counts: one job in 33 takes seven times as long as estimated.
 	maxRatingDeviation = 2.0
@@ -31,6 +36,8 @@
 type Rating struct {
 	logMean float64
 	runs    int
+	// weight is the sum of the runs' weights within their jobs.
+	weight  float64
 	jobs    [ratedJobs]ratedJob
 	nextJob int
 }
@@ -48,8 +55,9 @@
 	}
 	limit := math.Log(maxRatingDeviation)
 	deviation := math.Log(estimate.Seconds()/runTime.Seconds()) - r.logMean
-	weight := ratingWeight / float64(r.countRun(job))
-	r.logMean += weight * max(-limit, min(deviation, limit))
+	weight := 1 / float64(r.countRun(job))
+	r.weight += weight
+	r.logMean += weight * max(ratingWeight, 1/(priorRuns+r.weight)) * max(-limit, min(deviation, limit))
 	r.logMean = max(math.Log(minRating), min(r.logMean, math.Log(maxRating)))
 	r.runs++
 }
