Runner: a stop of one dispatcher leaves the orders and runs of another

Cause: a job that is sent again through another dispatcher has runs with the same ids. The stop of the first dispatcher, which its caller's disconnection causes, removed the waiting orders of both, and only the first was told. The second waited for the end of its task until the job expired with an unknown outcome. A late stop also ended the second's run, once the endpoint had been restarted and knew no earlier attempt. Change: a stop applies to the orders and the runs of its sender only. Test: TestStopOfOneDispatcherLeavesTheRunsOfAnother, red before: no order was left.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -62,7 +62,7 @@
 	owner := d.owner()
 	stopped := 0
 	for _, o := range append([]*order(nil), r.queue...) {
-		if o.owner == owner && r.dequeue(o.runID) {
+		if r.dequeue(owner, o.runID) {
 			r.refuse(o, result.LeaseLapsed)
 		}
 	}
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -53,11 +53,12 @@
 	}
 }
 
-// dequeue removes the order for a run from the queue and reports whether there
-// was one.
-func (r *Runner) dequeue(run workload.RunID) bool {
+// dequeue removes the owner's order for a run from the queue and reports whether there
+// was one. Another dispatcher may have an order for the same run: its job was sent
+// again, and the attempts of each submission are numbered alike.
+func (r *Runner) dequeue(owner string, run workload.RunID) bool {
 	n := len(r.queue)
-	r.queue = slices.DeleteFunc(r.queue, func(o *order) bool { return o.runID == run })
+	r.queue = slices.DeleteFunc(r.queue, func(o *order) bool { return o.owner == owner && o.runID == run })
 	return len(r.queue) < n
 }
 
--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -137,3 +137,28 @@
 	r.countStarted(o, now)
 	must.Less(t, 1e-9, r.started.Fraction(1))
 }
+
+// A job that was sent again through another dispatcher has runs with the same ids. If
+// the stop of the first dispatcher took effect on the order or the run of the second, that
+// one would wait for its end in vain, or lose it.
+func TestStopOfOneDispatcherLeavesTheRunsOfAnother(t *testing.T) {
+	r, first := newServingRunner(t, 1000)
+	second, _, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "e", Incarnation: "1"}, func() {})
+	stop := &pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: "j", Attempt: 1}}}
+	running := capacity.Reservation{Run: workload.RunID{Task: "k", Attempt: 1}, Owner: second.owner(), Resources: workload.Resources{MilliCPU: 1000}}
+	must.True(t, r.session.tracker.Reserve(running, clock.SinceBoot()))
+	r.order(first, "j", 0, 1000, time.Second, time.Minute)
+	r.order(second, "j", 0, 1000, time.Second, time.Minute)
+	r.handleFrame(first, first.outbox, stop)
+	must.Eq(t, []string{"j"}, r.queuedTasks())
+	must.Eq(t, second.owner(), r.queue[0].owner)
+
+	r.handleFrame(second, second.outbox, stop)
+	must.SliceEmpty(t, r.queue)
+	stop.Stops[0].Task = "k"
+	r.handleFrame(first, first.outbox, stop)
+	run, _ := r.session.tracker.Reservation(running.Run)
+	must.Eq(t, capacity.StartSent, run.State)
+	r.handleFrame(second, second.outbox, stop)
+	must.Eq(t, capacity.Stopping, run.State)
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -153,9 +153,9 @@
 	}
 }
 
-// stopRun handles a dispatcher's request to stop a run.
+// stopRun handles a dispatcher's request to stop one of its runs.
 func (r *Runner) stopRun(owner string, run workload.RunID) {
-	if r.dequeue(run) {
+	if r.dequeue(owner, run) {
 		r.sendEvent(owner, newRunEvent(run, endRefused, result.Cancelled, 0))
 		return
 	}
@@ -164,7 +164,7 @@
 		r.sendEvent(owner, newRunEvent(run, endLost, result.EndpointGone, 0))
 		return
 	}
-	if _, found := s.tracker.Reservation(run); !found {
+	if res, found := s.tracker.Reservation(run); !found || res.Owner != owner {
 		return
 	}
 	if s.tracker.BeginStop(run) {
