Dispatcher: after a suspension, what has arrived is handled before jobs are placed

Cause: two faults of a process that did not run for some hundred milliseconds. The frames that runners sent meanwhile are read first and make the dispatcher's lease valid again, and each of them asks for a placement pass. So a job was placed whose deadline had passed, or whose caller had left and sent it to another dispatcher, where it might run: the checks of deadlines and of callers' connections come later. And the first tick took all runners for silent and closed their connections, with the ends of runs that were waiting to be read: work that was done counted as lost and was done again. Change: a tick that begins more than 200 ms after the last one shows a suspension. From then until 40 ms after that tick, no job is placed and no connection is closed for silence.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,6 +66,8 @@
 	started placement.StartedWork
 	// passes spaces the placement passes.
 	passes passLimiter
+	// suspension detects that the process was suspended.
+	suspension suspension
 	// contention is the state of admission by priority.
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -83,7 +83,7 @@
 // schedule assigns free capacity to waiting jobs, the most urgent first. It is
 // called with the lock held.
 func (d *Dispatcher) schedule(now time.Duration) {
-	if len(d.waiting) == 0 {
+	if len(d.waiting) == 0 || !d.suspension.settled(now) {
 		return
 	}
 	defer func() { d.passes.finished(now, clock.SinceBoot()) }()
@@ -168,16 +168,23 @@
 func (d *Dispatcher) runTicks(ctx context.Context) {
 	for clock.Sleep(ctx, tickInterval) {
 		d.mu.Lock()
-		now := clock.SinceBoot()
-		for _, r := range d.runners {
+		d.tick(clock.SinceBoot())
+		d.mu.Unlock()
+	}
+}
+
+// tick handles what depends on time. It is called with the lock held.
+func (d *Dispatcher) tick(now time.Duration) {
+	d.suspension.tick(now)
+	for _, r := range d.runners {
+		if d.suspension.settled(now) {
 			r.closeIfSilent(now)
-			d.dropRunsOfLostRunner(r, now)
 		}
-		d.expireJobs(now)
-		d.refuseUnplaceable(now)
-		d.schedule(now)
-		d.mu.Unlock()
+		d.dropRunsOfLostRunner(r, now)
 	}
+	d.expireJobs(now)
+	d.refuseUnplaceable(now)
+	d.schedule(now)
 }
 
 // expireJobs counts the jobs that have become late and ends those that have expired.
