Dispatcher: an unusable configuration doesn't keep evacuated domains in service

Cause: after the store had compacted its history, all operators' keys are read again, starting without a configuration. If the one in the store can't be decoded, none was left, and no later change was applied: a failure domain that an operator took out of service stayed in use. The same happened when the configuration in the store had a lower version than the one in force: the whole policy was rejected, with its evacuations. Change: a configuration that is not usable is ignored alone, and the one in force is kept when all keys are read again. Test: TestUnusableConfigurationIsIgnored, red before. It contains the case of TestInvalidConfigurationIsIgnored, which it replaces.

--- a/internal/dispatch/operators.go
+++ b/internal/dispatch/operators.go
@@ -36,11 +36,14 @@
 }
 
 // apply applies changes; if all is set, they are the complete state. A
-// configuration that can't be decoded is ignored: the previous one stays in
-// force, and the rest is applied.
+// configuration that can't be decoded, or has a lower version, is ignored: the
+// previous one stays in force, and the rest is applied.
 func (o *operatorPolicy) apply(c store.Changes, all bool) {
 	if all {
 		o.snapshot = &policy.Snapshot{}
+		if current := o.holder.Current(); current != nil {
+			o.snapshot.Config, o.snapshot.Document = current.Config, current.Document
+		}
 	} else if len(c.Entries)+len(c.Deleted) == 0 {
 		return
 	}
@@ -53,6 +56,11 @@
 				o.log.Warn("policy: invalid configuration ignored", zap.Uint64("revision", e.Revision), zap.Error(err))
 				continue
 			}
+			if next.Config != nil && config.Version < next.Config.Version {
+				o.log.Warn("policy: configuration of a lower version ignored", zap.Uint64("revision", e.Revision),
+					zap.Uint64("version", config.Version), zap.Uint64("current", next.Config.Version))
+				continue
+			}
 			next.Config, next.Document = config, e.Value
 		case key.Evacuated != "":
 			next = *next.WithEvacuated(key.Evacuated, true)
--- a/internal/dispatch/operators_test.go
+++ b/internal/dispatch/operators_test.go
@@ -58,20 +58,32 @@
 	must.Eq(t, 31, holder.Revision())
 }
 
-// A configuration that can't be decoded must leave the previous one in force.
-func TestInvalidConfigurationIsIgnored(t *testing.T) {
-	s := &scriptedStore{
-		changes: []store.Changes{
-			{Entries: []store.Entry{configEntry(5, `{"version":1}`)}, Revision: 7},
-			{Entries: []store.Entry{configEntry(8, `not JSON`), {Key: platform.PrefixEvacuate + "z", Revision: 9}}, Revision: 9},
-		},
-		errs: make([]error, 2),
-	}
-	holder := policy.NewHolder()
-	w := newOperatorWatcher(s, holder, zap.NewNop())
-	for range s.changes {
-		must.NoError(t, w.poll(t.Context()))
+// A configuration that can't be decoded, or has a lower version, must leave the previous
+// one in force, and must not keep a failure domain in service that is taken out of it, also
+// when all keys are read again.
+func TestUnusableConfigurationIsIgnored(t *testing.T) {
+	evacuation := store.Entry{Key: platform.PrefixEvacuate + "z", Revision: 9}
+	for _, document := range []string{`not JSON`, `{"version":0}`} {
+		for _, second := range []store.Changes{
+			{Entries: []store.Entry{configEntry(8, document), evacuation}, Revision: 9},
+			{Entries: []store.Entry{configEntry(8, document)}, Revision: 9},
+		} {
+			s := &scriptedStore{
+				changes: []store.Changes{
+					{Entries: []store.Entry{configEntry(5, `{"version":1}`)}, Revision: 7}, second,
+					{Entries: []store.Entry{configEntry(8, document), evacuation}, Revision: 10},
+				},
+				errs: make([]error, 3),
+			}
+			holder := policy.NewHolder()
+			w := newOperatorWatcher(s, holder, zap.NewNop())
+			must.NoError(t, w.poll(t.Context()))
+			must.NoError(t, w.poll(t.Context()))
+			must.Eq(t, len(second.Entries) > 1, holder.Current().OutOfService("z"))
+			w.onFailure(result.Errorf(result.StoreCompacted, "the history is compacted"))
+			must.NoError(t, w.poll(t.Context()))
+			must.Eq(t, 1, holder.Current().Config.Version)
+			must.True(t, holder.Current().OutOfService("z"))
+		}
 	}
-	must.Eq(t, 1, holder.Current().Config.Version)
-	must.True(t, holder.Current().OutOfService("z"))
 }
