Simulation of contention: the slowest endpoint has speed 0.6 again

The fault was the product's: the endpoint's rating after a restart of its runner. With that mended, the former check holds. Change: speed 0.6 and 8 s, as before that change.

--- a/test/caller/contention.go
+++ b/test/caller/contention.go
@@ -23,12 +23,10 @@
 	swapRetryInterval = 100 * time.Millisecond
 )
 
-// LeastSpeed is the speed of the slowest of the uneven endpoints. The longest task still
-// ends there before its caller stops waiting.
-const LeastSpeed = 0.7
-
-// UnevenSpeed returns the speed of an endpoint in a system of uneven endpoints.
-func UnevenSpeed(i int) float64 { return []float64{1, LeastSpeed, 1.6}[i%3] }
+// UnevenSpeed returns the speed of an endpoint in a system of uneven endpoints. At the
+// slowest, the longest task ends after its caller has stopped waiting, so it has to run
+// at a faster one.
+func UnevenSpeed(i int) float64 { return []float64{1, 0.6, 1.6}[i%3] }
 
 // UnevenTasks returns how many of the callers' tasks the endpoint has capacity for.
 func UnevenTasks(i int) int64 { return []int64{8, 12}[i%2] }
--- a/test/simulate/contention_test.go
+++ b/test/simulate/contention_test.go
@@ -21,8 +21,9 @@
 	minContentionSeeds = 3
 )
 
-// failedContentionSeeds always run. 7001 failed at times because a task of 2.5 s ran at an
-// endpoint of speed 0.6, where it took longer than its caller waited.
+// failedContentionSeeds always run. 7001 failed in one of eight runs: an endpoint of speed
+// 0.6 was rated 0.75 after a restart of its runner, and got a task of 2.5 s, which took
+// longer there than its caller waited.
 var failedContentionSeeds = []uint64{7001}
 
 // decisions counts log lines of decisions under contention.
--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pomelosill/pomelosill/test/caller"
 	"github.com/pomelosill/pomelosill/test/faultinject"
 )
 
@@ -68,14 +67,9 @@
 // runScenario runs the load and the faults of a seed.
 func (c *cluster) runScenario(t *testing.T, seed uint64, contention *faultinject.Contention) {
 	c.crashes = faultinject.InjectsCrashes(seed)
-	recovery := recoveryTimeout
-	if contention != nil {
-		// The same jobs take longer at a slow endpoint.
-		recovery = time.Duration(recovery.Seconds() / caller.LeastSpeed * float64(time.Second))
-	}
 	scenario := faultinject.Scenario{
 		Callers: c.newCallers(c.dispatcherAddresses), RecoveryCallers: c.newCallers(c.sampleDispatchers()), Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: faultTiming, ChooseFault: c.chooseFault,
-		Duration: *faultDuration, RecoveryTimeout: recovery, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
+		Duration: *faultDuration, RecoveryTimeout: recoveryTimeout, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
 		Contention: contention,
 	}
 	if c.allReady(readyTimeout) {
