Dispatcher: runs at a runner that moved are not started elsewhere before their leases end

Cause: the first ready state of a new process of a runner confirmed that the runs of its predecessor had ended. That holds for the same endpoint only. Change: where the new process has another address, the runs count as lost only after lease.RunnerLossTimeout since the last heartbeat of the former, and the runner gets no work until then. A runner that is replaced at its address is treated as before. Test: TestRunsOfAMovedRunnerAreKeptUntilTheirLeaseEnds, red with the wait switched off.

--- a/internal/dispatch/reconnect_test.go
+++ b/internal/dispatch/reconnect_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
 	"github.com/pomelosill/pomelosill/internal/stream"
@@ -64,3 +65,28 @@
 	must.MapEmpty(t, r.runs, must.Sprint("they have been stopped"))
 	must.Eq(t, taskQueued, run.state)
 }
+
+// A runner that is replaced at another address has another endpoint. Its predecessor may
+// still be alive, with its runs: they must not be started elsewhere before their leases
+// have expired, and none of the new process's runs may be taken for one of them.
+func TestRunsOfAMovedRunnerAreKeptUntilTheirLeaseEnds(t *testing.T) {
+	d, r, run := newDispatcherWithRun(t)
+	lastHeartbeat := clock.SinceBoot()
+	r.heartbeatReceivedAt = lastHeartbeat
+	for _, address := range []string{"a:1", "b:1"} {
+		d.onDisconnected(r, r.outbox)
+		d.checkMoved(r, address, address)
+		d.onConnected(r, &pb.RunnerFrame{Incarnation: address}, func(error) {})
+	}
+	d.onFrame(r, r.outbox, readyFrame())
+	must.MapLen(t, 1, r.runs)
+	must.Eq(t, 1, run.attempt)
+	must.False(t, r.usable(r.lastFrameAt))
+	leaseEnd := lastHeartbeat + lease.RunnerLossTimeout(d.settings.LeaseMax.Std())
+	d.endInheritedRuns(r, leaseEnd-1)
+	must.MapLen(t, 1, r.runs)
+	d.endInheritedRuns(r, leaseEnd)
+	must.MapEmpty(t, r.runs)
+	must.Eq(t, taskQueued, run.state)
+	must.True(t, r.usable(r.lastFrameAt))
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -51,6 +51,11 @@
 	// hasInheritedRuns is set while the runs were requested from an earlier
 	// process of the runner and may not have been stopped yet.
 	hasInheritedRuns bool
+	// address is that of the last connection. formerUntil is until when runs that were
+	// requested from an earlier process at another address may continue, zero if there
+	// are none.
+	address     string
+	formerUntil time.Duration
 	// cancel closes the current connection.
 	cancel context.CancelCauseFunc
 	// lastFrameAt is when the last frame was received, usedSince when a run was
@@ -109,7 +114,9 @@
 }
 
 // usable reports whether the runner may get work.
-func (r *runner) usable(now time.Duration) bool { return r.state.GetReady() && r.responsive(now) }
+func (r *runner) usable(now time.Duration) bool {
+	return r.state.GetReady() && r.formerUntil == 0 && r.responsive(now)
+}
 
 // responsive reports whether the runner is linked, connected and not silent.
 func (r *runner) responsive(now time.Duration) bool {
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -59,6 +59,7 @@
 		return causeOr(ctx, err)
 	}
 	watchdog.Stop()
+	d.checkMoved(r, first.GetIncarnation(), address)
 	out := d.onConnected(r, first, cancel)
 	defer d.onDisconnected(r, out)
 	// The first frame may hold what the runner could not send before.
@@ -80,6 +81,19 @@
 	return context.Cause(ctx)
 }
 
+// checkMoved records the address of a new connection. A runner's process at another
+// address than the one before has another endpoint. It can't stop the runs there, which
+// continue until their leases have expired.
+func (d *Dispatcher) checkMoved(r *runner, incarnation, address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(r.runs) > 0 && r.address != "" && r.address != address && r.incarnation != incarnation {
+		r.formerUntil = max(r.formerUntil, r.heartbeatReceivedAt+lease.RunnerLossTimeout(d.settings.LeaseMax.Std()))
+		d.log.Info("runner: moved", zap.String("runner", r.node.Name), zap.String("from", r.address), zap.String("to", address), zap.Int("runs", len(r.runs)))
+	}
+	r.address = address
+}
+
 // onConnected sets up the runner's state for a new connection and reconciles
 // its runs.
 func (d *Dispatcher) onConnected(r *runner, first *pb.RunnerFrame, cancel context.CancelCauseFunc) *outbox.Outbox[*pb.DispatcherFrame] {
@@ -173,7 +187,7 @@
 }
 
 // applyState records the endpoint's state. The first ready state of a new
-// runner process confirms that it has stopped the runs of its predecessor.
+// runner process confirms that it has stopped the runs of its predecessor there.
 func (d *Dispatcher) applyState(r *runner, s *pb.RunnerState) {
 	r.account(s.GetHandled(), r.lastFrameAt)
 	before := r.state
@@ -182,10 +196,17 @@
 		d.log.Info("runner: state changed", zap.String("runner", r.node.Name), zap.Bool("ready", s.GetReady()), zap.Bool("healthy", s.GetHealthy()), zap.Bool("slow", s.GetSlow()),
 			zap.String("life", s.GetLife()), zap.Float64("speed", r.speed()))
 	}
-	if !s.GetReady() || !r.hasInheritedRuns {
+	d.endInheritedRuns(r, r.lastFrameAt)
+}
+
+// endInheritedRuns marks as lost the runs that were requested from an earlier process of
+// the runner, once they must have ended: the runner is ready, and they were at its
+// endpoint or can continue no longer elsewhere.
+func (d *Dispatcher) endInheritedRuns(r *runner, now time.Duration) {
+	if !r.state.GetReady() || !r.hasInheritedRuns || now < r.formerUntil {
 		return
 	}
-	r.hasInheritedRuns = false
+	r.hasInheritedRuns, r.formerUntil = false, 0
 	for run := range r.runs {
 		d.handleRunEvent(r, newLostEvent(run))
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -180,6 +180,7 @@
 		if d.suspension.settled(now) {
 			r.closeIfSilent(now)
 		}
+		d.endInheritedRuns(r, now)
 		d.dropRunsOfLostRunner(r, now)
 	}
 	d.expireJobs(now)
