Runner: a stop before the first heartbeat is not answered as lost

Cause: a dispatcher repeats its stops to a new process of a runner. One that had not heard from its endpoint yet answered that the run was lost, although a run of its predecessor may continue there. The task of a run that was being moved was then started elsewhere beside it. Change: no answer. The first ready state of the new process, which has stopped its predecessor's runs then, ends the wait, as for runs that are not being stopped. Test: TestStopBeforeTheFirstHeartbeatIsNotAnswered, red before.

--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -162,3 +162,15 @@
 	r.handleFrame(second, second.outbox, stop)
 	must.Eq(t, capacity.Stopping, run.State)
 }
+
+// A runner that was replaced may be asked to stop a run of its predecessor before it has
+// heard from its endpoint, where the run may continue. If it answered that the run is lost,
+// the task would start elsewhere meanwhile.
+func TestStopBeforeTheFirstHeartbeatIsNotAnswered(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	out.TryTakeAll()
+	r.handleFrame(d, out, &pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: "j", Attempt: 1}}})
+	items, _ := out.TryTakeAll()
+	must.SliceEmpty(t, items)
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -161,7 +161,8 @@
 	}
 	s := r.session
 	if s == nil {
-		r.sendEvent(owner, newRunEvent(run, endLost, result.EndpointGone, 0))
+		// The run is of an earlier process of this runner, and may still be at the
+		// endpoint. The first ready state confirms that it isn't.
 		return
 	}
 	if res, found := s.tracker.Reservation(run); !found || res.Owner != owner {
