--- a/internal/dispatch/estimate_test.go
+++ b/internal/dispatch/estimate_test.go
@@ -53,6 +53,7 @@
 	}
 	serve(t, d, r, 500, 1000, func(t *task) { t.moving = true })
 	serve(t, d, r, 501, 1000, func(t *task) { t.contained = true })
+	serve(t, d, r, 504, 1000, func(t *task) { t.overflow = true })
 	serve(t, d, r, 502, math.MaxInt64, func(t *task) { t.placedAt = clock.SinceBoot() + time.Hour })
 	must.Eq(t, known, d.State().Estimates)
 	serve(t, d, r, 503, math.MaxInt64, asUsual)
