Capacity: a response read after a suspension shows no stall and no speed

Cause: a runner that did not run for some hundred milliseconds reads a response of its endpoint that is as old. The progress in it was compared with the present time: runs counted as stalled, or as so slow that the endpoint was suspended, and were stopped and started again elsewhere, although the endpoint had worked on. Change: a response that is read more than 200 ms after its request, which is given up after 150 ms while the process runs, updates the progress of runs only. Ends of runs and the list count as before.

--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -6,10 +6,16 @@
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
 
+// maxResponseDelay is the time since its request from which a response says nothing about
+// the speed of runs. The runner gives up a request after 150 ms, so a later response was
+// waiting to be read while the runner's process was suspended.
+const maxResponseDelay = 200 * time.Millisecond
+
 // Reconcile applies the response to a renewal request that was sent at sentAt.
 // It returns the runs whose capacity it released.
 func (t *Tracker) Reconcile(resp workload.RenewalResponse, sentAt, now time.Duration) []ReleasedRun {
 	var released []ReleasedRun
+	delayed := now-sentAt > maxResponseDelay
 	for _, end := range resp.Ended {
 		if end.Sequence <= t.lastEndSequence {
 			continue
@@ -18,7 +24,7 @@
 		delete(t.unknown, end.Run)
 		if res, found := t.reservations[end.Run]; found {
 			t.release(res, now)
-			if end.Outcome == workload.OutcomeDone {
+			if end.Outcome == workload.OutcomeDone && !delayed {
 				t.speed.observeDone(res, now)
 				t.rateRun(res, now)
 			}
@@ -50,6 +56,10 @@
 			res.State = Running
 			res.AcceptedAt = sentAt
 		}
+		if now-sentAt > maxResponseDelay {
+			res.skipProgress(l.Percent, now)
+			continue
+		}
 		t.speed.observeProgress(res, l.Percent, now)
 	}
 	for run := range t.unknown {
--- a/internal/capacity/speed.go
+++ b/internal/capacity/speed.go
@@ -81,6 +81,13 @@
 	res.lastPercent, res.lastPercentAt = percent, now
 }
 
+// skipProgress records progress that the endpoint listed at an unknown time: neither a
+// stall nor a speed follows from it.
+func (res *Reservation) skipProgress(percent float64, now time.Duration) {
+	res.lastPercent, res.lastPercentAt = min(max(percent, 0), 100), now
+	res.noProgressFrom, res.noProgressUntil = 0, 0
+}
+
 // rateWeight is the weight of the newest sample in a run's rate.
 const rateWeight = 0.5
 
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -142,6 +142,33 @@
 	must.SliceEmpty(t, tr.NewlyStalled(701*ms))
 }
 
+// A runner that was suspended reads a response from before. Its runs must neither count as
+// stalled nor as slow, or they would be moved, and their work done again.
+func TestResponseReadAfterASuspensionShowsNoSpeed(t *testing.T) {
+	const suspendedFor = time.Second
+	tr := newSyncedTracker()
+	all := []workload.RunID{newRunID("a"), newRunID("b"), newRunID("c")}
+	respond := func(percent float64, sentAt, at time.Duration) {
+		var resp workload.RenewalResponse
+		for _, run := range all {
+			resp.Running = append(resp.Running, workload.RunProgress{Run: run, Percent: percent})
+		}
+		tr.Reconcile(resp, sentAt, at)
+	}
+	for _, run := range all {
+		must.True(t, tr.Reserve(Reservation{Run: run, Resources: resources(100), Estimate: time.Second}, 0))
+		tr.StartAccepted(run, ms)
+	}
+	respond(0, 2*ms, 5*ms)
+	respond(0, 5*ms, 8*ms)
+	respond(0, 8*ms, 8*ms+suspendedFor)
+	must.SliceEmpty(t, tr.NewlyStalled(8*ms+suspendedFor))
+	must.False(t, tr.Slow())
+	must.Greater(t, 0.9, tr.Speed())
+	respond(100, 8*ms+suspendedFor, 10*ms+suspendedFor)
+	must.SliceEmpty(t, tr.NewlyStalled(10*ms+suspendedFor))
+}
+
 func TestRunWithoutProgressIsStalledOnce(t *testing.T) {
 	tr := newSyncedTracker()
 	reserve(t, tr, newRunID("a"), 1000, 0)
