Dispatcher: after a suspension, ends of runs are read before jobs expire

Cause: the first tick after a suspension gave up the jobs whose deadline or last useful time had passed, before the ends of their runs were read, which the runners had sent meanwhile. Callers were told that the outcome is unknown, and sent work that was done again. Between the end of the delay and the next tick, a job that had to expire could still be placed. Change: jobs expire, and are refused for want of endpoints, only after the delay, which ends with a tick. It is not prolonged by further late ticks, so that a dispatcher with little processor time still serves jobs. Tests: TestEndDuringASuspensionIsAnswered, red before; TestLateTicksDontStopTheDispatcher.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -177,12 +177,15 @@
 func (d *Dispatcher) tick(now time.Duration) {
 	d.suspension.tick(now)
 	for _, r := range d.runners {
-		if d.suspension.settled(now) {
-			r.closeIfSilent(now)
-		}
 		d.endInheritedRuns(r, now)
 		d.dropRunsOfLostRunner(r, now)
 	}
+	if !d.suspension.settled(now) {
+		return
+	}
+	for _, r := range d.runners {
+		r.closeIfSilent(now)
+	}
 	d.expireJobs(now)
 	d.refuseUnplaceable(now)
 	d.schedule(now)
--- a/internal/dispatch/suspension.go
+++ b/internal/dispatch/suspension.go
@@ -16,18 +16,25 @@
 // suspension detects that the process did not run for a while, because it or its host
 // was suspended. Then frames of runners and closed connections of callers are waiting
 // to be handled: until they are, the dispatcher must neither place jobs, whose callers
-// may have left and sent them to another dispatcher, nor take runners for silent.
+// may have left and sent them to another dispatcher, nor take runners for silent, nor
+// give up jobs, whose runs may be done.
 type suspension struct {
 	// tickedAt is when the last tick began, zero before the first.
 	tickedAt time.Duration
-	// settledAt is when the delay after the last suspension ends.
+	// settling is set from the first tick after a suspension until the first one
+	// after settledAt.
+	settling  bool
 	settledAt time.Duration
 }
 
-// tick records that a tick begins.
+// tick records that a tick begins. The delay is not prolonged, so that a process that is
+// so short of processor time that all of its ticks are late still serves jobs.
 func (s *suspension) tick(now time.Duration) {
-	if s.suspended(now) {
-		s.settledAt = now + settleDelay
+	switch {
+	case s.suspended(now) && !s.settling:
+		s.settling, s.settledAt = true, now+settleDelay
+	case now >= s.settledAt:
+		s.settling = false
 	}
 	s.tickedAt = now
 }
@@ -39,6 +46,4 @@
 
 // settled reports whether no suspension has been so recent that what arrived during it
 // may not have been handled.
-func (s *suspension) settled(now time.Duration) bool {
-	return !s.suspended(now) && now >= s.settledAt
-}
+func (s *suspension) settled(now time.Duration) bool { return !s.suspended(now) && !s.settling }
--- a/internal/dispatch/suspension_test.go
+++ b/internal/dispatch/suspension_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/runref"
 )
 
 // readyFrame is a frame with which the test runner gets work.
@@ -32,9 +34,10 @@
 	must.MapEmpty(t, r.runs, must.Sprint("before the jobs were checked"))
 	now = clock.SinceBoot()
 	d.tick(now)
-	must.True(t, expired.answered)
+	d.onFrame(r, r.outbox, readyFrame())
 	must.MapEmpty(t, r.runs, must.Sprint("before the callers' connections were checked"))
 	d.tick(now + settleDelay)
+	must.True(t, expired.answered)
 	must.Eq(t, taskPlaced, waiting.tasks[0][0].state)
 	must.MapLen(t, 1, r.runs)
 }
@@ -54,3 +57,26 @@
 	d.tick(now + settleDelay)
 	must.True(t, closed, must.Sprint("still silent"))
 }
+
+// A job whose run has ended during a suspension is answered with its result, even if
+// late. If it expired before the end is read, its caller would send it again.
+func TestEndDuringASuspensionIsAnswered(t *testing.T) {
+	d, r, run := newDispatcherWithRun(t)
+	now := clock.SinceBoot()
+	run.job.deadline, d.suspension.tickedAt = now, now-maxTickDelay-time.Millisecond
+	d.tick(now)
+	d.onFrame(r, r.outbox, &pb.RunnerFrame{Events: []*pb.RunEvent{{Run: runref.Encode(run.runID()), End: pb.RunEnd_RUN_END_DONE}}})
+	must.Eq(t, result.OK, (<-run.job.answer).Code)
+}
+
+// A dispatcher all of whose ticks are late must still place and expire jobs.
+func TestLateTicksDontStopTheDispatcher(t *testing.T) {
+	var s suspension
+	settled := 0
+	for now := time.Second; now <= 11*time.Second; now += time.Second {
+		if s.tick(now); s.settled(now) {
+			settled++
+		}
+	}
+	must.GreaterEq(t, 5, settled)
+}
