--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -69,6 +69,8 @@
 	// usableViews holds the views of the endpoints that may get work, and
 	// overflowViews those of the endpoints that may get overflow runs.
 	usableViews, overflowViews endpointViews
+	// suspension detects that the process was suspended.
+	suspension suspension
 	// contention is the state of admission by priority.
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -91,7 +91,7 @@
 // schedule assigns free capacity to waiting jobs, the most urgent first. It is
 // called with the lock held.
 func (d *Dispatcher) schedule(now time.Duration) {
-	if len(d.waiting) == 0 {
+	if len(d.waiting) == 0 || !d.suspension.settled(now) {
 		return
 	}
 	// Other work since now is not part of the pass.
@@ -178,18 +178,29 @@
 func (d *Dispatcher) runTicks(ctx context.Context) {
 	for clock.Sleep(ctx, tickInterval) {
 		d.mu.Lock()
-		now := clock.SinceBoot()
-		for _, r := range d.runners {
-			r.closeIfSilent(now)
-			d.dropRunsOfLostRunner(r, now)
-		}
-		d.expireJobs(now)
-		d.refuseUnplaceable(now)
-		d.schedule(now)
+		d.tick(clock.SinceBoot())
 		d.mu.Unlock()
 	}
 }
 
+// tick handles what depends on time. It is called with the lock held.
+func (d *Dispatcher) tick(now time.Duration) {
+	d.suspension.tick(now)
+	for _, r := range d.runners {
+		d.endInheritedRuns(r, now)
+		d.dropRunsOfLostRunner(r, now)
+	}
+	if !d.suspension.settled(now) {
+		return
+	}
+	for _, r := range d.runners {
+		r.closeIfSilent(now)
+	}
+	d.expireJobs(now)
+	d.refuseUnplaceable(now)
+	d.schedule(now)
+}
+
 // expireJobs counts the jobs that have become late and ends those that have expired.
 func (d *Dispatcher) expireJobs(now time.Duration) {
 	firstInTime := d.firstLevelInTime(now)
--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"context"
+	"net"
 	"strconv"
 	"testing"
 	"time"
@@ -17,6 +19,15 @@
 	"github.com/pomelosill/pomelosill/platform"
 )
 
+// silentNetwork is a network in which nothing responds.
+type silentNetwork struct{ network.Network }
+
+// Dial implements network.Network.
+func (silentNetwork) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // newServingRunner returns a runner whose endpoint has the given capacity, and a
 // connected dispatcher. Start requests of the runner get no response.
 func newServingRunner(t *testing.T, milliCPU int64) (*Runner, *dispatcher) {
@@ -26,7 +37,7 @@
 	now := clock.SinceBoot()
 	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
 	r.session = &session{
-		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(network.TCP, "127.0.0.1:1", "e"),
+		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(silentNetwork{}, "e:1", "e"),
 		tracker: capacity.New(workload.Resources{MilliCPU: milliCPU}), health: capacity.NewHealth(), cancel: func() {}, lastResponseAt: now, heartbeatAt: now,
 	}
 	r.session.tracker.Reconcile(workload.RenewalResponse{}, now, now)
@@ -126,3 +137,40 @@
 	r.countStarted(o, now)
 	must.Less(t, 1e-9, r.started.Fraction(1))
 }
+
+// A job that was sent again through another dispatcher has runs with the same ids. If
+// the stop of the first dispatcher took effect on the order or the run of the second, that
+// one would wait for its end in vain, or lose it.
+func TestStopOfOneDispatcherLeavesTheRunsOfAnother(t *testing.T) {
+	r, first := newServingRunner(t, 1000)
+	second, _, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "e", Incarnation: "1"}, func() {})
+	stop := &pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: "j", Attempt: 1}}}
+	running := capacity.Reservation{Run: workload.RunID{Task: "k", Attempt: 1}, Owner: second.owner(), Resources: workload.Resources{MilliCPU: 1000}}
+	must.True(t, r.session.tracker.Reserve(running, clock.SinceBoot()))
+	r.order(first, "j", 0, 1000, time.Second, time.Minute)
+	r.order(second, "j", 0, 1000, time.Second, time.Minute)
+	r.handleFrame(first, first.outbox, stop)
+	must.Eq(t, []string{"j"}, r.queuedTasks())
+	must.Eq(t, second.owner(), r.queue[0].owner)
+
+	r.handleFrame(second, second.outbox, stop)
+	must.SliceEmpty(t, r.queue)
+	stop.Stops[0].Task = "k"
+	r.handleFrame(first, first.outbox, stop)
+	run, _ := r.session.tracker.Reservation(running.Run)
+	must.Eq(t, capacity.StartSent, run.State)
+	r.handleFrame(second, second.outbox, stop)
+	must.Eq(t, capacity.Stopping, run.State)
+}
+
+// A runner that was replaced may be asked to stop a run of its predecessor before it has
+// heard from its endpoint, where the run may continue. If it answered that the run is lost,
+// the task would start elsewhere meanwhile.
+func TestStopBeforeTheFirstHeartbeatIsNotAnswered(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	out.TryTakeAll()
+	r.handleFrame(d, out, &pb.DispatcherFrame{Stops: []*pb.RunRef{{Task: "j", Attempt: 1}}})
+	items, _ := out.TryTakeAll()
+	must.SliceEmpty(t, items)
+}
