Dispatch: the scheduler tells placement the age of views

Cause: placement can only correct views by their age if it knows the age and the load of the other dispatchers.

Change: schedule sets the age of each view and calls SetTakenByOthers. The age counts from the runner's last frame and not from its last state: a runner adds its state to each frame if it has changed, so that a frame without one confirms the earlier state.

Without the call, TestOldViewsCountAsTakenByOtherDispatchers fails: all three tasks go to the runner whose view is 220 ms old.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -93,6 +93,7 @@
 		return
 	}
 	placement.SetMedianSpeeds(endpoints)
+	d.setTakenByOthers(endpoints, runners, now)
 	for j := range placement.InOrder(d.rankedWaiting(now), &d.started) {
 		area := d.areaOf(j, now)
 		for s := range j.spec.Steps {
@@ -113,6 +114,16 @@
 	}
 }
 
+// setTakenByOthers sets the age of the views of endpoints, and what the other
+// dispatchers have probably taken since. A runner adds its state, if that has changed,
+// to each frame, so that its last frame is the age of the view.
+func (d *Dispatcher) setTakenByOthers(endpoints []placement.Endpoint, runners []*runner, now time.Duration) {
+	for i, r := range runners {
+		endpoints[i].ViewAge = now - r.lastFrameAt
+	}
+	placement.SetTakenByOthers(endpoints, 1-d.loadShare(now), d.meanTaskDuration)
+}
+
 // sendStarts requests runs of tasks of one job from a runner. The tasks are to
 // wait there if wait is set.
 func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, area placement.Area, now time.Duration) {
