--- a/internal/entry/owner_copies.go
+++ b/internal/entry/pending_submission.go
@@ -1,5 +1,37 @@
 package entry
 
+import (
+	"time"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/sched"
+)
+
+// pendingSubmission is a submission without an answer. Its fields are guarded by
+// its shard's lock.
+type pendingSubmission struct {
+	submission *pb.Submission
+	key        sched.Key
+	deadline   time.Time
+	cancelled  bool
+	// sentTo is the owner that it was last sent to. It is zero while the
+	// submission is to be sent again.
+	sentTo   ownerRef
+	everSent bool
+	// copies counts, by owner, the copies sent.
+	copies  []ownerCopies
+	waiters []chan *pb.Answer
+}
+
+// ownerRef identifies an owner of a cell under a generation.
+type ownerRef struct {
+	id         string
+	generation uint64
+	// stream is the stream that the submission was sent on, nil for a local
+	// cell.
+	stream *ownerStream
+}
+
 // ownerCopies counts the copies of one submission that were sent to one owner.
 // There may be several if the owner lost the cell and got it back, or if its
 // stream broke. If it refuses one copy, another may still run.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -48,31 +48,6 @@
 	jobs map[sched.Key]*pendingSubmission
 }
 
-// pendingSubmission is a submission without an answer. Its fields are guarded by
-// its shard's lock.
-type pendingSubmission struct {
-	submission *pb.Submission
-	key        sched.Key
-	deadline   time.Time
-	cancelled  bool
-	// sentTo is the owner that it was last sent to. It is zero while the
-	// submission is to be sent again.
-	sentTo   ownerRef
-	everSent bool
-	// copies counts, by owner, the copies sent.
-	copies  []ownerCopies
-	waiters []chan *pb.Answer
-}
-
-// ownerRef identifies an owner of a cell under a generation.
-type ownerRef struct {
-	id         string
-	generation uint64
-	// stream is the stream that the submission was sent on, nil for a local
-	// cell.
-	stream *ownerStream
-}
-
 func newSubmissionRelay(state *controlState, client *http.Client, confirmer *answerConfirmer, c *counters, log *zap.Logger) *submissionRelay {
 	r := &submissionRelay{control: state, client: client, confirmer: confirmer, counters: c, log: log, streams: map[string]*ownerStream{}}
 	for i := range r.shards {
