Agent: stamps age while the host is suspended

The agent's clock was the runtime's monotonic one, which stands still while a host is suspended, so an agent that resumed took an expired stamp for fresh and could start a task that it found in its receive buffer, for example at an endpoint that had been taken out of service meanwhile. It now counts the time since boot, as runners and dispatchers do. Entries still measure their confirmations with the monotonic clock.

TestStampExpiresWhileTheHostIsSuspended: the start was admitted before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/gate"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
@@ -32,7 +33,8 @@
 	incarnation string
 	log         *zap.Logger
 	http        *http.Client
-	epoch       time.Time
+	// startedAt is the time since boot at which the agent's clock started.
+	startedAt time.Duration
 
 	gate     *gate.Gate
 	delivery *delivery
@@ -65,13 +67,13 @@
 		incarnation: uuid.NewString(),
 		log:         process.WithLogPrefix(log, "agent"),
 		http:        process.NewStreamClient(network.TCP),
-		epoch:       time.Now(),
+		startedAt:   clock.SinceBoot(),
 		endpoint:    newEndpointClient(s),
 		counters:    &messageCounters{},
 		debug:       debug,
 		drainWakeup: make(chan struct{}, 1),
 	}
-	a.gate = gate.New(gateConfig(s, a.epoch))
+	a.gate = gate.New(gateConfig(s, time.Now()))
 	a.delivery = &delivery{gate: a.gate, onChange: a.wakeDrain}
 	a.links = &links{
 		attach:     a.attach,
@@ -103,8 +105,9 @@
 	}
 }
 
-// now returns the agent's monotonic time, counted from its start.
-func (a *Agent) now() time.Duration { return time.Since(a.epoch) }
+// now returns the time since the agent's start, including the time in which the
+// host was suspended.
+func (a *Agent) now() time.Duration { return clock.SinceBoot() - a.startedAt }
 
 // wakeDrain wakes a drain that is waiting for a change.
 func (a *Agent) wakeDrain() {
