--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 )
 
@@ -104,7 +105,7 @@
 			return
 		}
 		l.log.Info("stream to the entry ended", zap.String("entry", address), zap.Error(err))
-		sleepContext(ctx, retryDelay())
+		clock.Sleep(ctx, retryDelay())
 	}
 }
 
@@ -141,7 +142,7 @@
 			a.requestLocation(ctx, attempt)
 			attempt++
 		}
-		sleepContext(ctx, retryDelay())
+		clock.Sleep(ctx, retryDelay())
 	}
 }
 
@@ -201,13 +202,3 @@
 func retryDelay() time.Duration {
 	return minRetryDelay + rand.N(maxRetryDelay-minRetryDelay)
 }
-
-// sleepContext waits for d or until ctx is done.
-func sleepContext(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -11,6 +11,7 @@
 	"github.com/pomelosill/pomelosill/internal/admin"
 	"github.com/pomelosill/pomelosill/internal/api"
 	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/sched"
@@ -206,7 +207,7 @@
 		if res.InForce || !time.Now().Before(deadline) || ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, inForcePollInterval)
+		clock.Sleep(ctx, inForcePollInterval)
 	}
 }
 
--- a/internal/entry/document_writer.go
+++ b/internal/entry/document_writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/store"
@@ -152,7 +153,7 @@
 		if ctx.Err() != nil {
 			return false, result.Errorf(result.StoreAnswerLost, "the write of the control document may have taken effect as revision %d", next.Revision)
 		}
-		sleep(ctx, retryDelay)
+		clock.Sleep(ctx, retryDelay)
 	}
 }
 
--- a/internal/entry/local_cells.go
+++ b/internal/entry/local_cells.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/sched"
 )
@@ -61,7 +62,7 @@
 	o.opening[n] = true
 	go func() {
 		if !o.openCell(ctx, n, generation, d) {
-			sleep(ctx, retryDelay)
+			clock.Sleep(ctx, retryDelay)
 		}
 		o.mu.Lock()
 		delete(o.opening, n)
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/cell"
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/store"
 )
@@ -131,7 +132,7 @@
 	})
 	if err != nil {
 		o.log.Warn("could not write a takeover of cells", zap.Error(err))
-		sleep(ctx, retryDelay)
+		clock.Sleep(ctx, retryDelay)
 		return
 	}
 	if next != nil {
@@ -171,7 +172,7 @@
 	})
 	if err != nil {
 		o.log.Warn("could not write the deputies of cells", zap.Error(err))
-		sleep(ctx, retryDelay)
+		clock.Sleep(ctx, retryDelay)
 	}
 }
 
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/control"
 )
 
@@ -21,7 +22,7 @@
 	}
 	// /ready now makes the load balancer route callers to other entries. Callers
 	// that still arrive here are served.
-	sleep(ctx, e.settings.DrainDelay.Std())
+	clock.Sleep(ctx, e.settings.DrainDelay.Std())
 	e.closing.Store(true)
 	if err := servers[0].Shutdown(ctx); err != nil {
 		e.log.Warn("shutdown cut off requests of callers", zap.Error(err))
@@ -66,6 +67,6 @@
 		if idle {
 			return
 		}
-		sleep(ctx, retryDelay)
+		clock.Sleep(ctx, retryDelay)
 	}
 }
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/store"
@@ -96,14 +97,14 @@
 		_, revision := s.control.DocumentAndStoreRevision()
 		if revision == 0 {
 			s.RequestRead()
-			sleep(ctx, retryDelay)
+			clock.Sleep(ctx, retryDelay)
 			continue
 		}
 		wctx, cancel := context.WithTimeout(ctx, watchTimeout+s.timeout)
 		changes, err := s.store.Watch(wctx, control.DocumentKey, revision, watchTimeout)
 		cancel()
 		if err != nil {
-			sleep(ctx, retryDelay)
+			clock.Sleep(ctx, retryDelay)
 			continue
 		}
 		if len(changes.Entries) > 0 {
@@ -129,12 +130,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
