--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -174,35 +174,32 @@
 }
 
 func (e *Entry) getJob(w http.ResponseWriter, r *http.Request) {
-	id, err := parseSubmissionID(r.PathValue("id"))
-	if err != nil {
-		writeAnswer(w, refusalAnswer(r.PathValue("id"), err))
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), inspectTimeout)
-	defer cancel()
-	a, err := e.lookupVisibleJob(ctx, id)
-	if err != nil {
-		writeAnswer(w, refusalAnswer(r.PathValue("id"), err))
-		return
+	if _, job, ok := e.findJob(w, r); ok {
+		access.WriteJSON(w, http.StatusOK, job)
 	}
-	access.WriteJSON(w, http.StatusOK, a)
 }
 
 func (e *Entry) deleteJob(w http.ResponseWriter, r *http.Request) {
-	id, err := parseSubmissionID(r.PathValue("id"))
-	if err != nil {
-		writeAnswer(w, refusalAnswer(r.PathValue("id"), err))
-		return
+	if id, _, ok := e.findJob(w, r); ok {
+		e.relay.Cancel(e.baseCtx, id)
+		w.WriteHeader(http.StatusAccepted)
 	}
+}
+
+// findJob returns the job that the request names. If there is none that the caller
+// may see, it answers the request and returns false.
+func (e *Entry) findJob(w http.ResponseWriter, r *http.Request) (sched.Key, *jobStatus, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), inspectTimeout)
 	defer cancel()
-	if _, err := e.lookupVisibleJob(ctx, id); err != nil {
+	var job *jobStatus
+	id, err := parseSubmissionID(r.PathValue("id"))
+	if err == nil {
+		job, err = e.lookupVisibleJob(ctx, id)
+	}
+	if err != nil {
 		writeAnswer(w, refusalAnswer(r.PathValue("id"), err))
-		return
 	}
-	e.relay.Cancel(e.baseCtx, id)
-	w.WriteHeader(http.StatusAccepted)
+	return id, job, err == nil
 }
 
 // lookupVisibleJob returns a job if the caller in ctx may see it. Other teams'
