--- a/internal/placement/stale.go
+++ b/internal/placement/stale.go
@@ -8,8 +8,7 @@
 const (
 	// herdFactor is how many times faster than the mean the free capacity is taken that
 	// a dispatcher would choose: the others choose the endpoints with most free
-	// capacity too. With 2 instead of 3, 0.196 instead of 0.192 starts are refused for
-	// each start in the replay at 90 % load, and 0.168 instead of 0.139 at 70 %.
+	// capacity too.
 	herdFactor = 3
 	// minTaskDuration bounds the mean task duration from below, so that rates are finite.
 	minTaskDuration = time.Millisecond
