--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -152,23 +152,6 @@
 	must.Len(t, 0, l.drainStarts())
 }
 
-func TestTakeoverContinuesFromRecords(t *testing.T) {
-	old := AgentList{Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i1"}}}
-	f := newFixture(t, 2, old)
-	id := f.newID(time.Second)
-	got := f.submit(id, 3, 7)
-	f.cell.AcceptOwnership(f.now)
-	must.Len(t, 0, *got)
-	l := f.attach("e-1", "i1", outcomeOf(id, 0, false), outcomeOf(id, 1, true))
-	starts := l.drainStarts()
-	must.Len(t, 1, starts)
-	must.Eq(t, 2, starts[0].GetTask().GetIndex())
-	f.reportOutcomes(l, starts, result.OK)
-	must.Len(t, 0, *got)
-	f.cell.HandleOutcomes("e-1", l, []*pb.Outcome{outcomeOf(id, 1, false)}, f.now)
-	must.Eq(t, []result.Code{result.OK}, answerCodes(got))
-}
-
 // TestMissingAgentLeavesEarlierIDsUnknown guards against starting a job again
 // that a listed agent, which has not attached, may have started for the
 // previous owner. IDs made up to the takeover must be answered as unknown, and
@@ -192,23 +175,6 @@
 	must.Len(t, 1, append(l.drainStarts(), l2.drainStarts()...))
 }
 
-// TestTakeoverKeepsJobsWhoseEndpointsAreNotAttachedYet guards against refusing
-// a job as impossible to run while the only endpoint that may run it has not
-// attached to the new owner yet. The job must wait for it.
-func TestTakeoverKeepsJobsWhoseEndpointsAreNotAttachedYet(t *testing.T) {
-	old := AgentList{Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i1"}, {Endpoint: "e-9", Incarnation: "i9", FailureDomain: "Los Olivos", Slots: 8}}}
-	f := newFixture(t, 2, old)
-	d := f.cell.control.Clone()
-	d.Revision++
-	d.Config.Teams[0].Domains = []string{"Los Olivos"}
-	f.cell.ApplyControl(d, f.now)
-	f.cell.AcceptOwnership(f.now)
-	f.attach("e-1", "i1")
-	f.tick(freshness + time.Millisecond)
-	f.tick(3 * clockSkew)
-	must.Len(t, 0, *f.submit(f.newID(0), 1, 7))
-}
-
 func TestIDsBeforeADepartureAreUnknown(t *testing.T) {
 	now := time.Now()
 	old := AgentList{Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i0", DepartedAt: now.Add(-time.Minute)}}}
@@ -232,74 +198,6 @@
 	must.True(t, f.cell.MayHaveStarted(sched.Key(id)))
 }
 
-// TestTakeoverWaitsForAgentDetachedBeforeAcceptance guards against serving too
-// early. An agent that loses its stream to the new owner before the takeover is
-// accepted must not count as departed: it may still work for the previous
-// owner, which can act until the freshness limit has passed.
-func TestTakeoverWaitsForAgentDetachedBeforeAcceptance(t *testing.T) {
-	f := newFixture(t, 2, AgentList{Generation: 1, Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i1"}}})
-	l := f.attachUnfenced("e-1", "i1")
-	f.cell.Detach("e-1", l, f.now)
-	f.tick(6 * time.Second)
-	f.cell.AcceptOwnership(f.now)
-	id := f.newID(0)
-	got := f.submit(id, 1, 1)
-	must.SliceEmpty(t, *got)
-	f.tick(freshness + time.Millisecond)
-	must.Eq(t, []result.Code{result.OutcomeUnknown}, answerCodes(got))
-}
-
-func TestReattachedAgentStartsNoTaskTwice(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
-	id := f.newID(0)
-	got := f.submit(id, 2, 7)
-	must.Len(t, 2, l.drainStarts())
-	f.cell.Detach("e-1", l, f.now)
-	f.tick(time.Second)
-	l2 := f.attach("e-1", "i1", outcomeOf(id, 0, true))
-	f.tick(time.Second)
-	again := l2.drainStarts()
-	must.Len(t, 1, again)
-	must.Eq(t, 1, again[0].GetTask().GetIndex())
-	f.reportOutcomes(l, again, result.OK)
-	must.Len(t, 0, *got)
-	f.cell.Detach("e-1", l2, f.now)
-	f.tick(6 * time.Second)
-	must.Eq(t, []result.Code{result.OutcomeUnknown}, answerCodes(got))
-}
-
-// An agent that lost its stream just before the owner was paused could not attach
-// meanwhile. Its running tasks must not be given up when the owner goes on.
-func TestAgentIsNotLostInAPauseOfTheOwner(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
-	id := f.newID(0)
-	got := f.submit(id, 1, 7)
-	f.cell.Detach("e-1", l, f.now)
-	f.now = f.now.Add(15 * time.Second)
-	f.cell.ExcludePause(15*time.Second, f.now)
-	f.tick(time.Second)
-	must.SliceEmpty(t, *got)
-	f.attach("e-1", "i1", outcomeOf(id, 0, false))
-	must.Eq(t, []result.Code{result.OK}, answerCodes(got))
-}
-
-func TestAgentRestartMakesOutcomesUnknown(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
-	got := f.submit(f.newID(0), 1, 7)
-	must.Len(t, 1, l.drainStarts())
-	f.attach("e-1", "i2")
-	must.Eq(t, []result.Code{result.OutcomeUnknown}, answerCodes(got))
-	list := f.cell.AgentListToStore(f.now)
-	must.Len(t, 2, list.Agents)
-	must.False(t, list.Agents[0].DepartedAt.IsZero())
-}
-
 func TestStartedJobNeverEndsAsNotRun(t *testing.T) {
 	for name, end := range map[string]func(f *fixture, id []byte){
 		"cancelled": func(f *fixture, id []byte) { f.cell.Cancel(sched.Key(id), f.now) },
@@ -328,21 +226,6 @@
 	}
 }
 
-func TestLateAndDuplicateOutcomesAreIgnored(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
-	got := f.submit(f.newID(0), 2, 7)
-	starts := l.drainStarts()
-	f.reportOutcomes(l, starts[1:], result.OK)
-	f.reportOutcomes(l, starts[1:], result.TaskFailed)
-	f.reportOutcomes(l, starts[:1], result.OK)
-	f.reportOutcomes(l, starts, result.TaskFailed)
-	must.Eq(t, []result.Code{result.OK}, answerCodes(got))
-	must.Eq(t, 3, f.cell.State().Counters.DuplicateOutcomes)
-	must.Eq(t, 0, f.cell.State().Counters.InvariantFailures)
-}
-
 func TestMaxAnswerBytesEvictsOldestAnswers(t *testing.T) {
 	f := newFixture(t, 1, AgentList{})
 	f.cell.cfg.MaxAnswerBytes = 300
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -185,23 +185,53 @@
 	must.Len(t, 0, *got)
 }
 
-// A process of an agent that has been replaced, for example because it was paused,
-// may come back and attach again. It must not displace its successor, whose tasks
-// would count as unknown.
-func TestReplacedAgentDoesNotDisplaceItsSuccessor(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
+func TestTakeoverContinuesFromRecords(t *testing.T) {
+	old := AgentList{Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i1"}}}
+	f := newFixture(t, 2, old)
+	id := f.newID(time.Second)
+	got := f.submit(id, 3, 7)
 	f.cell.AcceptOwnership(f.now)
-	f.attach("e-1", "i1")
-	l := f.attach("e-1", "i2")
-	got := f.submit(f.newID(0), 1, 7)
+	must.Len(t, 0, *got)
+	l := f.attach("e-1", "i1", outcomeOf(id, 0, false), outcomeOf(id, 1, true))
 	starts := l.drainStarts()
 	must.Len(t, 1, starts)
-	f.attach("e-1", "i1")
-	must.SliceEmpty(t, *got)
+	must.Eq(t, 2, starts[0].GetTask().GetIndex())
 	f.reportOutcomes(l, starts, result.OK)
+	must.Len(t, 0, *got)
+	f.cell.HandleOutcomes("e-1", l, []*pb.Outcome{outcomeOf(id, 1, false)}, f.now)
 	must.Eq(t, []result.Code{result.OK}, answerCodes(got))
+}
+
+// TestTakeoverKeepsJobsWhoseEndpointsAreNotAttachedYet guards against refusing
+// a job as impossible to run while the only endpoint that may run it has not
+// attached to the new owner yet. The job must wait for it.
+func TestTakeoverKeepsJobsWhoseEndpointsAreNotAttachedYet(t *testing.T) {
+	old := AgentList{Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i1"}, {Endpoint: "e-9", Incarnation: "i9", FailureDomain: "Los Olivos", Slots: 8}}}
+	f := newFixture(t, 2, old)
+	d := f.cell.control.Clone()
+	d.Revision++
+	d.Config.Teams[0].Domains = []string{"Los Olivos"}
+	f.cell.ApplyControl(d, f.now)
+	f.cell.AcceptOwnership(f.now)
+	f.attach("e-1", "i1")
+	f.tick(freshness + time.Millisecond)
+	f.tick(3 * clockSkew)
+	must.Len(t, 0, *f.submit(f.newID(0), 1, 7))
+}
+
+// TestTakeoverWaitsForAgentDetachedBeforeAcceptance guards against serving too
+// early. An agent that loses its stream to the new owner before the takeover is
+// accepted must not count as departed: it may still work for the previous
+// owner, which can act until the freshness limit has passed.
+func TestTakeoverWaitsForAgentDetachedBeforeAcceptance(t *testing.T) {
+	f := newFixture(t, 2, AgentList{Generation: 1, Agents: []ListedAgent{{Endpoint: "e-1", Incarnation: "i1"}}})
+	l := f.attachUnfenced("e-1", "i1")
 	f.cell.Detach("e-1", l, f.now)
-	back := f.attach("e-1", "i1")
-	f.submit(f.newID(0), 1, 7)
-	must.Len(t, 1, back.drainStarts())
+	f.tick(6 * time.Second)
+	f.cell.AcceptOwnership(f.now)
+	id := f.newID(0)
+	got := f.submit(id, 1, 1)
+	must.SliceEmpty(t, *got)
+	f.tick(freshness + time.Millisecond)
+	must.Eq(t, []result.Code{result.OutcomeUnknown}, answerCodes(got))
 }
