The teams in the first control document are sorted

The document's teams are searched as a sorted list, but the first document took them in the order of the settings. In another order a team was not found: an operator's edit added it a second time.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -136,11 +136,7 @@
 		return
 	}
 	d := control.NewDocument(m.member, m.settings.Cells, m.member.ID)
-	for _, t := range m.settings.DefaultTeams {
-		d.Config.Teams = append(d.Config.Teams, control.Team{
-			Name: t.Name, Weight: t.Weight, MaxRunning: t.MaxRunning, MaxQueued: t.MaxQueued,
-		})
-	}
+	d.Config.Teams = m.settings.firstTeams()
 	value, err := json.Marshal(d)
 	if err != nil {
 		return
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/access"
+	"github.com/pomelosill/pomelosill/internal/control"
 	"github.com/pomelosill/pomelosill/internal/sched"
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
@@ -101,6 +104,16 @@
 	}
 }
 
+// firstTeams returns the teams in the first control document, in its order.
+func (s *Settings) firstTeams() []control.Team {
+	var teams []control.Team
+	for _, t := range s.DefaultTeams {
+		teams = append(teams, control.Team{Name: t.Name, Weight: t.Weight, MaxRunning: t.MaxRunning, MaxQueued: t.MaxQueued})
+	}
+	slices.SortFunc(teams, func(a, b control.Team) int { return cmp.Compare(a.Name, b.Name) })
+	return teams
+}
+
 // Validate checks every setting. Its error contains the field and the reason.
 func (s *Settings) Validate() error {
 	if err := s.validateAddresses(); err != nil {
