Policy: domains out of service are sorted when a policy is received

Cause: they are searched as a sorted list, but taken as sent. Change: the list is sorted where it is decoded. Test: TestUnsortedDomainsAreOutOfService, red before.

--- a/internal/policy/codec/codec.go
+++ b/internal/policy/codec/codec.go
@@ -3,6 +3,8 @@
 package codec
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
@@ -28,7 +30,7 @@
 		log.Warn("policy: invalid policy from another process ignored", zap.Uint64("revision", p.GetRevision()), zap.Error(err))
 		return false
 	}
-	s := &policy.Snapshot{Revision: p.GetRevision(), Document: p.GetConfig(), Config: config, Evacuated: p.GetEvacuated()}
+	s := &policy.Snapshot{Revision: p.GetRevision(), Document: p.GetConfig(), Config: config, Evacuated: slices.Sorted(slices.Values(p.GetEvacuated()))}
 	if !h.Apply(s) {
 		return false
 	}
--- a/internal/policy/codec/codec_test.go
+++ b/internal/policy/codec/codec_test.go
@@ -43,3 +43,13 @@
 	must.True(t, codec.Apply(to, codec.Encode(from.Current()), zap.NewNop()))
 	must.Eq(t, from.Current(), to.Current())
 }
+
+// The domains out of service are searched as a sorted list. One that another process
+// sent in another order must not stay in service.
+func TestUnsortedDomainsAreOutOfService(t *testing.T) {
+	h := policy.NewHolder()
+	must.True(t, codec.Apply(h, &pb.Policy{Revision: 1, Config: []byte(`{"version":1}`), Evacuated: []string{"z3", "z2", "z1"}}, zap.NewNop()))
+	for _, domain := range []string{"z1", "z2", "z3"} {
+		must.True(t, h.Current().OutOfService(domain), must.Sprint(domain))
+	}
+}
