Dispatchers: message for forwarded jobs

PeerService gets the call Submit, and gossip reports the lag and load of the sender. The code of a reply has presence: zero means that the job is done, so an empty reply would otherwise look like an answer. process.NewTransport takes the ping timeout, because a forwarded job needs a shorter one than gossip. The echo service of the stream benchmark embeds the unimplemented handler, as it serves gossip only.

--- a/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
+++ b/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
@@ -35,12 +35,16 @@
 const (
 	// PeerServiceGossipProcedure is the fully-qualified name of the PeerService's Gossip RPC.
 	PeerServiceGossipProcedure = "/pomelosill.v1.PeerService/Gossip"
+	// PeerServiceSubmitProcedure is the fully-qualified name of the PeerService's Submit RPC.
+	PeerServiceSubmitProcedure = "/pomelosill.v1.PeerService/Submit"
 )
 
 // PeerServiceClient is a client for the pomelosill.v1.PeerService service.
 type PeerServiceClient interface {
 	// Gossip exchanges the policy and the directory in both directions.
 	Gossip(context.Context) *connect.BidiStreamForClient[v1.GossipFrame, v1.GossipFrame]
+	// Submit forwards a caller's job and returns its answer.
+	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error)
 }
 
 // NewPeerServiceClient constructs a client for the pomelosill.v1.PeerService service. By default,
@@ -60,12 +64,19 @@
 			connect.WithSchema(peerServiceMethods.ByName("Gossip")),
 			connect.WithClientOptions(opts...),
 		),
+		submit: connect.NewClient[v1.SubmitRequest, v1.SubmitReply](
+			httpClient,
+			baseURL+PeerServiceSubmitProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Submit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	gossip *connect.Client[v1.GossipFrame, v1.GossipFrame]
+	submit *connect.Client[v1.SubmitRequest, v1.SubmitReply]
 }
 
 // Gossip calls pomelosill.v1.PeerService.Gossip.
@@ -73,10 +84,17 @@
 	return c.gossip.CallBidiStream(ctx)
 }
 
+// Submit calls pomelosill.v1.PeerService.Submit.
+func (c *peerServiceClient) Submit(ctx context.Context, req *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error) {
+	return c.submit.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the pomelosill.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Gossip exchanges the policy and the directory in both directions.
 	Gossip(context.Context, *connect.BidiStream[v1.GossipFrame, v1.GossipFrame]) error
+	// Submit forwards a caller's job and returns its answer.
+	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -92,10 +110,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("Gossip")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSubmitHandler := connect.NewUnaryHandler(
+		PeerServiceSubmitProcedure,
+		svc.Submit,
+		connect.WithSchema(peerServiceMethods.ByName("Submit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pomelosill.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceGossipProcedure:
 			peerServiceGossipHandler.ServeHTTP(w, r)
+		case PeerServiceSubmitProcedure:
+			peerServiceSubmitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +134,7 @@
 func (UnimplementedPeerServiceHandler) Gossip(context.Context, *connect.BidiStream[v1.GossipFrame, v1.GossipFrame]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("pomelosill.v1.PeerService.Gossip is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pomelosill.v1.PeerService.Submit is not implemented"))
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -147,7 +147,7 @@
 
 func TestChooseTheLessLoadedPeer(t *testing.T) {
 	names := []string{"a", "b"}
-	p := NewPeers()
+	var p Peers
 	p.Report("a", 3000, 0, 0, 0)
 	p.Report("b", 1000, 900, 0, 0)
 	must.Eq(t, 1, p.Choose(names, time.Second, firstOf), must.Sprint("the lag decides"))
@@ -161,7 +161,7 @@
 // A peer that can't take jobs must not be asked again at once.
 func TestExcludedPeersAreNotChosen(t *testing.T) {
 	names := []string{"a", "b"}
-	p := NewPeers()
+	var p Peers
 	p.Exclude("a", 0)
 	must.Eq(t, 1, p.Choose(names, 0, firstOf))
 	p.Report("b", 11_000, 0, 0, 0)
@@ -171,10 +171,10 @@
 }
 
 func TestMalformedReportsAreBounded(t *testing.T) {
-	p := NewPeers()
+	var p Peers
 	for _, load := range []float64{math.NaN(), math.Inf(1), -1} {
 		p.Report("a", -1<<63, load, 0, 0)
-		must.Eq(t, Peer{reported: true}, p.Known(0)["a"])
+		must.Eq(t, Peer{Reported: true}, p.Known(0)["a"])
 	}
 	p.Report("a", 1<<62, 0, 0, 0)
 	must.Eq(t, maxTickLateness, p.Known(0)["a"].Lag)
@@ -182,7 +182,7 @@
 
 // BenchmarkDecision measures the decision about one job among many peers.
 func BenchmarkDecision(b *testing.B) {
-	p := NewPeers()
+	var p Peers
 	var names []string
 	for i := range 700 {
 		names = append(names, string(rune('a'+i)))
--- a/internal/handover/peers.go
+++ b/internal/handover/peers.go
@@ -18,32 +18,29 @@
 	Lag time.Duration
 	// Load is the work that recently arrived there, in thousandths of a core.
 	Load float64
-	// ReportedAt is when both were reported, and reported whether they were.
+	// ReportedAt is when both were reported, and Reported whether they were.
 	ReportedAt    time.Duration
-	reported      bool
+	Reported      bool
 	excludedUntil time.Duration
 }
 
 // current returns the reported lag and load, or zero if they are unknown.
 func (p *Peer) current(now time.Duration) (time.Duration, float64) {
-	if p == nil || !p.reported || now-p.ReportedAt > reportLifetime {
+	if p == nil || !p.Reported || now-p.ReportedAt > reportLifetime {
 		return 0, 0
 	}
 	return p.Lag, p.Load
 }
 
-// Peers holds what is known of other dispatchers.
+// Peers holds what is known of other dispatchers. Its zero value is empty.
 type Peers struct{ byName map[string]*Peer }
 
-// NewPeers returns an empty set.
-func NewPeers() *Peers { return &Peers{byName: map[string]*Peer{}} }
-
 // Report records a peer's lag and load as they are in a message. A peer that is starved
 // with jobs of the given low slack is excluded.
 func (p *Peers) Report(name string, lagMicroseconds int64, load float64, lowSlack, now time.Duration) {
 	peer := p.get(name, now)
 	peer.Lag, peer.Load = DecodeLag(lagMicroseconds), decodeLoad(load)
-	peer.ReportedAt, peer.reported = now, true
+	peer.ReportedAt, peer.Reported = now, true
 	if peer.Lag > maxLag(lowSlack) {
 		peer.excludedUntil = now + exclusionTime
 	}
@@ -68,6 +65,9 @@
 	peer := p.byName[name]
 	if peer == nil {
 		p.evict(now)
+		if p.byName == nil {
+			p.byName = map[string]*Peer{}
+		}
 		peer = &Peer{}
 		p.byName[name] = peer
 	}
@@ -77,7 +77,7 @@
 // evict removes the peers of which nothing is known any more.
 func (p *Peers) evict(now time.Duration) {
 	for name, peer := range p.byName {
-		if now >= peer.excludedUntil && (!peer.reported || now-peer.ReportedAt > reportLifetime) {
+		if now >= peer.excludedUntil && (!peer.Reported || now-peer.ReportedAt > reportLifetime) {
 			delete(p.byName, name)
 		}
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -168,11 +168,18 @@
 // NewStreamClient returns a client for connect streams over unencrypted HTTP/2.
 // It closes connections to hosts that no longer answer pings.
 func NewStreamClient(n network.Network) *http.Client {
+	return &http.Client{Transport: NewTransport(network.DialContextFunc(n, dialTimeout), pingTimeout)}
+}
+
+// NewTransport returns a transport over unencrypted HTTP/2. It sends a ping on a
+// connection that was silent for the timeout, and closes the connection if the ping is not
+// answered within the timeout.
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) *http.Transport {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
+	return &http.Transport{
 		Protocols:   &p,
-		DialContext: network.DialContextFunc(n, dialTimeout),
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: sendPingTimeout, PingTimeout: pingTimeout},
-	}}
+		DialContext: dial,
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: timeout, PingTimeout: timeout},
+	}
 }
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -186,15 +186,21 @@
 // described as unknown, with an effect that does not rule out that the work
 // ran.
 func Describe(c Code) Info {
-	i, ok := slices.BinarySearchFunc(table, c, func(in Info, c Code) int {
-		return int(in.Code) - int(c)
-	})
+	i, ok := slices.BinarySearchFunc(table, c, compareCode)
 	if !ok {
 		return Info{Code: c, Name: "Unknown", Text: "Unknown code.", Effect: EffectMayHaveRun, HTTPStatus: http.StatusInternalServerError}
 	}
 	return table[i]
 }
 
+// Known reports whether c is in the table.
+func Known(c Code) bool {
+	_, ok := slices.BinarySearchFunc(table, c, compareCode)
+	return ok
+}
+
+func compareCode(in Info, c Code) int { return int(in.Code) - int(c) }
+
 // NotRun reports whether c promises that the work did not run.
 func (c Code) NotRun() bool { return Describe(c).Effect == EffectNotRun }
 
--- a/internal/stream/bench_test.go
+++ b/internal/stream/bench_test.go
@@ -48,7 +48,9 @@
 }
 
 // echoService sends each frame of a connect-go stream back.
-type echoService struct{}
+type echoService struct {
+	pomelosillv1connect.UnimplementedPeerServiceHandler
+}
 
 func (echoService) Gossip(_ context.Context, st *connect.BidiStream[pb.GossipFrame, pb.GossipFrame]) error {
 	for {
