Dispatchers: a CPU-starved dispatcher forwards jobs

The lateness of the 20 ms ticks is measured. With processor_cores above 0 and below 0.25, a starved dispatcher forwards a fraction of the arriving jobs to one of two random peers and reports not ready for at most 3 s in 30 s. The peer serves a forwarded job like one from a caller, but declines it if it can't take it, and never forwards it. A job is admitted at the sender only if the peer has declined it, doesn't know the call, or no connection could be opened (no connection was ever assigned to the request); any other failure is answered with 209. Callers who repeat a forwarded job join it, cancellation ends the call, and a dispatcher that shuts down waits for what it forwarded and took. Metrics, log lines and the state dump show all of it.

admit is split into its steps, because a returned job is admitted under the lock under which it stops being forwarded. Without the setting, nothing is forwarded and readiness and admission are as before.

The system of the tests injects the lateness of ticks, so that a busy machine doesn't change who is starved. The tests fail when one of these is removed: the proof that nothing was sent, the presence and check of the reply's code, the handling of the unimplemented call, the end of the call on cancellation, and the joining of repeated jobs.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,9 +19,6 @@
 )
 
 const (
-	// defaultMaxBodyBytes bounds the request body where the configuration sets
-	// no limit.
-	defaultMaxBodyBytes = 256 << 10
 	// defaultCallerTimeout is how long a caller waits whose request sets no
 	// deadline.
 	defaultCallerTimeout = 10 * time.Second
@@ -47,19 +42,18 @@
 		d.refuse(w, r, "", result.Errorf(result.NoPolicy, "no configuration received yet"))
 		return
 	}
-	route, found := p.Config.Match(requestHost(r), r.URL.Path)
-	if !found {
-		d.refuse(w, r, "", result.Errorf(result.NotFound, "no route for host %q and path %q in version %d", requestHost(r), r.URL.Path, p.Config.Version))
+	s := &submission{caller: callerAddress(r), host: requestHost(r), path: r.URL.Path}
+	if err := s.match(p); err != nil {
+		d.refuse(w, r, "", err)
 		return
 	}
-	id := strings.TrimPrefix(r.URL.Path, route.Prefix)
 	switch {
 	case r.Method == http.MethodPost:
-		d.handleSubmit(w, r, route, p.Config.Limits, id)
-	case r.Method == http.MethodGet && id == "":
-		d.handleQueueLength(w, route)
+		d.handleSubmit(w, r, s)
+	case r.Method == http.MethodGet && s.id == "":
+		d.handleQueueLength(w, s.route)
 	case r.Method == http.MethodDelete:
-		d.handleCancel(w, id)
+		d.handleCancel(w, s.id)
 	case r.Method == http.MethodGet:
 		// A job's answer is only sent to its callers and not kept.
 		w.WriteHeader(http.StatusGone)
@@ -108,13 +102,18 @@
 // refuse answers a request that has not been admitted. The route is empty if there is
 // none.
 func (d *Dispatcher) refuse(w http.ResponseWriter, r *http.Request, route string, err error) {
+	platform.WriteAnswer(w, d.newRefusal(r.Context(), r.URL.Path, route, err))
+}
+
+// newRefusal records the refusal of a job and returns the answer to it.
+func (d *Dispatcher) newRefusal(ctx context.Context, path, route string, err error) platform.Answer {
 	code := result.CodeOf(err)
-	d.metrics.recordRefusal(r.Context(), route, code)
+	d.metrics.recordRefusal(ctx, route, code)
 	a := platform.Answer{Code: code}
 	if result.Describe(code).HTTPStatus == http.StatusServiceUnavailable {
 		a.RetryAfter = randomRetryAfter()
 	}
-	fields := []zap.Field{zap.String("path", r.URL.Path), zap.Uint64("policy", d.policy.Revision()), zap.String("route", route), zap.Error(err)}
+	fields := []zap.Field{zap.String("path", path), zap.Uint64("policy", d.policy.Revision()), zap.String("route", route), zap.Error(err)}
 	var overload *overloadError
 	if errors.As(err, &overload) {
 		if overload.retryAfter > 0 {
@@ -123,7 +122,7 @@
 		fields = append(fields, overload.logFields()...)
 	}
 	d.log.Info("job: refused", append(fields, zap.Duration("retry after", a.RetryAfter))...)
-	platform.WriteAnswer(w, a)
+	return a
 }
 
 // logFields returns the figures that the refusal follows from.
@@ -135,31 +134,11 @@
 	}
 }
 
-func readBody(r *http.Request, limits policy.Limits) ([]byte, error) {
-	limit := limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, result.Wrap(result.Malformed, err, "reading the request body")
-	}
-	if int64(len(body)) > limit {
-		return nil, result.Errorf(result.TooLarge, "the request body exceeds %d bytes", limit)
-	}
-	return body, nil
-}
-
-// handleSubmit admits a job and answers when it has ended.
-func (d *Dispatcher) handleSubmit(w http.ResponseWriter, r *http.Request, route *policy.Route, limits policy.Limits, id string) {
-	body, err := readBody(r, limits)
+// handleSubmit admits a job, or forwards it, and answers when it has ended.
+func (d *Dispatcher) handleSubmit(w http.ResponseWriter, r *http.Request, s *submission) {
+	err := s.read(r)
 	if err != nil {
-		d.refuse(w, r, route.Name, err)
-		return
-	}
-	spec, err := platform.DecodeJob(id, body)
-	if err != nil {
-		d.refuse(w, r, route.Name, err)
+		d.refuse(w, r, s.routeName(), err)
 		return
 	}
 	now := clock.SinceBoot()
@@ -167,19 +146,28 @@
 	if wait == 0 {
 		wait = defaultCallerTimeout
 	}
-	j, err := d.admit(spec, route, callerAddress(r), now, now+wait)
-	if err != nil {
-		d.refuse(w, r, route.Name, err)
-		return
+	s.deadline = now + wait
+	a, answered, err := d.serveSubmission(r.Context(), s, now)
+	switch {
+	case err != nil:
+		d.refuse(w, r, s.routeName(), err)
+	case answered:
+		platform.WriteAnswer(w, a)
+		d.metrics.recordAnswer(r.Context(), a, clock.SinceBoot()-now)
 	}
+}
+
+// awaitAnswer waits for the answer to a job on behalf of one caller, and reports whether
+// there is one. Otherwise the caller has disconnected.
+func (d *Dispatcher) awaitAnswer(ctx context.Context, j *job) (platform.Answer, bool) {
 	select {
 	case a := <-j.answer:
 		// Other callers may wait for the same answer.
 		j.answer <- a
-		platform.WriteAnswer(w, a)
-		d.metrics.recordAnswer(r.Context(), a, clock.SinceBoot()-now)
-	case <-r.Context().Done():
+		return a, true
+	case <-ctx.Done():
 		d.removeCaller(j)
+		return platform.Answer{}, false
 	}
 }
 
@@ -187,23 +175,41 @@
 func (d *Dispatcher) admit(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.admitLocked(spec, route, caller, now, deadline)
+}
+
+// admitLocked is admit, called with the lock held.
+func (d *Dispatcher) admitLocked(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
+	j, arrived, err := d.arrive(spec, route, caller, now, deadline)
+	if !arrived || err != nil {
+		return j, err
+	}
+	return d.admitNew(j, now)
+}
+
+// arrive returns a new job and true, or a job that needs no admission and false: the
+// running one with the same ID, or a new one that was given up.
+func (d *Dispatcher) arrive(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, bool, error) {
 	if j, found := d.jobs[spec.ID]; found {
 		d.log.Info("job: resubmitted while it runs", zap.String("job", spec.ID))
 		j.callerCount++
-		return j, nil
+		return j, false, nil
 	}
 	if d.refusingJobs.Load() {
-		return nil, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", spec.ID)
+		return nil, false, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", spec.ID)
 	}
 	j := newJob(d.estimates, spec, route, now, deadline)
 	j.callerCount, j.caller = 1, caller
-	if d.judge(j, now) {
-		return j, nil
-	}
+	return j, !d.judge(j, now), nil
+}
+
+// admitNew admits or refuses a new job.
+func (d *Dispatcher) admitNew(j *job, now time.Duration) (*job, error) {
+	id, route := j.spec.ID, j.route.Name
 	d.load.Add(j.queuedMilliCPU(), now)
-	d.contention.callers.Seen(caller, now)
-	if d.contention.refusedJobs.Returned(spec.ID, now) {
-		d.metrics.recordReturn(d.runCtx, route.Name)
+	d.contention.callers.Seen(j.caller, now)
+	if d.contention.refusedJobs.Returned(id, now) {
+		d.metrics.recordReturn(d.runCtx, route)
 	}
 	if err := d.checkServable(j, now); err != nil {
 		// A need that exceeds every usable endpoint, however huge, is no load.
@@ -224,12 +230,12 @@
 		d.finish(j, platform.Answer{Code: result.StillRunning})
 		return j, nil
 	}
-	d.jobs[spec.ID] = j
+	d.jobs[id] = j
 	d.addWaiting(j)
 	d.countAdmitted(j, now)
-	d.metrics.recordAdmission(d.runCtx, route.Name)
-	d.log.Info("job: admitted", zap.String("job", spec.ID), zap.String("route", route.Name),
-		zap.Int("tasks", spec.TaskCount()), zap.Duration("objective", j.objective), zap.Duration("wait", deadline-now))
+	d.metrics.recordAdmission(d.runCtx, route)
+	d.log.Info("job: admitted", zap.String("job", id), zap.String("route", route),
+		zap.Int("tasks", j.spec.TaskCount()), zap.Duration("objective", j.objective), zap.Duration("wait", j.deadline-now))
 	d.requestPass(now)
 	return j, nil
 }
@@ -239,6 +245,11 @@
 func (d *Dispatcher) removeCaller(j *job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.removeCallerLocked(j)
+}
+
+// removeCallerLocked is removeCaller, called with the lock held.
+func (d *Dispatcher) removeCallerLocked(j *job) {
 	j.callerCount--
 	if j.callerCount > 0 || j.answered {
 		return
@@ -261,10 +272,14 @@
 	_ = json.NewEncoder(w).Encode(platform.QueueLength{Waiting: n})
 }
 
-// handleCancel cancels a job that runs here.
+// handleCancel cancels a job that runs here or was forwarded from here.
 func (d *Dispatcher) handleCancel(w http.ResponseWriter, id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.cancelForwarded(id) {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
 	j, found := d.jobs[id]
 	if !found {
 		w.WriteHeader(http.StatusGone)
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -67,13 +67,15 @@
 type wantedConnections struct {
 	links []directory.Link
 	peers []directory.Node
+	// dispatchers are all that the directory knows.
+	dispatchers []directory.Node
 }
 
 func (d *Dispatcher) newWantedConnections() *wantedConnections {
 	dispatchers := d.directory.Nodes(directory.Dispatcher)
 	w := &wantedConnections{
 		links: directory.LinksOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner)),
-		peers: directory.PeersOf(d.settings.Name, dispatchers),
+		peers: directory.PeersOf(d.settings.Name, dispatchers), dispatchers: dispatchers,
 	}
 	for i := range w.links {
 		w.links[i].Runner.Revision = 0
@@ -87,6 +89,7 @@
 // updateConnections opens the wanted connections and closes the others. It
 // reports false if connections remain that it can't close yet.
 func (d *Dispatcher) updateConnections(ctx context.Context, connections map[directory.Node]context.CancelFunc, w *wantedConnections) bool {
+	d.updatePeers(w.dispatchers)
 	wanted := map[directory.Node]bool{}
 	for _, l := range w.links {
 		wanted[l.Runner] = true
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,8 +73,17 @@
 	// estimates predicts the run times of tasks.
 	estimates   *estimate.Model
 	usualSpeeds usualSpeeds
+	// handover is the state of forwarding jobs.
+	handover handoverState
+	// forwardClient holds the connections on which jobs are forwarded, and forwards
+	// counts the calls.
+	forwardClient *http.Client
+	forwards      sync.WaitGroup
 	// runCtx ends with the process.
 	runCtx context.Context
+	// InjectLateness, if set, replaces the measured lateness of ticks. Tests set it before
+	// Run.
+	InjectLateness func() time.Duration
 }
 
 // New returns a dispatcher with valid settings on a network. It fails only if
@@ -100,6 +109,8 @@
 		meanTaskDuration: initialMeanTaskDuration,
 		contention:       newContention(),
 		estimates:        estimate.New(),
+		handover:         newHandoverState(s),
+		forwardClient:    newForwardClient(n),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
@@ -136,6 +147,8 @@
 	stop()
 	process.CloseAll(servers)
 	running.Wait()
+	d.forwards.Wait()
+	d.forwardClient.CloseIdleConnections()
 	d.log.Info("dispatcher: stopped", zap.String("name", d.settings.Name))
 	return nil
 }
@@ -158,17 +171,21 @@
 
 // handleReadiness tells the load balancer whether to send new connections here.
 func (d *Dispatcher) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if d.shuttingDown.Load() || d.policy.Current() == nil || !d.hasUsableRunner() {
+	if !d.isReady(clock.SinceBoot()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-func (d *Dispatcher) hasUsableRunner() bool {
+func (d *Dispatcher) isReady(now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := clock.SinceBoot()
+	return !d.shuttingDown.Load() && d.policy.Current() != nil && d.hasUsableRunner(now) && !d.handover.readiness.Unready(now)
+}
+
+// hasUsableRunner is called with the lock held.
+func (d *Dispatcher) hasUsableRunner(now time.Duration) bool {
 	for _, r := range d.runners {
 		if r.usable(now) {
 			return true
@@ -195,6 +212,8 @@
 	HeavyCallers []admission.CallerDemand `json:"heavy_callers,omitempty"`
 	// Estimates is what is known about the run times of each route.
 	Estimates []estimate.RouteState `json:"estimates"`
+	// Handover describes the forwarding of jobs between dispatchers.
+	Handover HandoverState `json:"handover"`
 }
 
 // RunnerState describes one runner in the state dump.
@@ -221,7 +240,7 @@
 	now := clock.SinceBoot()
 	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
 		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates(now), Estimates: d.estimates.State()}
-	out.OverflowJobs = d.openOverflowJobs()
+	out.OverflowJobs, out.Handover = d.openOverflowJobs(), d.handoverStateDump(now)
 	for _, r := range d.runners {
 		out.Runners = append(out.Runners, RunnerState{
 			Name: r.node.Name, EndpointIncarnation: r.state.GetLife(), Usable: r.usable(now), TakesOverflow: r.takesOverflow(now),
@@ -262,8 +281,9 @@
 	time.Sleep(2 * tickInterval)
 }
 
+// openJobCount counts the jobs that are not answered, including forwarded ones.
 func (d *Dispatcher) openJobCount() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.jobs)
+	return len(d.jobs) + len(d.handover.forwarded)
 }
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -29,6 +29,11 @@
 	firstStart metric.Float64Histogram
 	// runTimeRatio is a job's run time over the caller's estimate or the prediction.
 	runTimeRatio metric.Float64Histogram
+	// handovers counts forwarded jobs by what became of them, handedOver those in flight
+	// that other dispatchers have forwarded, and lag is that of ticks.
+	handovers  metric.Int64Counter
+	handedOver metric.Int64UpDownCounter
+	lag        metric.Float64Gauge
 }
 
 func newMetrics(m metric.Meter) (*metrics, error) {
@@ -68,6 +73,15 @@
 	if out.overflow, err = m.Int64Counter("dispatcher_overflow_jobs"); err != nil {
 		return nil, err
 	}
+	if out.handovers, err = m.Int64Counter("dispatcher_handovers"); err != nil {
+		return nil, err
+	}
+	if out.handedOver, err = m.Int64UpDownCounter("dispatcher_handed_over_jobs"); err != nil {
+		return nil, err
+	}
+	if out.lag, err = m.Float64Gauge("dispatcher_lag_seconds", metric.WithUnit("s")); err != nil {
+		return nil, err
+	}
 	out.latency, err = m.Float64Histogram("dispatcher_answer_seconds", metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 4))
 	return out, err
@@ -113,6 +127,11 @@
 	}
 }
 
+// recordHandover counts a forwarded job by what became of it.
+func (m *metrics) recordHandover(ctx context.Context, outcome string) {
+	m.handovers.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // recordOverflow counts a job that is admitted as overflow.
 func (m *metrics) recordOverflow(ctx context.Context, route string) {
 	m.overflow.Add(ctx, 1, routeAttribute(route))
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +48,12 @@
 // function that closes the connection.
 func newPeerClient(n network.Network, address string) (pomelosillv1connect.PeerServiceClient, func()) {
 	c := process.NewStreamClient(n)
-	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)), c.CloseIdleConnections
+	return newPeerServiceClient(c, address), c.CloseIdleConnections
+}
+
+// newPeerServiceClient returns a client that uses the connections of c.
+func newPeerServiceClient(c *http.Client, address string) pomelosillv1connect.PeerServiceClient {
+	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
 }
 
 // maintainPeerStream keeps a stream to another dispatcher until ctx ends.
@@ -172,6 +178,9 @@
 	d := g.dispatcher
 	digest, version := d.directory.Summary()
 	f := &pb.GossipFrame{Dispatcher: d.settings.Name, PolicyRevision: d.policy.Revision(), DirectoryDigest: digest}
+	d.mu.Lock()
+	f.LagUs, f.Load = d.ownReport(clock.SinceBoot())
+	d.mu.Unlock()
 	f.Crashes, g.sentCrashes = d.encodeCrashes(g.sentCrashes)
 	if s := d.policy.Current(); s != nil && d.policy.Age() >= storePropagationDelay && g.peerRevision.advance(s.Revision) {
 		f.Policy = codec.Encode(s)
@@ -213,11 +222,13 @@
 		nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
 	}
 	g.dispatcher.directory.Merge(nodes)
+	g.dispatcher.mu.Lock()
+	now := clock.SinceBoot()
+	g.dispatcher.reportPeer(f.GetDispatcher(), f.GetLagUs(), f.GetLoad(), now)
 	if len(f.GetCrashes()) > 0 {
-		g.dispatcher.mu.Lock()
-		g.dispatcher.applyCrashes(f.GetCrashes(), clock.SinceBoot())
-		g.dispatcher.mu.Unlock()
+		g.dispatcher.applyCrashes(f.GetCrashes(), now)
 	}
+	g.dispatcher.mu.Unlock()
 	g.peerDigest.Store(f.GetDirectoryDigest())
 	select {
 	case g.received <- struct{}{}:
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -109,7 +109,7 @@
 // being refused.
 func TestJobAtStartingDispatcherWaits(t *testing.T) {
 	sys := newSystem(t, systemOptions{dispatchers: 1, endpoints: 2, runDuration: constantDuration(20 * time.Millisecond)})
-	sys.addDispatcher(1)
+	sys.addDispatcher(1, systemOptions{})
 	d := sys.dispatchers[1]
 	var status int
 	var body string
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -166,9 +166,14 @@
 
 // runTicks handles everything that depends on time, until ctx ends.
 func (d *Dispatcher) runTicks(ctx context.Context) {
-	for clock.Sleep(ctx, tickInterval) {
+	for {
+		due := clock.SinceBoot() + tickInterval
+		if !clock.Sleep(ctx, tickInterval) {
+			return
+		}
 		d.mu.Lock()
 		now := clock.SinceBoot()
+		d.recordTick(now-due, now)
 		for _, r := range d.runners {
 			r.closeIfSilent(now)
 			d.dropRunsOfLostRunner(r, now)
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/settings"
@@ -15,6 +16,19 @@
 	Ready string `json:"ready"`
 	// Peer is the address for the other dispatchers' streams.
 	Peer string `json:"peer"`
+	// ProcessorCores is the CPU time in cores that the process may use, zero if it is
+	// unknown. With a small share, the dispatcher forwards jobs to others while it is
+	// starved.
+	ProcessorCores float64 `json:"processor_cores"`
+}
+
+// maxForwardingCores is the share of CPU time from which on a dispatcher forwards no
+// jobs: only small shares were seen to be exhausted.
+const maxForwardingCores = 0.25
+
+// forwards reports whether the dispatcher may forward jobs.
+func (s *Settings) forwards() bool {
+	return s.ProcessorCores > 0 && s.ProcessorCores < maxForwardingCores
 }
 
 // DefaultSettings returns the values of settings that are not in the file.
@@ -29,6 +43,9 @@
 
 // Validate implements settings.Settings.
 func (s *Settings) Validate() error {
+	if !(s.ProcessorCores >= 0) || math.IsInf(s.ProcessorCores, 0) {
+		return settings.BadValue("processor_cores", "must not be negative")
+	}
 	return s.Check(minLeaseMax, minGrace, settings.RequiredField{Field: "listen", Value: s.Listen},
 		settings.RequiredField{Field: "ready", Value: s.Ready}, settings.RequiredField{Field: "peer", Value: s.Peer})
 }
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,9 +52,12 @@
 
 // dispatcherProcess is a running dispatcher.
 type dispatcherProcess struct {
-	callerAddress, readyAddress string
-	stop                        context.CancelFunc
-	done                        chan struct{}
+	*dispatch.Dispatcher
+	callerAddress, readyAddress, peerAddress string
+	stop                                     context.CancelFunc
+	done                                     chan struct{}
+	// lateness is the injected lateness of its ticks: a busy machine has no effect on it.
+	lateness atomic.Int64
 }
 
 func eventually(condition func() bool) bool {
@@ -71,6 +75,8 @@
 	runDuration func(workload.RunID) time.Duration
 	// configureEndpoint may change an endpoint before its start.
 	configureEndpoint func(*platformtest.Endpoint)
+	// configureDispatcher may change a dispatcher before its start.
+	configureDispatcher func(int, *dispatch.Settings)
 }
 
 func newSystem(t *testing.T, o systemOptions) *testSystem {
@@ -91,7 +97,7 @@
 		sys.addEndpoint(i, o)
 	}
 	for i := range o.dispatchers {
-		sys.addDispatcher(i)
+		sys.addDispatcher(i, o)
 	}
 	for _, d := range sys.dispatchers {
 		sys.waitReady(d)
@@ -150,16 +156,22 @@
 	}
 }
 
-func (sys *testSystem) addDispatcher(i int) {
+func (sys *testSystem) addDispatcher(i int, o systemOptions) {
 	s := dispatch.DefaultSettings()
 	s.Name, s.Store = fmt.Sprintf("dis-%d", i), sys.storeAddress
 	s.Listen, s.Ready, s.Peer = fleet.FreeAddress(sys.t), fleet.FreeAddress(sys.t), fleet.FreeAddress(sys.t)
 	s.Grace = settings.Duration(2 * time.Second)
+	if o.configureDispatcher != nil {
+		o.configureDispatcher(i, &s)
+	}
 	must.NoError(sys.t, s.Validate())
 	d, err := dispatch.New(network.TCP, &s, sys.logger)
 	must.NoError(sys.t, err)
-	stop, done := sys.run(d.Run)
-	sys.dispatchers = append(sys.dispatchers, &dispatcherProcess{callerAddress: s.Listen, readyAddress: s.Ready, stop: stop, done: done})
+	p := &dispatcherProcess{Dispatcher: d, callerAddress: s.Listen, readyAddress: s.Ready, peerAddress: s.Peer}
+	d.ForwardAll()
+	d.InjectLateness = func() time.Duration { return time.Duration(p.lateness.Load()) }
+	p.stop, p.done = sys.run(d.Run)
+	sys.dispatchers = append(sys.dispatchers, p)
 }
 
 func (sys *testSystem) run(run func(context.Context) error) (context.CancelFunc, chan struct{}) {
