--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -197,6 +197,30 @@
 	}
 }
 
+// Operators must find the metrics under the names that docs/OPERATIONS.md lists.
+func TestHandoverMetrics(t *testing.T) {
+	d, _ := newServingDispatcher(t)
+	d.starve(standIn(t, replyWith(&pb.SubmitReply{Code: proto.Uint32(0)})))
+	d.recordTick(time.Millisecond, clock.SinceBoot())
+	_, f, err := d.submit(newSubmission(t, d, time.Minute), clock.SinceBoot())
+	must.NoError(t, err)
+	<-f.ended
+	taking := newTakingDispatcher(t)
+	must.True(t, taking.take(&pb.SubmitRequest{}, clock.SinceBoot()))
+	must.StrContains(t, metricsOf(d), "dispatcher_handovers_total{outcome=\"answered\"} 1\n")
+	must.StrContains(t, metricsOf(d), "\ndispatcher_lag_seconds 0.")
+	must.StrContains(t, metricsOf(taking), "\ndispatcher_handed_over_jobs 1\n")
+}
+
+// metricsOf returns the metrics page.
+func metricsOf(d *Dispatcher) string {
+	mux := http.NewServeMux()
+	d.debug.Mount(mux, func() any { return nil })
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return w.Body.String()
+}
+
 // FuzzSubmit serves forwarded jobs with arbitrary content. None may end the process or
 // leave a job behind after the connection of its sender has closed.
 func FuzzSubmit(f *testing.F) {
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -185,5 +187,6 @@
 			out.Peers = append(out.Peers, HandoverPeer{Name: name, LagMS: milliseconds(p.Lag), Load: p.Load, AgeMS: (now - p.ReportedAt).Milliseconds()})
 		}
 	}
+	slices.SortFunc(out.Peers, func(a, b HandoverPeer) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
