Simulation: every second dispatcher forwards jobs half of the time

The checks of the simulation didn't cover forwarded jobs. Every second dispatcher now has a small share of CPU time, and its ticks are late in one half of each six seconds; simulated time has no lateness of its own. The test demands that jobs were forwarded; no check is changed.

--- a/test/simulate/cluster.go
+++ b/test/simulate/cluster.go
@@ -251,6 +251,28 @@
 	}
 }
 
+const (
+	// smallShare is the CPU time of the dispatchers that may forward jobs, in cores.
+	smallShare = 0.2
+	// starvedLateness is the lateness of their ticks while they are starved, which is the
+	// case in one half of each starvedPeriod.
+	starvedLateness = 100 * time.Millisecond
+	starvedPeriod   = 6 * time.Second
+)
+
+// forwards reports whether a dispatcher may forward jobs: every second one, so that
+// starved dispatchers choose idle peers and starved ones.
+func forwards(dispatcher int) bool { return dispatcher%2 == 0 }
+
+// injectedLateness returns the present lateness of the ticks of dispatchers that may forward
+// jobs. Simulated time has no lateness of its own.
+func injectedLateness() time.Duration {
+	if clock.SinceBoot()%starvedPeriod < starvedPeriod/2 {
+		return starvedLateness
+	}
+	return 0
+}
+
 func (c *cluster) addDispatcher(i int) {
 	name := fmt.Sprintf("dis-%d", i)
 	listen := name + ":1"
@@ -258,8 +280,14 @@
 		s := dispatch.DefaultSettings()
 		s.Name, s.Listen, s.Ready, s.Peer, s.Store = name, listen, name+":2", name+":3", storeAddress
 		s.Grace = settings.Duration(grace)
+		if forwards(i) {
+			s.ProcessorCores = smallShare
+		}
 		d, err := dispatch.New(n, &s, log)
 		must.NoError(c.t, err)
+		if forwards(i) {
+			d.InjectLateness = injectedLateness
+		}
 		return d.Run
 	})
 	c.dispatchers = append(c.dispatchers, p)
--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -3,10 +3,13 @@
 import (
 	"flag"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/pomelosill/pomelosill/test/caller"
 	"github.com/pomelosill/pomelosill/test/faultinject"
 )
@@ -40,9 +43,14 @@
 )
 
 func TestSimulated(t *testing.T) {
+	forwarded := 0
 	faultinject.RunSeeds(t, failedSeeds, *firstSeed, *seedCount, func(t *testing.T, seed uint64) {
-		synctest.Test(t, func(t *testing.T) { runSeed(t, seed, randomSize) })
+		synctest.Test(t, func(t *testing.T) { forwarded += runSeed(t, seed, randomSize) })
 	})
+	t.Logf("%d jobs were forwarded", forwarded)
+	if *seedCount > 0 {
+		must.Positive(t, forwarded, must.Sprint("no job was forwarded"))
+	}
 }
 
 // fleetCrashSeeds always run: with them jobs crash endpoints, and not all dispatchers
@@ -59,10 +67,12 @@
 	})
 }
 
-func runSeed(t *testing.T, seed uint64, chooseSize func(*rand.Rand) size) {
+// runSeed returns the number of jobs that were forwarded between dispatchers.
+func runSeed(t *testing.T, seed uint64, chooseSize func(*rand.Rand) size) int {
 	c := newCluster(t, seed, chooseSize)
 	defer c.close()
 	c.runScenario(t, seed, nil)
+	return strings.Count(c.log.String(), `"job: handed over"`)
 }
 
 // runScenario runs the load and the faults of a seed.
