--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -187,9 +187,15 @@
 
 // runTicks handles everything that depends on time, until ctx ends.
 func (d *Dispatcher) runTicks(ctx context.Context) {
-	for clock.Sleep(ctx, tickInterval) {
+	for {
+		due := clock.SinceBoot() + tickInterval
+		if !clock.Sleep(ctx, tickInterval) {
+			return
+		}
 		d.mu.Lock()
-		d.tick(clock.SinceBoot())
+		now := clock.SinceBoot()
+		d.recordTick(now-due, now)
+		d.tick(now)
 		d.mu.Unlock()
 	}
 }
