Admission: a caller with few recent jobs is not taken for one that floods

Cause: jobs of a route differ by orders of magnitude, so that one large job gave its caller more than twice the mean demand. Change: a caller is compared from eight recent jobs on. Tests: TestCallerExcess adds the same demand in eight jobs and checks fewer as well. TestOverflowJobsAreNoDemandOfTheirCallers gives its caller many jobs first, and still fails if overflow jobs count.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -158,10 +158,14 @@
 // A caller must be compared with all callers, and only if there are others.
 func TestCallerExcess(t *testing.T) {
 	c := NewCallers()
-	c.Add("heavy", Work{MilliCPUSeconds: 8000}, 0)
+	for i := range minCallerJobs {
+		must.Eq(t, 0, c.Excess("heavy", Population{MilliCPU: 4000, Callers: 2}, 0), must.Sprint("too few jobs: ", i))
+		c.Add("heavy", Work{MilliCPUSeconds: 8000.0 / minCallerJobs}, 0)
+	}
 	must.Eq(t, 2, c.Excess("heavy", Population{MilliCPU: 4000, Callers: 2}, 0))
 	must.Eq(t, 0, c.Excess("heavy", Population{MilliCPU: 4000, Callers: 1.9}, 0), must.Sprint("no others"))
 	must.Eq(t, 0, c.Excess("heavy", Population{Callers: 9}, 0))
+	must.Eq(t, 0, c.Excess("heavy", Population{MilliCPU: 4000, Callers: 2}, time.Second), must.Sprint("too few of the jobs are recent"))
 	must.Eq(t, 0, c.Excess("unknown", Population{MilliCPU: 1, Callers: 2}, 0))
 	must.Eq(t, []CallerDemand{{"heavy", 4}}, c.Over(Population{MilliCPU: 2000, Callers: 2}, 0))
 	for i := range maxCallers {
--- a/internal/admission/callers.go
+++ b/internal/admission/callers.go
@@ -18,6 +18,10 @@
 	// caller is refused first under contention. Callers differ by nature; one that
 	// uses twice as much as the mean or less is not taken for the cause.
 	maxCallerExcess = 2.0
+	// minCallerJobs is the number of recent jobs from which a caller is compared. Jobs
+	// differ by orders of magnitude: with fewer, a single large job would make its caller
+	// one that floods.
+	minCallerJobs = 8
 )
 
 // Callers measures the admitted work of each recent caller. It addresses a caller
@@ -27,11 +31,11 @@
 	known *recent[callerDemand]
 }
 
-// callerDemand is the admitted work of a caller at the time of its update, decaying
-// as in Demand.
+// callerDemand is the admitted work of a caller, and the number of its jobs, at the time
+// of its update, decaying as in Demand.
 type callerDemand struct {
-	work      float64
-	updatedAt time.Duration
+	work, jobs float64
+	updatedAt  time.Duration
 }
 
 // CallerDemand is a caller's demand over the mean of all callers.
@@ -51,7 +55,9 @@
 // Add counts admitted work of a caller.
 func (c *Callers) Add(caller string, w Work, now time.Duration) {
 	v := &c.known.touch(caller, now).value
-	v.work = v.at(now) + Bounded(w.MilliCPUSeconds)
+	weight := decay(now - v.updatedAt)
+	v.work = v.work*weight + Bounded(w.MilliCPUSeconds)
+	v.jobs = v.jobs*weight + 1
 	v.updatedAt = now
 }
 
@@ -102,12 +108,11 @@
 	return over
 }
 
-func (v *callerDemand) at(now time.Duration) float64 { return v.work * decay(now-v.updatedAt) }
-
+// excess returns the demand over the mean of the population, zero if either is unknown.
 func (v *callerDemand) excess(p Population, now time.Duration) float64 {
-	mean := p.mean()
-	if mean <= 0 {
+	mean, weight := p.mean(), decay(now-v.updatedAt)
+	if mean <= 0 || v.jobs*weight < minCallerJobs {
 		return 0
 	}
-	return v.at(now) / demandTimeConstant.Seconds() / mean
+	return v.work * weight / demandTimeConstant.Seconds() / mean
 }
--- a/internal/dispatch/overflow_test.go
+++ b/internal/dispatch/overflow_test.go
@@ -137,8 +137,12 @@
 // which doesn't include these jobs.
 func TestOverflowJobsAreNoDemandOfTheirCallers(t *testing.T) {
 	sys := newOverflowSystem(t)
-	sys.mustAdmit()
 	now := clock.SinceBoot()
+	// A caller with few jobs is not compared with others.
+	for range 100 {
+		sys.d.contention.callers.Add("caller", admission.Work{}, now)
+	}
+	sys.mustAdmit()
 	must.Eq(t, 0, sys.d.contention.demand.Rate(now).Total())
 	must.Eq(t, 0, sys.d.contention.callers.Excess("caller", admission.Population{MilliCPU: 1000, Callers: 2}, now))
 }
