Handover: a single pause no longer starves a process with little slack

One tick counted for up to 200 ms, which adds 8 ms to the lag. With a low slack below 80 ms the limit is lower, so one pause of the process marked it as starved and it forwarded jobs. One tick now adds at most the limit.

TestSinglePauseDoesNotStarve now also runs with slacks of 1 ms, 50 ms and 1 s; without the change it failed with 1 ms.

--- a/internal/handover/controller.go
+++ b/internal/handover/controller.go
@@ -32,8 +32,8 @@
 // Tick records a tick that began late, at a process whose jobs have a low slack, and
 // reports whether the process entered or left the starved state.
 func (c *Controller) Tick(late, lowSlack time.Duration) bool {
-	c.lag.add(late)
 	before, limit := c.starved, maxLag(lowSlack)
+	c.lag.add(late, limit)
 	if c.starved {
 		c.starved = float64(c.lag.value()) >= stopFraction*float64(limit)
 	} else {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -14,10 +14,12 @@
 
 // A single pause of the process must not make it forward jobs.
 func TestSinglePauseDoesNotStarve(t *testing.T) {
-	var c Controller
-	must.False(t, c.Tick(10*time.Second, 0))
-	must.False(t, c.Starved())
-	must.Eq(t, 0, c.Fraction())
+	for _, slack := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, time.Second} {
+		var c Controller
+		must.False(t, c.Tick(10*time.Second, slack), must.Sprint(slack))
+		must.False(t, c.Starved())
+		must.Eq(t, 0, c.Fraction())
+	}
 }
 
 // The state must not change at each tick while the lag is near the limit, which is 10 ms
--- a/internal/handover/lag.go
+++ b/internal/handover/lag.go
@@ -21,9 +21,10 @@
 // lag is a moving average of how much later than due the ticks of a process begin.
 type lag struct{ mean float64 }
 
-// add records a tick that began late.
-func (l *lag) add(late time.Duration) {
-	late = min(max(late, 0), maxTickLateness)
+// add records a tick that began late. limit is the lag above which the process is starved.
+// One tick adds at most that much, as a pause of maxTickLateness exceeds a limit below 8 ms.
+func (l *lag) add(late, limit time.Duration) {
+	late = min(max(late, 0), maxTickLateness, time.Duration(float64(limit)/lagWeight))
 	l.mean += lagWeight * (float64(late) - l.mean)
 }
 
