Forwarding: a reply that declines and has a code is malformed

Such a reply contradicts itself, and the sender took it as declined and started a job that may have run at the peer. Its outcome is now unknown, so that the caller is answered as for a job that may have run.

The new case of TestOutcomesOfForwardedJobs failed without the change.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -134,12 +134,13 @@
 	return forwardUnknown
 }
 
-// outcomeOfReply returns the outcome of a reply, which is unknown if it is malformed.
+// outcomeOfReply returns the outcome of a reply, which is unknown if it is malformed. One
+// that declines and has a code contradicts itself: the job may have run.
 func outcomeOfReply(m *pb.SubmitReply) forwardOutcome {
 	switch {
-	case m.GetDeclined():
+	case m.GetDeclined() && m.Code == nil:
 		return forwardDeclined
-	case m.Code == nil, !result.Known(result.Code(m.GetCode())):
+	case m.GetDeclined(), m.Code == nil, !result.Known(result.Code(m.GetCode())):
 		return forwardUnknown
 	}
 	return forwardAnswered
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -103,6 +103,7 @@
 		"broken connection": {standIn(t, abort), stillRunning},
 		"no answer":         {standIn(t, silent), stillRunning},
 		"empty reply":       {standIn(t, replyWith(&pb.SubmitReply{})), stillRunning},
+		"declined answer":   {standIn(t, replyWith(&pb.SubmitReply{Declined: true, Code: code(result.OK)})), stillRunning},
 		"unknown code":      {standIn(t, replyWith(&pb.SubmitReply{Code: proto.Uint32(1 << 31)})), stillRunning},
 		"absurd delay":      {standIn(t, replyWith(&pb.SubmitReply{Code: code(result.Overloaded), RetryAfterUs: 1 << 62})), &platform.Answer{Code: result.Overloaded, RetryAfter: time.Minute}},
 	} {
