Forwarding: jobs of callers that wait less than a round trip stay here

The slack that decides on forwarding ignored when the caller stops waiting. The slack is now at most the rest of the wait.

TestJobsOfImpatientCallersAreNotForwarded failed without the change.

--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -164,6 +164,18 @@
 	}
 }
 
+// A job whose caller stops waiting before a peer can answer must be admitted here.
+// Forwarded, it would be answered as one that may have run.
+func TestJobsOfImpatientCallersAreNotForwarded(t *testing.T) {
+	for wait, want := range map[time.Duration]bool{5 * time.Millisecond: false, time.Second: true} {
+		d, _ := newServingDispatcher(t)
+		d.starve("a:1")
+		now := clock.SinceBoot()
+		_, chosen := d.choosePeer(newJob(d.estimates, newSubmission(t, d, wait).spec, &d.policy.Current().Config.Routes[0], now, now+wait), now)
+		must.Eq(t, want, chosen, must.Sprint(wait))
+	}
+}
+
 // newTakingDispatcher returns a dispatcher with an idle runner.
 func newTakingDispatcher(t testing.TB) *Dispatcher {
 	d, r := newServingDispatcher(t)
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -101,7 +101,9 @@
 	if !h.enabled {
 		return directory.Node{}, false
 	}
-	arriving := handover.Job{Suspect: j.suspect || j.mayHaveRun, Slack: j.urgency().Slack(now)}
+	// A job that outlasts its caller's wait at the peer is answered as one that may have run.
+	slack := min(j.urgency().Slack(now), j.deadline-now)
+	arriving := handover.Job{Suspect: j.suspect || j.mayHaveRun, Slack: slack}
 	if !h.controller.Forward(arriving, h.random()) {
 		return directory.Node{}, false
 	}
