Placement, admission, handover: one constant for the part of the slack that waiting may use

The 0.6 stood in placement and in admission, and its complement 0.4 in handover. All three now follow placement.MaxSlackFraction; the values are the same.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -12,10 +12,8 @@
 	// at least, whatever the demand of the levels before it. Dispatchers and runners
 	// order queued work accordingly.
 	minShare = placement.MinLevelShare
-	// maxSlackFraction is the fraction of a job's slack that waiting behind the
-	// backlog may use. The rest is for the error of the estimates.
-	maxSlackFraction = 0.6
-	// returningSlackFraction is that for a job that returns after it was refused.
+	// returningSlackFraction replaces placement.MaxSlackFraction for a job that returns
+	// after it was refused.
 	returningSlackFraction = 1.0
 	// contentionFraction of its limit is the wait from which a job's level is under
 	// contention.
@@ -114,7 +112,7 @@
 	if lowSlack > 0 {
 		slack = min(slack, lowSlack)
 	}
-	fraction := maxSlackFraction
+	fraction := placement.MaxSlackFraction
 	if j.Returned {
 		fraction = returningSlackFraction
 	}
--- a/internal/handover/lag.go
+++ b/internal/handover/lag.go
@@ -36,7 +36,7 @@
 	handlingsPerJob = 4
 	// slackFraction is the part of a job's slack that admission leaves for the
 	// handling. Admission lets a job wait for the rest.
-	slackFraction = 0.4
+	slackFraction = 1 - placement.MaxSlackFraction
 	// stopFraction is the part of the limit below which a process is no longer starved.
 	// Without it, a lag near the limit would change the state at each tick.
 	stopFraction = 0.5
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -134,9 +134,10 @@
 }
 
 const (
-	// maxSlackFraction is the fraction of a job's slack that waiting behind the
-	// backlog may use.
-	maxSlackFraction = 0.6
+	// MaxSlackFraction is the fraction of a job's slack that waiting behind the
+	// backlog may use. The rest is for the handling of the job and for the error of
+	// the estimates.
+	MaxSlackFraction = 0.6
 	// maxWait is the longest backlog that any job is admitted behind: with a
 	// longer one, jobs with little slack would bear all of the overload.
 	maxWait = 55 * time.Millisecond
@@ -146,6 +147,6 @@
 // backlog. Under overload, excess jobs are refused at once so that the admitted
 // ones are answered in time.
 func Admit(u *Urgency, b Backlog, now time.Duration) bool {
-	limit := time.Duration(maxSlackFraction * float64(max(u.Slack(now), 0)))
+	limit := time.Duration(MaxSlackFraction * float64(max(u.Slack(now), 0)))
 	return b.Wait() <= min(limit, maxWait)
 }
