--- a/internal/capacity/rating.go
+++ b/internal/capacity/rating.go
@@ -11,10 +11,9 @@
 	// ratingWeight is the least weight of the first counted run of a job in the mean.
 	// With it, a change of the speed is followed within some 60 runs.
 	ratingWeight = 1.0 / 32
-	// priorRuns is the weight of the assumed speed 1, in runs. At minRatedRuns it has
-	// a third of the weight. With a first weight of 1/32 it still had 0.6: endpoints of
-	// speed 0.6 were rated 0.8, and jobs that miss their objective there were placed
-	// there beside free endpoints.
+	// priorRuns is the weight of the assumed speed 1, in runs. It has a third of the
+	// weight when the rating is first used, after minRatedRuns. With more, slow endpoints
+	// would be rated too fast, and jobs placed there would miss their objective.
 	priorRuns = 8
 	// maxRatingDeviation is the factor around the mean so far within which one
 	// run counts: one job in 33 takes seven times as long as estimated.
