Dispatchers: bound messages from other dispatchers; a caller's timeout excludes no peer

Cause: a message was held in memory whole before any limit applied, so that one of some hundred megabytes ended a process of 184 MB. A forwarded job that lasted until its caller stopped waiting excluded its peer for a second, and many such jobs all peers. Change: 8 MB a message, and no exclusion for a call that ended with the caller's time. Test: TestOversizedForwardedJobIsRefused. Without a test: the exclusion.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/admission"
@@ -163,7 +164,7 @@
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(platform.PatternReady, d.handleReadiness)
 	peerMux := http.NewServeMux()
-	peerMux.Handle(pomelosillv1connect.NewPeerServiceHandler(d, process.WithoutCompression()))
+	peerMux.Handle(pomelosillv1connect.NewPeerServiceHandler(d, process.WithoutCompression(), connect.WithReadMaxBytes(maxPeerMessageBytes)))
 	debugMux := http.NewServeMux()
 	d.debug.Mount(debugMux, func() any { return d.State() })
 	return process.ServeAll(ctx, d.network, []process.Binding{
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -161,7 +161,10 @@
 	}
 	d.metrics.recordHandover(d.runCtx, string(outcome))
 	if outcome != forwardAnswered {
-		d.handover.peers.Exclude(f.peer.Name, now)
+		// A call that ends with the caller's time says nothing about the peer.
+		if connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+			d.handover.peers.Exclude(f.peer.Name, now)
+		}
 		d.log.Info("job: not answered by the peer", zap.String("job", f.job.spec.ID), zap.String("peer", f.peer.Name),
 			zap.String("outcome", string(outcome)), zap.Error(err))
 	}
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -154,6 +154,16 @@
 	must.True(t, eventually(func() bool { return sys.running() == 0 }))
 }
 
+// An oversized message must be refused before it is held in memory and decoded.
+func TestOversizedForwardedJobIsRefused(t *testing.T) {
+	sys := newForwardingSystem(t, time.Hour)
+	client := pomelosillv1connect.NewPeerServiceClient(process.NewStreamClient(network.TCP), "http://"+sys.dispatchers[1].peerAddress)
+	_, err := client.Submit(t.Context(), connect.NewRequest(&pb.SubmitRequest{
+		Dispatcher: "x", Host: callerHost, Path: "/p/" + jobID(1), Body: make([]byte, 9<<20), WaitUs: 10e6,
+	}))
+	must.Eq(t, connect.CodeResourceExhausted, connect.CodeOf(err))
+}
+
 // Both dispatchers must answer the jobs in flight when one of them shuts down.
 func TestShutdownAnswersForwardedJobs(t *testing.T) {
 	for i, name := range []string{"sender", "peer"} {
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -24,6 +24,10 @@
 	// open a stream.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 400 * time.Millisecond
+	// maxPeerMessageBytes bounds a message from another dispatcher, which is held in memory
+	// before it is decoded. The largest are the records of a whole directory of 11,000
+	// processes, 200 bytes each, and a policy of up to a megabyte.
+	maxPeerMessageBytes = 8 << 20
 	// handshakeTimeout bounds the wait for the first frame of a connection.
 	handshakeTimeout = 700 * time.Millisecond
 	// gossipInterval is the time between two frames between dispatchers.
@@ -53,7 +57,7 @@
 
 // newPeerServiceClient returns a client that uses the connections of c.
 func newPeerServiceClient(c *http.Client, address string) pomelosillv1connect.PeerServiceClient {
-	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+	return pomelosillv1connect.NewPeerServiceClient(c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxPeerMessageBytes))
 }
 
 // maintainPeerStream keeps a stream to another dispatcher until ctx ends.
