Forwarding tests: deadlines count from now

Cause: TestForwardingNeedsASmallShareOfCPUTime gave its job a deadline of one hour after the start of the machine. Since the deadline bounds the slack, it failed on a machine that had run for longer. Change: one hour from now; what is checked is the same.

--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -159,7 +159,8 @@
 		d, _ := newServingDispatcher(t)
 		d.starve("a:1")
 		d.handover.enabled = (&Settings{ProcessorCores: cores}).forwards()
-		_, chosen := d.choosePeer(newJob(d.estimates, newSubmission(t, d, time.Second).spec, &d.policy.Current().Config.Routes[0], clock.SinceBoot(), time.Hour), clock.SinceBoot())
+		now := clock.SinceBoot()
+		_, chosen := d.choosePeer(newJob(d.estimates, newSubmission(t, d, time.Second).spec, &d.policy.Current().Config.Routes[0], now, now+time.Hour), now)
 		must.Eq(t, want, chosen, must.Sprint(cores))
 	}
 }
