--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -56,6 +56,9 @@
 	runTime time.Duration
 }
 
+// step returns the step of the job that the task belongs to.
+func (t *task) step() *workload.Step { return &t.job.spec.Steps[t.id.Step] }
+
 func (t *task) runID() workload.RunID { return workload.RunID{Task: t.name, Attempt: t.attempt} }
 
 // job is an admitted job that has not been answered.
--- a/internal/dispatch/priority.go
+++ b/internal/dispatch/priority.go
@@ -50,8 +50,7 @@
 
 // work returns the work of one run of the task.
 func (t *task) work() float64 {
-	step := &t.job.spec.Steps[t.id.Step]
-	return placement.TaskWork(step.Resources, step.Estimate)
+	return placement.TaskWork(t.step().Resources, t.step().Estimate)
 }
 
 // noteStart records when the run of the event was started, if it has ended with a
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -149,22 +149,9 @@
 		t.attempt++
 		t.state, t.runnerName, t.placedAt, t.moving = taskPlaced, r.node.Name, now, false
 		t.contained = area == placement.Inside
-		step := &j.spec.Steps[t.id.Step]
-		order := &pb.RunOrder{
-			Run:        runref.Encode(t.runID()),
-			Service:    j.route.Service,
-			CpuMilli:   uint64(step.Resources.MilliCPU),
-			MemoryMb:   uint64(step.Resources.MemoryMB),
-			Gpus:       uint64(step.Resources.GPUs),
-			EstimateUs: step.Estimate.Microseconds(),
-			PatienceUs: placement.RunnerWait(wait, t.redirects).Microseconds(),
-			Number:     r.reserve(step.Resources, now),
-			SlackUs:    slack.Microseconds(),
-			Route:      j.route.Name,
-			Contained:  t.contained,
-			Priority:   uint32(level),
-			Overflow:   t.overflow,
-		}
+		order := newRunOrder(t, slack, level)
+		order.PatienceUs = placement.RunnerWait(wait, t.redirects).Microseconds()
+		order.Number = r.reserve(t.step().Resources, now)
 		if i == 0 {
 			order.Spec = j.spec.Spec
 		} else {
@@ -172,7 +159,7 @@
 		}
 		frame.Starts = append(frame.Starts, order)
 		r.runs[t.runID()] = t
-		d.updateMeanTaskDuration(step.Estimate)
+		d.updateMeanTaskDuration(t.step().Estimate)
 		d.countStarted(t, level, now)
 	}
 	if !j.hasQueuedTasks() {
@@ -185,6 +172,24 @@
 	r.outbox.Put(frame)
 }
 
+// newRunOrder returns the order of the task's next run, without the spec.
+func newRunOrder(t *task, slack time.Duration, level int) *pb.RunOrder {
+	step := t.step()
+	return &pb.RunOrder{
+		Run:        runref.Encode(t.runID()),
+		Service:    t.job.route.Service,
+		CpuMilli:   uint64(step.Resources.MilliCPU),
+		MemoryMb:   uint64(step.Resources.MemoryMB),
+		Gpus:       uint64(step.Resources.GPUs),
+		EstimateUs: step.Estimate.Microseconds(),
+		SlackUs:    slack.Microseconds(),
+		Route:      t.job.route.Name,
+		Contained:  t.contained,
+		Priority:   uint32(level),
+		Overflow:   t.overflow,
+	}
+}
+
 // runTicks handles everything that depends on time, until ctx ends.
 func (d *Dispatcher) runTicks(ctx context.Context) {
 	for {
