A forwarded job is cancelled 0.8 s after its sender went silent

The network of a dispatcher that forwarded was paused for 2.8 s. Its peer found the connection dead after up to 4 s only, while the callers return 1.3 s after they have lost theirs. Change: dispatchers ping silent connections of others after 0.4 s and close them after another 0.4 s without an answer. Test: TestSilentSenderCancelsForwardedJob, red before (4.0 s).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -170,7 +170,7 @@
 	return process.ServeAll(ctx, d.network, []process.Binding{
 		{Address: d.settings.Listen, Handler: http.HandlerFunc(d.handleCaller)},
 		{Address: d.settings.Ready, Handler: readyMux},
-		{Address: d.settings.Peer, Handler: peerMux},
+		{Address: d.settings.Peer, Handler: peerMux, PingTimeout: senderPingTimeout},
 		{Address: d.settings.Metrics, Handler: debugMux},
 	}, d.log)
 }
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,6 +155,27 @@
 	must.True(t, eventually(func() bool { return sys.running() == 0 }))
 }
 
+// A sender that is frozen or cut off closes no connection. The peer must stop the runs before
+// the callers send their jobs again elsewhere, where a second run would start beside them.
+func TestSilentSenderCancelsForwardedJob(t *testing.T) {
+	// bound is beyond the 0.8 s that it takes, for a busy machine, and below the 4 s that the
+	// usual pings would take.
+	const bound = 3 * time.Second
+	sys := newForwardingSystem(t, time.Hour)
+	tracked := &trackedNetwork{Network: network.TCP}
+	client := pomelosillv1connect.NewPeerServiceClient(process.NewStreamClient(tracked), "http://"+sys.dispatchers[1].peerAddress)
+	go func() {
+		_, _ = client.Submit(t.Context(), connect.NewRequest(&pb.SubmitRequest{
+			Dispatcher: "x", Host: callerHost, Path: "/p/" + jobID(1), Body: []byte(fmt.Sprintf(jobTemplate, 2, 5000)), WaitUs: 10e6,
+		}))
+	}()
+	must.True(t, eventually(func() bool { return sys.running() == 2 }))
+	tracked.silent.Store(true)
+	silentAt := time.Now()
+	must.True(t, eventually(func() bool { return sys.running() == 0 && sys.dispatchers[1].State().Jobs == 0 }))
+	must.Less(t, bound, time.Since(silentAt))
+}
+
 // An oversized message must be refused before it is held in memory and decoded.
 func TestOversizedForwardedJobIsRefused(t *testing.T) {
 	sys := newForwardingSystem(t, time.Hour)
@@ -219,11 +241,26 @@
 	sys.waitReady(sys.dispatchers[0])
 }
 
-// trackedNetwork closes its connections on request.
+// trackedNetwork closes its connections on request. While it is silent, what is written to
+// them is lost.
 type trackedNetwork struct {
 	network.Network
-	mu    sync.Mutex
-	conns []net.Conn
+	silent atomic.Bool
+	mu     sync.Mutex
+	conns  []net.Conn
+}
+
+// silentConn is a connection of a tracked network.
+type silentConn struct {
+	net.Conn
+	network *trackedNetwork
+}
+
+func (c silentConn) Write(p []byte) (int, error) {
+	if c.network.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
 }
 
 func (n *trackedNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -231,6 +268,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil {
+		c = silentConn{c, n}
 		n.conns = append(n.conns, c)
 	}
 	return c, err
--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -14,6 +14,13 @@
 	"github.com/pomelosill/pomelosill/platform"
 )
 
+// senderPingTimeout is how long the connection of a dispatcher that has forwarded jobs may be
+// silent before a ping is sent, and how long the answer may take. A sender that is frozen or cut
+// off is found after twice this time, and its jobs are cancelled: their callers send them again
+// elsewhere after 1.3 s, when no run may be left. Runners give up a dispatcher after a similar
+// silence.
+const senderPingTimeout = 400 * time.Millisecond
+
 // maxForwardedWait bounds how long a forwarded job's caller waits, so that the deadline
 // that is computed from it doesn't overflow.
 const maxForwardedWait = 24 * time.Hour
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -33,11 +33,9 @@
 	maxHeaderBytes = 16 << 10
 	// dialTimeout limits the time to open a connection.
 	dialTimeout = time.Second
-	// sendPingTimeout is how long an HTTP/2 connection may be silent before a
-	// ping is sent.
-	sendPingTimeout = 2 * time.Second
-	// pingTimeout closes a connection whose ping is not answered, and thereby
-	// ends every send that the peer does not read.
+	// pingTimeout is how long an HTTP/2 connection may be silent before a ping is
+	// sent, and closes it if the ping is not answered, and thereby ends every send
+	// that the peer does not read.
 	pingTimeout = 2 * time.Second
 )
 
@@ -144,14 +142,18 @@
 }
 
 // NewServer returns a server for HTTP/1 and unencrypted HTTP/2.
-func NewServer(h http.Handler) *http.Server {
+func NewServer(h http.Handler) *http.Server { return newServer(h, pingTimeout) }
+
+// newServer is NewServer with the timeout after which a silent HTTP/2 connection is sent a
+// ping, and after which it is closed if the ping is not answered.
+func newServer(h http.Handler, ping time.Duration) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           h,
 		Protocols:         &p,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: sendPingTimeout, PingTimeout: pingTimeout},
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: ping},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -1,8 +1,10 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
@@ -15,6 +17,9 @@
 type Binding struct {
 	Address string
 	Handler http.Handler
+	// PingTimeout is how long an HTTP/2 connection may be silent before a ping is sent,
+	// and how long the client may take to answer it. Zero means two seconds.
+	PingTimeout time.Duration
 }
 
 // ServeAll listens on every address and serves it until its server is closed.
@@ -31,7 +36,7 @@
 			CloseAll(servers)
 			return nil, err
 		}
-		server := NewServer(b.Handler)
+		server := newServer(b.Handler, cmp.Or(b.PingTimeout, pingTimeout))
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
