Names and comments: one term for one thing

Cause: forwarded jobs were taken, handed over and received; two packages each had a slowThreshold and a minRetryAfter with another meaning; recount, judge and spread needed an explanation; some comments told how a figure was found, or spoke of duties. Change: accepted and received for forwarded jobs (also in the state dump), slowSpeedRatio, minRandomRetryAfter, updateQueuedWork, applyCrashHistory, movingVariance; the weight of a tick follows from the interval of ticks, which stands once. Behaviour unchanged. Measured: tests of dispatch, handover, estimate, placement and capacity pass; no lint issues.

--- a/internal/capacity/rating.go
+++ b/internal/capacity/rating.go
@@ -16,7 +16,7 @@
 	// would be rated too fast, and jobs placed there would miss their objective.
 	priorRuns = 8
 	// maxRatingDeviation is the factor around the mean so far within which one
-	// run counts: one job in 33 takes seven times as long as estimated.
+	// run counts: a few jobs take many times as long as estimated.
 	maxRatingDeviation = 2.0
 	// minRatedRuns is the number of completed runs from which the rating is
 	// known.
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -26,14 +26,16 @@
 	// requests wait for its first policy. Reading it from the store takes a few
 	// milliseconds.
 	firstPolicyTimeout = 300 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the delay after which a refused
+	// minRandomRetryAfter and maxRandomRetryAfter bound the delay after which a refused
 	// caller may retry. The delay is random, so that callers refused together
 	// don't return together.
-	minRetryAfter = time.Second
-	maxRetryAfter = 4 * time.Second
+	minRandomRetryAfter = time.Second
+	maxRandomRetryAfter = 4 * time.Second
 )
 
-func randomRetryAfter() time.Duration { return minRetryAfter + rand.N(maxRetryAfter-minRetryAfter) }
+func randomRetryAfter() time.Duration {
+	return minRandomRetryAfter + rand.N(maxRandomRetryAfter-minRandomRetryAfter)
+}
 
 // handleCaller serves callers' requests.
 func (d *Dispatcher) handleCaller(w http.ResponseWriter, r *http.Request) {
@@ -200,7 +202,7 @@
 	}
 	j := newJob(d.estimates, spec, route, now, deadline)
 	j.callerCount, j.caller = 1, caller
-	return j, !d.judge(j, now), nil
+	return j, !d.applyCrashHistory(j, now), nil
 }
 
 // admitNew admits or refuses a new job.
--- a/internal/dispatch/contention.go
+++ b/internal/dispatch/contention.go
@@ -41,11 +41,11 @@
 	milliCPU float64
 }
 
-// recount updates the job's part of the queued work. Late unstarted jobs don't count:
+// updateQueuedWork updates the job's part of the queued work. Late unstarted jobs don't count:
 // an arriving job doesn't wait for them. It must be called after each change of the
 // job's queued tasks or of its presence in d.waiting. A job that becomes late, or whose
 // level or area changes, is counted anew at the next tick.
-func (d *Dispatcher) recount(j *job, now time.Duration) {
+func (d *Dispatcher) updateQueuedWork(j *job, now time.Duration) {
 	waits := d.waiting[j.spec.ID] == j
 	if !waits && j.counted.milliCPU == 0 {
 		return
@@ -62,7 +62,7 @@
 // addWaiting adds a job with tasks that are not placed to the waiting jobs.
 func (d *Dispatcher) addWaiting(j *job) {
 	d.waiting[j.spec.ID] = j
-	d.recount(j, clock.SinceBoot())
+	d.updateQueuedWork(j, clock.SinceBoot())
 }
 
 // fleetSums are sums of the figures that runners report.
--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -124,7 +124,7 @@
 	must.Eq(t, result.Overloaded, (<-late.answer).Code)
 	d.applyPriorities(1, 0)
 	for _, j := range d.waiting {
-		d.recount(j, now)
+		d.updateQueuedWork(j, now)
 	}
 	must.Eq(t, 2000, d.contention.queued[placement.Anywhere].Total())
 	must.Eq(t, 1000, d.contention.queued[placement.Anywhere][1], must.Sprint("the configuration has swapped the priorities"))
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -28,26 +28,26 @@
 		d.log.Warn("crash: endpoint crashed", zap.String("runner", r.Runner), zap.String("life", r.Incarnation),
 			zap.Int("runs", len(added)), zap.Duration("ago", now-r.At))
 		for i := range added {
-			d.judgeRun(&added[i], now)
+			d.handleCrashedRun(&added[i], now)
 		}
 	}
 }
 
-// judgeRun judges the job of a run that was lost in a crash, if it is open here.
-func (d *Dispatcher) judgeRun(run *crash.Run, now time.Duration) {
+// handleCrashedRun judges the job of a run that was lost in a crash, if it is open here.
+func (d *Dispatcher) handleCrashedRun(run *crash.Run, now time.Duration) {
 	id, ok := workload.ParseTaskID(run.Task)
 	if !ok {
 		return
 	}
 	if j := d.jobs[id.Job]; j != nil && !j.answered {
-		d.judge(j, now)
+		d.applyCrashHistory(j, now)
 	}
 }
 
-// judge judges a job by the crashes under its tasks, and reports whether it was
+// applyCrashHistory judges a job by the crashes under its tasks, and reports whether it was
 // given up. Others may run contained from now on. A job that comes again, after its
 // tasks were in a crash elsewhere, has run.
-func (d *Dispatcher) judge(j *job, now time.Duration) bool {
+func (d *Dispatcher) applyCrashHistory(j *job, now time.Duration) bool {
 	worst, crashes, verdict := "", 0, crash.Unsuspected
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,6 +25,7 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	"github.com/pomelosill/pomelosill/internal/estimate"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
+	"github.com/pomelosill/pomelosill/internal/handover"
 	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
@@ -34,7 +35,7 @@
 )
 
 // tickInterval is the time between two checks of open jobs and lost runners.
-const tickInterval = 20 * time.Millisecond
+const tickInterval = handover.TickInterval
 
 // Dispatcher is a dispatcher process.
 type Dispatcher struct {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -201,7 +201,7 @@
 	f.answered = true
 	delete(d.handover.forwarded, f.job.spec.ID)
 	f.job.callerCount = f.callerCount
-	if d.judge(f.job, now) {
+	if d.applyCrashHistory(f.job, now) {
 		f.local = f.job
 	} else {
 		f.local, f.err = d.admitNew(f.job, now)
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// newTakingDispatcher returns a dispatcher with an idle runner.
-func newTakingDispatcher(t testing.TB) *Dispatcher {
+// newAcceptingDispatcher returns a dispatcher with an idle runner.
+func newAcceptingDispatcher(t testing.TB) *Dispatcher {
 	d, r := newServingDispatcher(t)
 	d.onFrame(r, r.outbox, &pb.RunnerFrame{State: &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}})
 	return d
@@ -191,22 +191,22 @@
 		"shutting down": func(d *Dispatcher, _ *pb.SubmitRequest) { d.shuttingDown.Store(true) },
 		"not ready":     func(d *Dispatcher, _ *pb.SubmitRequest) { d.runners["r-0"].state.Ready = false },
 		"older policy":  func(_ *Dispatcher, m *pb.SubmitRequest) { m.PolicyRevision = 2 },
-		"too many":      func(d *Dispatcher, _ *pb.SubmitRequest) { d.handover.taken["d-1"] = maxTakenPerSender },
+		"too many":      func(d *Dispatcher, _ *pb.SubmitRequest) { d.handover.received["d-1"] = maxReceivedPerSender },
 		"forwarded from here": func(d *Dispatcher, _ *pb.SubmitRequest) {
 			d.handover.forwarded["0000000000000001"] = &forwardedJob{}
 		},
 	} {
-		d := newTakingDispatcher(t)
+		d := newAcceptingDispatcher(t)
 		m := &pb.SubmitRequest{Dispatcher: "d-1", PolicyRevision: 1, Path: "/p/0000000000000001", Body: []byte(forwardedBody), WaitUs: 1e6}
 		change(d, m)
-		before := d.handover.taken["d-1"]
+		before := d.handover.received["d-1"]
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		response, err := d.Submit(ctx, connect.NewRequest(m))
 		cancel()
 		must.NoError(t, err, must.Sprint(name))
 		must.True(t, response.Msg.GetDeclined(), must.Sprint(name))
 		must.MapLen(t, 0, d.jobs, must.Sprint(name))
-		must.Eq(t, before, d.handover.taken["d-1"], must.Sprint(name))
+		must.Eq(t, before, d.handover.received["d-1"], must.Sprint(name))
 	}
 }
 
@@ -218,11 +218,11 @@
 	_, f, err := d.submit(newSubmission(t, d, time.Minute), clock.SinceBoot())
 	must.NoError(t, err)
 	<-f.ended
-	taking := newTakingDispatcher(t)
-	must.True(t, taking.take(&pb.SubmitRequest{}, clock.SinceBoot()))
+	accepting := newAcceptingDispatcher(t)
+	must.True(t, accepting.acceptForwarded(&pb.SubmitRequest{}, clock.SinceBoot()))
 	must.StrContains(t, metricsOf(d), "dispatcher_handovers_total{outcome=\"answered\"} 1\n")
 	must.StrContains(t, metricsOf(d), "\ndispatcher_lag_seconds 0.")
-	must.StrContains(t, metricsOf(taking), "\ndispatcher_handed_over_jobs 1\n")
+	must.StrContains(t, metricsOf(accepting), "\ndispatcher_handed_over_jobs 1\n")
 }
 
 // metricsOf returns the metrics page.
@@ -250,7 +250,7 @@
 		if proto.Unmarshal(data, m) != nil {
 			return
 		}
-		d := newTakingDispatcher(t)
+		d := newAcceptingDispatcher(t)
 		ctx, disconnect := context.WithCancel(t.Context())
 		disconnect()
 		response, err := d.Submit(ctx, connect.NewRequest(m))
@@ -258,6 +258,6 @@
 			must.NotEq(t, uint32(result.OK), response.Msg.GetCode())
 		}
 		must.MapLen(t, 0, d.jobs)
-		must.MapLen(t, 0, d.handover.taken)
+		must.MapLen(t, 0, d.handover.received)
 	})
 }
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -17,7 +17,7 @@
 // in flight. The dispatcher's lock guards it.
 type handoverState struct {
 	// enabled is set if jobs may be forwarded. The lag is measured in any case: it decides
-	// whether forwarded jobs are taken.
+	// whether forwarded jobs are accepted.
 	enabled    bool
 	controller handover.Controller
 	readiness  handover.Readiness
@@ -27,14 +27,14 @@
 	names  []string
 	// forwarded holds the jobs that were forwarded and are not answered, by ID.
 	forwarded map[string]*forwardedJob
-	// taken counts the jobs in flight that other dispatchers have forwarded, by sender.
-	taken map[string]int
+	// received counts the jobs in flight that other dispatchers have forwarded, by sender.
+	received map[string]int
 	// random returns a number in [0, 1).
 	random func() float64
 }
 
 func newHandoverState(s *Settings) handoverState {
-	return handoverState{enabled: s.forwards(), forwarded: map[string]*forwardedJob{}, taken: map[string]int{}, random: rand.Float64}
+	return handoverState{enabled: s.forwards(), forwarded: map[string]*forwardedJob{}, received: map[string]int{}, random: rand.Float64}
 }
 
 // lowSlack returns the smallest of the levels' low slacks, zero while it is unknown. It
@@ -114,34 +114,34 @@
 	return h.others[i], true
 }
 
-// maxTakenPerSender bounds the forwarded jobs in flight from one dispatcher, so that a
+// maxReceivedPerSender bounds the forwarded jobs in flight from one dispatcher, so that a
 // starved dispatcher with many callers can't fill a peer.
-const maxTakenPerSender = 64
+const maxReceivedPerSender = 64
 
-// take reports whether a forwarded job is taken, and counts it if so: there is CPU time
+// acceptForwarded reports whether a forwarded job is accepted, and counts it if so: there is CPU time
 // to spare, and the dispatcher is in service.
-func (d *Dispatcher) take(m *pb.SubmitRequest, now time.Duration) bool {
+func (d *Dispatcher) acceptForwarded(m *pb.SubmitRequest, now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := &d.handover
 	switch {
 	case h.controller.Starved(), d.shuttingDown.Load(), d.policy.Current() == nil, !d.hasUsableRunner(now):
 		return false
-	case m.GetPolicyRevision() > d.policy.Revision(), h.taken[m.GetDispatcher()] >= maxTakenPerSender:
+	case m.GetPolicyRevision() > d.policy.Revision(), h.received[m.GetDispatcher()] >= maxReceivedPerSender:
 		return false
 	}
-	h.taken[m.GetDispatcher()]++
+	h.received[m.GetDispatcher()]++
 	d.metrics.handedOver.Add(d.runCtx, 1)
 	return true
 }
 
-// release ends the count of a job that was taken.
-func (d *Dispatcher) release(sender string) {
+// releaseForwarded ends the count of a job that was accepted.
+func (d *Dispatcher) releaseForwarded(sender string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h := &d.handover
-	if h.taken[sender]--; h.taken[sender] == 0 {
-		delete(h.taken, sender)
+	if h.received[sender]--; h.received[sender] == 0 {
+		delete(h.received, sender)
 	}
 	d.metrics.handedOver.Add(d.runCtx, -1)
 }
@@ -154,10 +154,10 @@
 	LagMS float64 `json:"lag_ms"`
 	// Fraction is the fraction of arriving jobs to forward.
 	Fraction float64 `json:"fraction"`
-	// Forwarded is the number of forwarded jobs in flight, and Taken that of jobs in
+	// Forwarded is the number of forwarded jobs in flight, and Received that of jobs in
 	// flight that others have forwarded.
 	Forwarded int `json:"forwarded"`
-	Taken     int `json:"taken"`
+	Received  int `json:"received"`
 	// Peers are the other dispatchers that have reported their lag.
 	Peers []HandoverPeer `json:"peers,omitempty"`
 }
@@ -181,8 +181,8 @@
 		Enabled: h.enabled, Starved: h.controller.Starved(), LagMS: milliseconds(h.controller.Lag()),
 		Fraction: h.controller.Fraction(), Forwarded: len(h.forwarded),
 	}
-	for _, n := range h.taken {
-		out.Taken += n
+	for _, n := range h.received {
+		out.Received += n
 	}
 	for name, p := range h.peers.Known(now) {
 		if p.Reported {
--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -25,16 +25,16 @@
 // that is computed from it doesn't overflow.
 const maxForwardedWait = 24 * time.Hour
 
-// errDeclined means that a forwarded job is not taken.
+// errDeclined means that a forwarded job is not accepted.
 var errDeclined = errors.New("forwarded job declined")
 
 // Submit serves a job that another dispatcher has forwarded. It implements PeerService.
 func (d *Dispatcher) Submit(ctx context.Context, request *connect.Request[pb.SubmitRequest]) (*connect.Response[pb.SubmitReply], error) {
 	m := request.Msg
-	if !d.take(m, clock.SinceBoot()) {
+	if !d.acceptForwarded(m, clock.SinceBoot()) {
 		return d.newReply(&pb.SubmitReply{Declined: true}), nil
 	}
-	defer d.release(m.GetDispatcher())
+	defer d.releaseForwarded(m.GetDispatcher())
 	j, refusal, err := d.admitForwarded(ctx, m)
 	switch {
 	case errors.Is(err, errDeclined):
@@ -70,16 +70,16 @@
 		wait := min(m.GetWaitUs(), maxForwardedWait.Microseconds())
 		s.deadline = now + time.Duration(wait)*time.Microsecond
 		var j *job
-		if j, err = d.admitTaken(s, now); err == nil || errors.Is(err, errDeclined) {
+		if j, err = d.admitAccepted(s, now); err == nil || errors.Is(err, errDeclined) {
 			return j, platform.Answer{}, err
 		}
 	}
 	return nil, d.newRefusal(ctx, m.GetPath(), s.routeName(), err), err
 }
 
-// admitTaken admits a forwarded job, or declines it if it was forwarded from here: if
+// admitAccepted admits a forwarded job, or declines it if it was forwarded from here: if
 // each of two dispatchers waited for the other's answer, none would come.
-func (d *Dispatcher) admitTaken(s *submission, now time.Duration) (*job, error) {
+func (d *Dispatcher) admitAccepted(s *submission, now time.Duration) (*job, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.handover.forwarded[s.spec.ID] != nil {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -165,7 +165,7 @@
 	if !j.hasQueuedTasks() {
 		delete(d.waiting, j.spec.ID)
 	}
-	d.recount(j, now)
+	d.updateQueuedWork(j, now)
 	d.metrics.orders.Add(d.runCtx, int64(len(tasks)))
 	d.log.Info("job: tasks placed", zap.String("job", j.spec.ID), zap.String("runner", r.node.Name), zap.Int("tasks", len(tasks)),
 		zap.Uint64("attempt", tasks[0].attempt), zap.Duration("age", now-j.arrivedAt), zap.Float64("speed", r.speed()))
@@ -227,7 +227,7 @@
 func (d *Dispatcher) expireJobs(now time.Duration) {
 	firstInTime := d.firstLevelInTime(now)
 	for _, j := range d.jobs {
-		d.recount(j, now)
+		d.updateQueuedWork(j, now)
 		d.expireJob(j, firstInTime, now)
 	}
 }
@@ -272,7 +272,7 @@
 	d.recordFirstStart(j)
 	delete(d.jobs, j.spec.ID)
 	delete(d.waiting, j.spec.ID)
-	d.recount(j, clock.SinceBoot())
+	d.updateQueuedWork(j, clock.SinceBoot())
 	for _, t := range j.placedTasks() {
 		d.stopRun(t)
 	}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -23,7 +23,7 @@
 }
 
 // maxForwardingCores is the share of CPU time from which on a dispatcher forwards no
-// jobs: only small shares were seen to be exhausted.
+// jobs: it has CPU time for several times the jobs of an ordinary dispatcher.
 const maxForwardingCores = 0.25
 
 // forwards reports whether the dispatcher may forward jobs.
--- a/internal/estimate/route.go
+++ b/internal/estimate/route.go
@@ -32,17 +32,17 @@
 	// lastObserved is the model's number of samples at the route's last one.
 	lastObserved uint64
 	fit          regression
-	residuals    spread
+	residuals    movingVariance
 	// logRunTime is the moving mean of the logarithms of run times in seconds, and
 	// deviations are the samples' deviations from it.
 	logRunTime float64
-	deviations spread
+	deviations movingVariance
 }
 
 func newRoute() *route {
 	return &route{
 		fit:       regression{priorWeight: priorWeight},
-		residuals: spread{variance: initialResidualVariance}, deviations: spread{variance: initialRunTimeVariance},
+		residuals: movingVariance{variance: initialResidualVariance}, deviations: movingVariance{variance: initialRunTimeVariance},
 	}
 }
 
@@ -132,8 +132,8 @@
 	// clipped. With 2, the variance of normally distributed values is measured 10 %
 	// too low.
 	clipDeviations = 2
-	// spreadWeight is the weight of one value in the variance.
-	spreadWeight = 1.0 / 64
+	// varianceWeight is the weight of one value in the variance.
+	varianceWeight = 1.0 / 64
 	// initialResidualVariance is that of the logarithm of run time over the callers'
 	// estimates as measured (a standard deviation of 0.45).
 	initialResidualVariance = 0.2
@@ -145,17 +145,17 @@
 	maxVariance = 1
 )
 
-// spread is the moving variance of deviations.
-type spread struct{ variance float64 }
+// movingVariance is the exponentially weighted variance of deviations.
+type movingVariance struct{ variance float64 }
 
-func (s *spread) deviation() float64 { return math.Sqrt(s.variance) }
+func (s *movingVariance) deviation() float64 { return math.Sqrt(s.variance) }
 
 // clip adds a deviation to the variance and returns it, clipped. After a change,
 // when most deviations are clipped, the variance and with it the limit grows.
-func (s *spread) clip(deviation float64) float64 {
+func (s *movingVariance) clip(deviation float64) float64 {
 	limit := clipDeviations * s.deviation()
 	clipped := min(max(deviation, -limit), limit)
-	s.variance += spreadWeight * (clipped*clipped - s.variance)
+	s.variance += varianceWeight * (clipped*clipped - s.variance)
 	s.variance = min(max(s.variance, minVariance), maxVariance)
 	return clipped
 }
--- a/internal/handover/lag.go
+++ b/internal/handover/lag.go
@@ -13,9 +13,12 @@
 	// maxTickLateness bounds what one tick adds to the lag, so that a single pause of
 	// the process doesn't mark it as starved.
 	maxTickLateness = 200 * time.Millisecond
-	// lagWeight is the weight of one tick in the lag: at 20 ms between ticks, the lag is
-	// an average over about the last 0.5 s.
-	lagWeight = 20.0 / 500
+	// TickInterval is the time between two ticks of a process, and lagPeriod about the time
+	// over which the lag is an average.
+	TickInterval = 20 * time.Millisecond
+	lagPeriod    = 500 * time.Millisecond
+	// lagWeight is the weight of one tick in the lag.
+	lagWeight = float64(TickInterval) / float64(lagPeriod)
 )
 
 // lag is a moving average of how much later than due the ticks of a process begin.
--- a/internal/handover/readiness.go
+++ b/internal/handover/readiness.go
@@ -9,7 +9,7 @@
 	unreadyDelay    = time.Second
 	// maxUnready is how long a process reports not ready in any unreadyWindow. A load
 	// balancer uses all dispatchers of a failure domain if fewer than half are ready, and
-	// a dispatcher that is often not ready counts as failed in its duty.
+	// one that is often not ready is taken for broken by its operators.
 	maxUnready    = unreadyWindow / 10
 	unreadyWindow = 30 * time.Second
 )
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// slowThreshold is the fraction of the median speed below which an endpoint is
+	// slowSpeedRatio is the fraction of the median speed below which an endpoint is
 	// used only after the faster ones, and the fraction of its usual speed below
 	// which an endpoint is judged by its present speed.
-	slowThreshold = 0.6
+	slowSpeedRatio = 0.6
 	// nearlyEqualSpeed is the factor within which speeds count as equal: learned
 	// speeds of equal endpoints differ by some percent.
 	nearlyEqualSpeed = 1.25
@@ -18,7 +18,7 @@
 	// just outside of it is still nearly equal to the median.
 	usualSpeed = 1.2
 	// slowestTask is the run time of a job's slowest task over that of its median
-	// task, as measured: 1.2 in nine of ten jobs, 1.5 in the others.
+	// task, in most jobs.
 	slowestTask = 1.2
 	// spareFit is how many like jobs must fit at faster endpoints, at each at most
 	// one, before slower ones are left out although the job meets its objective there.
@@ -35,7 +35,7 @@
 // become slow, as the measured speed shows.
 func EffectiveSpeed(rated, measured float64) float64 {
 	speed := measured
-	if rated > 0 && measured >= slowThreshold*rated {
+	if rated > 0 && measured >= slowSpeedRatio*rated {
 		speed = rated
 	}
 	if math.IsNaN(speed) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -121,7 +121,7 @@
 		return tierAvoided
 	case !e.Healthy:
 		return tierProbe
-	case e.speeds().relative < slowThreshold:
+	case e.speeds().relative < slowSpeedRatio:
 		return tierSlow
 	}
 	return tierPreferred
