--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -47,6 +47,13 @@
 	return newFixtureTB(t, generation, old)
 }
 
+// newServingFixture returns the first owner of a cell, which serves, with one agent.
+func newServingFixture(t *testing.T) (*fixture, *fakeLink) {
+	f := newFixture(t, 1, AgentList{})
+	f.cell.AcceptOwnership(f.now)
+	return f, f.attach("e-1", "i1")
+}
+
 func newFixtureTB(t testing.TB, generation uint64, old AgentList) *fixture {
 	f := &fixture{t: t, now: time.Now()}
 	d := control.NewDocument(control.Member{ID: "e1", Address: "127.0.0.1:1"}, 1, "op")
@@ -128,9 +135,7 @@
 }
 
 func TestResubmissionStartsNothingAgain(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	id := f.newID(0)
 	first := f.submit(id, 3, 7)
 	starts := l.drainStarts()
@@ -187,9 +192,7 @@
 }
 
 func TestMayHaveStarted(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	id := f.newID(0)
 	must.False(t, f.cell.MayHaveStarted(sched.Key(id)))
 	f.submit(id, 1, 1)
@@ -204,9 +207,7 @@
 		"deadline":  func(f *fixture, _ []byte) { f.tick(26 * time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, 1, AgentList{})
-			f.cell.AcceptOwnership(f.now)
-			l := f.attach("e-1", "i1")
+			f, l := newServingFixture(t)
 			id := f.newID(0)
 			got := f.submit(id, 20, 7)
 			starts := l.drainStarts()
@@ -245,9 +246,7 @@
 }
 
 func TestClosedCellRepliesNotOwner(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	got := f.submit(f.newID(0), 1, 7)
 	starts := l.drainStarts()
 	f.cell.Close()
--- a/internal/cell/endpoint_test.go
+++ b/internal/cell/endpoint_test.go
@@ -10,9 +10,7 @@
 )
 
 func TestReattachedAgentStartsNoTaskTwice(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	id := f.newID(0)
 	got := f.submit(id, 2, 7)
 	must.Len(t, 2, l.drainStarts())
@@ -33,9 +31,7 @@
 // An agent that lost its stream just before the owner was paused could not attach
 // meanwhile. Its running tasks must not be given up when the owner goes on.
 func TestAgentIsNotLostInAPauseOfTheOwner(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	id := f.newID(0)
 	got := f.submit(id, 1, 7)
 	f.cell.Detach("e-1", l, f.now)
@@ -48,9 +44,7 @@
 }
 
 func TestAgentRestartMakesOutcomesUnknown(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	got := f.submit(f.newID(0), 1, 7)
 	must.Len(t, 1, l.drainStarts())
 	f.attach("e-1", "i2")
@@ -61,9 +55,7 @@
 }
 
 func TestLateAndDuplicateOutcomesAreIgnored(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	got := f.submit(f.newID(0), 2, 7)
 	starts := l.drainStarts()
 	f.reportOutcomes(l, starts[1:], result.OK)
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -155,9 +155,7 @@
 // another body that gets the answers of the job that was started under the ID,
 // or starts its own tasks in it.
 func TestRecordsOfAnotherBodyConflict(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	id := f.newID(time.Second)
 	f.submit(id, 2, 7)
 	starts := l.drainStarts()
--- a/internal/cell/unknown_test.go
+++ b/internal/cell/unknown_test.go
@@ -29,9 +29,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := newFixture(t, 1, AgentList{})
-			f.cell.AcceptOwnership(f.now)
-			l := f.attach("e-1", "i1")
+			f, l := newServingFixture(t)
 			id := f.newID(0)
 			got := f.submit(id, 2, 7)
 			must.Len(t, 2, l.drainStarts())
@@ -47,9 +45,7 @@
 // start. One task is known to have started and the outcome of the other is
 // unknown, so the answer must say that the job has started.
 func TestAnswerReportsKnownStart(t *testing.T) {
-	f := newFixture(t, 1, AgentList{})
-	f.cell.AcceptOwnership(f.now)
-	l := f.attach("e-1", "i1")
+	f, l := newServingFixture(t)
 	got := f.submit(f.newID(0), 2, 7)
 	starts := l.drainStarts()
 	must.Len(t, 2, starts)
