Review, case 2: a cancel through another front is acknowledged and ignored

Tried: a DELETE whose channel is reset and whose retry reaches another front than the one that has the job.

--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -17,6 +17,7 @@
 
 var cases = map[int]func(*fleet) (verdict, error){
 	1: foreignHeartbeat,
+	2: cancelElsewhere,
 }
 
 // runCase runs one case and returns its exit status.
