Review, case 3: an endpoint that is back as another kind gets waiting tasks

Tried: under load, one of eight endpoints is killed and started again at once, as kind b instead of a; all tasks require the label a.

--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -18,6 +18,7 @@
 var cases = map[int]func(*fleet) (verdict, error){
 	1: foreignHeartbeat,
 	2: cancelElsewhere,
+	3: otherKind,
 }
 
 // runCase runs one case and returns its exit status.
