Review, case 4: a job whose route was removed can't be cancelled

Tried: a configuration removes the route of a running job; the job is then cancelled at the front that has it, each second, for ack_timeout_ms.

--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -19,6 +19,7 @@
 	1: foreignHeartbeat,
 	2: cancelElsewhere,
 	3: otherKind,
+	4: cancelOnDroppedRoute,
 }
 
 // runCase runs one case and returns its exit status.
@@ -59,7 +60,7 @@
 // startFleet starts fronts on the hosts 1 and up and sides with their endpoints on the
 // hosts 11 and up, and waits until they serve.
 func (f *fleet) startFleet(fronts, sides int, zone func(i int) string, labels string) (front, side, endpoints []*process, err error) {
-	f.configure()
+	f.configure(false)
 	var hosts []int
 	for i := range fronts {
 		p, err := f.startFront(1 + i)
--- a/review/standin/case2.go
+++ b/review/standin/case2.go
@@ -44,7 +44,7 @@
 	f.rec.printf("client: the cancelling of %s is acknowledged", id)
 	<-answered
 	time.Sleep(300 * time.Millisecond)
-	return f.afterCancel(acked), nil
+	return f.afterCancel(acked.Add(cancelTime)), nil
 }
 
 // callAndReset opens a channel to a front and resets it before the request is sent.
@@ -59,20 +59,18 @@
 	f.rec.printf("client: DELETE %s to front-%d: the channel is reset", id, host)
 }
 
-// afterCancel judges UNASKED: a task that starts later than cancel_ms after the
-// cancelling was acknowledged, or runs on then.
-func (f *fleet) afterCancel(acked time.Time) verdict {
+// afterCancel judges UNASKED: a task that starts after the limit, or runs on then.
+func (f *fleet) afterCancel(limit time.Time) verdict {
 	started, running := 0, 0
-	limit := acked.Add(cancelTime)
 	for _, r := range f.runs() {
 		switch {
 		case r.Start.After(limit):
 			started++
-			f.rec.printf("UNASKED: %s attempt %d started at %s %s after the cancelling was acknowledged", r.Task, r.Attempt, r.Endpoint, r.Start.Sub(acked).Round(time.Millisecond))
+			f.rec.printf("UNASKED: %s attempt %d started at %s %s after the limit", r.Task, r.Attempt, r.Endpoint, r.Start.Sub(limit).Round(time.Millisecond))
 		case r.End.After(limit.Add(50 * time.Millisecond)):
 			running++
-			f.rec.printf("UNASKED: %s attempt %d ran on at %s until %s after the cancelling was acknowledged", r.Task, r.Attempt, r.Endpoint, r.End.Sub(acked).Round(time.Millisecond))
+			f.rec.printf("UNASKED: %s attempt %d ran on at %s until %s after the limit", r.Task, r.Attempt, r.Endpoint, r.End.Sub(limit).Round(time.Millisecond))
 		}
 	}
-	return verdict{broken: started+running > 0, text: fmt.Sprintf("%d tasks started and %d ran on later than %s after the acknowledged cancelling", started, running, cancelTime)}
+	return verdict{broken: started+running > 0, text: fmt.Sprintf("%d tasks of the cancelled job started and %d ran on after the limit", started, running)}
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -215,17 +215,22 @@
 	prefix      = "/lohu930/"
 )
 
-// configure writes the configuration as the operator does.
-func (f *fleet) configure() {
+// configure writes the configuration as the operator does, without the route of the
+// jobs if it is dropped.
+func (f *fleet) configure(dropped bool) {
 	route := func(name, prefix string, priority, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": hostName, "prefix": prefix, "kind": "unsafe", "timeout_ms": 1500,
 			"target_latency_ms": 60, "priority": priority, "service": serviceName, "max_attempts": attempts, "stretch": 1.6,
 		}
 	}
+	routes := []any{route("r-73hh2b9", "/pule252/", 1, 3), route("r-d3zji9n", "/pufi791/", 2, 2)}
+	if !dropped {
+		routes = append(routes, route("r-wrr6x73", prefix, 0, 2))
+	}
 	text, _ := json.Marshal(map[string]any{
 		"version": f.version,
-		"routes":  []any{route("r-wrr6x73", prefix, 0, 2), route("r-73hh2b9", "/pule252/", 1, 3), route("r-d3zji9n", "/pufi791/", 2, 2)},
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": serviceName, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
 			"cold_start_s": 0.0, "cold_per_s": 0.0, "rejects_overload": false, "spare": false,
@@ -233,7 +238,7 @@
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	f.store.put("op/config", text)
-	f.rec.printf("operator: configuration %d acknowledged", f.version)
+	f.rec.printf("operator: configuration %d acknowledged, %d routes", f.version, len(routes))
 	f.version += 3
 }
 
