Runner: a heartbeat of another process doesn't end a live endpoint's session

Cause: a heartbeat with another identity and a later start counted as proof that the endpoint's process had ended. Its runs were reported as lost and started again elsewhere, while they went on.

Change: such a heartbeat names a candidate. The session ends when the process before is proved to have ended (connection refused, another process answers, its lease has expired) or has never answered. One for a service that isn't configured is refused.

--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -301,7 +301,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	heartbeat := func(startedAtMS int64) int64 {
-		r.applyEndpointHeartbeat(&workload.Endpoint{ID: "e", Address: "127.0.0.1:1", StartedAtMS: startedAtMS})
+		r.applyEndpointHeartbeat(&workload.Endpoint{ID: "e", Address: "127.0.0.1:1", StartedAtMS: startedAtMS}, clock.SinceBoot())
 		return r.session.endpoint.StartedAtMS
 	}
 	must.Eq(t, math.MaxInt64, heartbeat(math.MaxInt64))
--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -27,30 +27,42 @@
 		return
 	}
 	r.mu.Lock()
-	r.applyEndpointHeartbeat(ep)
+	refused := r.applyEndpointHeartbeat(ep, clock.SinceBoot())
 	r.mu.Unlock()
+	if refused {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = io.WriteString(w, "{}")
 }
 
-// applyEndpointHeartbeat applies a decoded heartbeat unless a newer one is
-// known. The caller holds r.mu.
-func (r *Runner) applyEndpointHeartbeat(ep *workload.Endpoint) {
+// applyEndpointHeartbeat applies a decoded heartbeat unless a newer one is known. It
+// reports whether the heartbeat is refused, because its service is not configured while
+// that of the present endpoint is. The caller holds r.mu.
+func (r *Runner) applyEndpointHeartbeat(ep *workload.Endpoint, now time.Duration) (refused bool) {
 	s := r.session
 	switch {
-	case s != nil && s.endpoint.ID == ep.ID && s.endpoint.Address == ep.Address && ep.StartedAtMS > s.endpoint.StartedAtMS:
-		r.restartSession(s, ep, clock.SinceBoot())
-		s.setCapacity(ep.Capacity, clock.SinceBoot())
-	case s == nil || (s.endpoint.Incarnation() != ep.Incarnation() && (ep.Newer(s.endpoint) || s.gone(clock.SinceBoot()))):
+	case s == nil:
 		r.startSession(ep)
+	case r.isForeign(s, ep):
+		r.log.Warn("heartbeat: refused, its service is not configured", zap.String("life", ep.Incarnation()),
+			zap.String("service", ep.Service), zap.String("known", s.endpoint.Incarnation()))
+		return true
+	case s.endpoint.ID == ep.ID && s.endpoint.Address == ep.Address && ep.StartedAtMS > s.endpoint.StartedAtMS:
+		r.restartSession(s, ep, now)
+		s.setCapacity(ep.Capacity, now)
 	case s.endpoint.Incarnation() == ep.Incarnation() && ep.Newer(s.endpoint):
 		r.updateEndpoint(s, ep)
+	case s.endpoint.Incarnation() != ep.Incarnation() && (ep.Newer(s.endpoint) || s.gone(now) || !r.serves(s.endpoint.Service)):
+		r.replaceEndpoint(s, ep, now)
 	default:
 		r.log.Info("heartbeat: ignored, a newer one is known", zap.String("life", ep.Incarnation()),
 			zap.String("known", s.endpoint.Incarnation()), zap.Int64("sequence", ep.Sequence))
-		return
+		return false
 	}
 	r.markStateChanged()
+	return false
 }
 
 // maxHeartbeatDelay bounds the time that a heartbeat takes: its sender has given it up by
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -44,7 +44,9 @@
 	link     string
 	stop     context.CancelFunc
 	done     chan struct{}
-	sequence int64
+	// closeServer ends the endpoint's process: it refuses connections from then on.
+	closeServer func()
+	sequence    int64
 	// heartbeatInterval is the runner's setting, its default if zero.
 	heartbeatInterval settings.Duration
 }
@@ -66,6 +68,10 @@
 	server := httptest.NewServer(h.endpoint.Handler())
 	h.endpoint.ID = strings.TrimPrefix(server.URL, "http://")
 	h.endpoint.Init()
+	h.closeServer = func() {
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	}
 	t.Cleanup(func() {
 		h.stopRunner()
 		server.CloseClientConnections()
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -80,6 +80,7 @@
 	}
 	switch code {
 	case result.OK:
+		r.keepPlace(s, requestedAt)
 		r.applyRenewal(s, resp, requestedAt, now)
 		s.failingSince = 0
 	case result.StaleFence:
@@ -92,6 +93,7 @@
 			r.log.Warn("endpoint: process gone", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
 			r.processEnded(s, now)
 		}
+		r.startSuccessor(s)
 	default:
 		r.log.Debug("endpoint: renewal failed", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
 	}
@@ -146,4 +148,5 @@
 	r.log.Warn("endpoint: unreachable until its lease expired, runs lost", zap.String("life", s.endpoint.Incarnation()),
 		zap.Duration("silent", now-s.lastResponseAt), zap.Int("lost", s.tracker.RunCount()))
 	r.processUnreachable(s, now)
+	r.startSuccessor(s)
 }
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -80,6 +80,8 @@
 	// previousLeased whether its lease certainly lasted until then.
 	previousIncarnation string
 	previousLeased      bool
+	// successor is another process that sends heartbeats, nil if there is none.
+	successor *successor
 }
 
 // startSession starts the session of a new endpoint process and ends the
