Dispatcher: nothing is started for callers whose connections have ended

Cause: a request that lay unread in a dispatcher's socket when its connection was reset was admitted and its tasks were ordered, because the server reads the end of the connection later than the request. The caller had gone to another dispatcher. Likewise the lease of running jobs was extended before the end of a caller's connection had been read.

Change: the operating system is asked whether the connection has ended, before a job is admitted, forwarded or ordered, and before a heartbeat is echoed that extends the lease of its runs. Orders keep the echo that they were decided with.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -44,7 +44,7 @@
 		d.refuse(w, r, "", result.Errorf(result.NoPolicy, "no configuration received yet"))
 		return
 	}
-	s := &submission{caller: callerAddress(r), host: requestHost(r), path: r.URL.Path}
+	s := &submission{caller: callerAddress(r), connection: newCallerConn(r), host: requestHost(r), path: r.URL.Path}
 	if err := s.match(p); err != nil {
 		d.refuse(w, r, "", err)
 		return
@@ -173,22 +173,6 @@
 	}
 }
 
-// admit admits a job, or returns the running job with the same ID.
-func (d *Dispatcher) admit(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.admitLocked(spec, route, caller, now, deadline)
-}
-
-// admitLocked is admit, called with the lock held.
-func (d *Dispatcher) admitLocked(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
-	j, arrived, err := d.arrive(spec, route, caller, now, deadline)
-	if !arrived || err != nil {
-		return j, err
-	}
-	return d.admitNew(j, now)
-}
-
 // arrive returns a new job and true, or a job that needs no admission and false: the
 // running one with the same ID, or a new one that was given up.
 func (d *Dispatcher) arrive(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, bool, error) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -169,7 +169,7 @@
 	debugMux := http.NewServeMux()
 	d.debug.Mount(debugMux, func() any { return d.State() })
 	return process.ServeAll(ctx, d.network, []process.Binding{
-		{Address: d.settings.Listen, Handler: http.HandlerFunc(d.handleCaller)},
+		{Address: d.settings.Listen, Handler: http.HandlerFunc(d.handleCaller), ConnContext: withConn},
 		{Address: d.settings.Ready, Handler: readyMux},
 		{Address: d.settings.Peer, Handler: peerMux, PingTimeout: senderPingTimeout},
 		{Address: d.settings.Metrics, Handler: debugMux},
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -1,5 +1,24 @@
 package dispatch
 
+import (
+	"time"
+
+	"github.com/pomelosill/pomelosill/internal/policy"
+	"github.com/pomelosill/pomelosill/internal/workload"
+)
+
 // ForwardAll makes a starved dispatcher forward every job that may be forwarded, not only
 // the fraction that it has reached. It must be called before Run.
 func (d *Dispatcher) ForwardAll() { d.handover.random = func() float64 { return 0 } }
+
+// admit admits a job without a caller's connection, or returns the running job with the
+// same ID.
+func (d *Dispatcher) admit(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j, arrived, err := d.arrive(spec, route, caller, now, deadline)
+	if !arrived || err != nil {
+		return j, err
+	}
+	return d.admitNew(j, now)
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -94,6 +94,10 @@
 	answered bool
 	// callerCount is the number of requests that wait for the answer.
 	callerCount int
+	// connections are those of all callers so far; a closed one is not removed. At least
+	// one of them was open at openAt.
+	connections []callerConn
+	openAt      time.Duration
 	// caller is the network address of the first of them, without the port.
 	caller string
 	// lastLevel is the priority level of the route in the last configuration that had
--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -65,6 +65,7 @@
 // again. If it is refused, the answer for the caller is returned with the error.
 func (d *Dispatcher) admitForwarded(ctx context.Context, m *pb.SubmitRequest) (*job, platform.Answer, error) {
 	s, err := d.decodeForwarded(m)
+	s.connection = callerConn{done: ctx.Done()}
 	now := clock.SinceBoot()
 	if err == nil {
 		wait := min(m.GetWaitUs(), maxForwardedWait.Microseconds())
@@ -85,7 +86,15 @@
 	if d.handover.forwarded[s.spec.ID] != nil {
 		return nil, errDeclined
 	}
-	return d.admitLocked(s.spec, s.route, s.caller, now, s.deadline)
+	j, arrived, err := d.arrive(s.spec, s.route, s.caller, now, s.deadline)
+	if err != nil {
+		return nil, err
+	}
+	j.addConnection(s.connection, now)
+	if !arrived {
+		return j, nil
+	}
+	return d.admitNew(j, now)
 }
 
 // decodeForwarded returns the submission in a request, as far as it was decoded.
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -270,8 +270,10 @@
 }
 
 // newHeartbeat returns a frame that echoes the runner's last heartbeat, with the
-// policy if the runner's is older. It is called with the lock held.
+// policy if the runner's is older. The echo extends the lease of the runs there, so their
+// callers are checked before. It is called with the lock held.
 func (d *Dispatcher) newHeartbeat(r *runner, now time.Duration) *pb.DispatcherFrame {
+	d.checkCallers(r)
 	r.lastEchoAt = now
 	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{
 		EchoNs: r.heartbeatSentNs, PolicyRevision: d.policy.Revision(),
@@ -282,8 +284,12 @@
 	return f
 }
 
+// mergeFrames merges queued frames. The echo is that of the first frame with orders, if
+// there are any: a later one would let the runner accept orders that were decided on before
+// the process was suspended.
 func mergeFrames(items []*pb.DispatcherFrame) *pb.DispatcherFrame {
 	f := items[0]
+	echo := firstOrderEcho(items)
 	for _, item := range items[1:] {
 		if item.GetBeat() != nil {
 			f.Beat = item.GetBeat()
@@ -294,5 +300,18 @@
 		f.Starts = append(f.Starts, item.GetStarts()...)
 		f.Stops = append(f.Stops, item.GetStops()...)
 	}
+	if echo > 0 {
+		f.Beat.EchoNs = echo
+	}
 	return f
 }
+
+// firstOrderEcho returns the echo of the first frame with orders, zero if there is none.
+func firstOrderEcho(items []*pb.DispatcherFrame) int64 {
+	for _, item := range items {
+		if len(item.GetStarts()) > 0 {
+			return item.GetBeat().GetEchoNs()
+		}
+	}
+	return 0
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -134,15 +134,19 @@
 	placement.SetTakenByOthers(endpoints, 1-d.loadShare(now), d.meanTaskDuration)
 }
 
-// sendStarts requests runs of tasks of one job from a runner. The tasks are to
-// wait there if wait is set.
+// sendStarts requests runs of tasks of one job from a runner, unless the job's callers have
+// disconnected. The tasks are to wait there if wait is set.
 func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, area placement.Area, now time.Duration) {
-	// The echo proves to the runner that the orders are new.
+	j := tasks[0].job
+	if !d.callersWait(j, r.heartbeatReceivedAt) {
+		return
+	}
+	// The echo proves to the runner that the orders are new, and that the caller was
+	// connected when the heartbeat had been received.
 	frame := d.newHeartbeat(r, now)
 	if !r.inUse() {
 		r.usedSince = now
 	}
-	j := tasks[0].job
 	slack := j.urgency().Slack(now)
 	level := d.level(j)
 	for i, t := range tasks {
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -7,8 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
@@ -22,6 +24,7 @@
 type submission struct {
 	// caller is the network address of the caller, without the port.
 	caller     string
+	connection callerConn
 	host, path string
 	body       []byte
 	// policyRevision, limits and route are those of the policy that the route was
@@ -84,10 +87,16 @@
 	return err
 }
 
+// errCallerGone means that the caller has disconnected before its job was admitted.
+var errCallerGone = errors.New("the caller has disconnected")
+
 // serveSubmission admits or forwards a job and waits for its answer. It reports false if
 // the caller has disconnected. The error means that the job was refused.
 func (d *Dispatcher) serveSubmission(ctx context.Context, s *submission, now time.Duration) (platform.Answer, bool, error) {
 	j, f, err := d.submit(s, now)
+	if errors.Is(err, errCallerGone) {
+		return platform.Answer{}, false, nil
+	}
 	if f != nil {
 		if !d.awaitForwarded(ctx, f) {
 			return platform.Answer{}, false, nil
@@ -109,14 +118,24 @@
 func (d *Dispatcher) submit(s *submission, now time.Duration) (*job, *forwardedJob, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	checkedAt := clock.SinceBoot()
+	if !s.connection.open() {
+		d.log.Info("job: not admitted, its caller's connection is closed", zap.String("job", s.spec.ID))
+		return nil, nil, errCallerGone
+	}
 	if f := d.handover.forwarded[s.spec.ID]; f != nil {
 		d.log.Info("job: resubmitted while it is forwarded", zap.String("job", s.spec.ID), zap.String("peer", f.peer.Name))
 		f.callerCount++
+		f.job.addConnection(s.connection, checkedAt)
 		return nil, f, nil
 	}
 	j, arrived, err := d.arrive(s.spec, s.route, s.caller, now, s.deadline)
-	if !arrived || err != nil {
-		return j, nil, err
+	if err != nil {
+		return nil, nil, err
+	}
+	j.addConnection(s.connection, checkedAt)
+	if !arrived {
+		return j, nil, nil
 	}
 	if peer, chosen := d.choosePeer(j, now); chosen {
 		return nil, d.forward(j, s, peer, now), nil
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -77,6 +77,8 @@
 	configureEndpoint func(*platformtest.Endpoint)
 	// configureDispatcher may change a dispatcher before its start.
 	configureDispatcher func(int, *dispatch.Settings)
+	// network is the dispatchers' network, TCP if it is nil.
+	network network.Network
 }
 
 func newSystem(t *testing.T, o systemOptions) *testSystem {
@@ -165,7 +167,11 @@
 		o.configureDispatcher(i, &s)
 	}
 	must.NoError(sys.t, s.Validate())
-	d, err := dispatch.New(network.TCP, &s, sys.logger)
+	n := o.network
+	if n == nil {
+		n = network.TCP
+	}
+	d, err := dispatch.New(n, &s, sys.logger)
 	must.NoError(sys.t, err)
 	p := &dispatcherProcess{Dispatcher: d, callerAddress: s.Listen, readyAddress: s.Ready, peerAddress: s.Peer}
 	d.ForwardAll()
--- /dev/null
+++ b/internal/network/closed.go
@@ -0,0 +1,38 @@
+package network
+
+import (
+	"net"
+	"syscall"
+)
+
+// PeerClosed reports whether the peer of a connection has closed or reset it, as far as
+// the operating system has been told. It consumes nothing and may be called while
+// another goroutine reads: what it finds doesn't depend on whether the process has
+// already got to reading that far. It reports false for a connection without a file
+// descriptor, and while unread bytes precede the end.
+func PeerClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { closed = peekClosed(int(fd)) })
+	return closed || err != nil
+}
+
+// peekClosed looks at the next byte that the socket has received.
+func peekClosed(fd int) bool {
+	var next [1]byte
+	n, _, err := syscall.Recvfrom(fd, next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch err {
+	case nil:
+		return n == 0
+	case syscall.EAGAIN, syscall.EINTR:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/network/closed_test.go
@@ -0,0 +1,83 @@
+package network_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/network"
+)
+
+// connPair returns both ends of a TCP connection.
+func connPair(t *testing.T) (client, server *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	s, err := l.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		_ = c.Close()
+		_ = s.Close()
+	})
+	return c.(*net.TCPConn), s.(*net.TCPConn)
+}
+
+func eventually(condition func() bool) bool {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+// A connection that is open must not count as closed, or its caller would get no answer.
+func TestOpenConnectionIsNotClosed(t *testing.T) {
+	client, server := connPair(t)
+	must.False(t, network.PeerClosed(server))
+	_, err := client.Write([]byte("x"))
+	must.NoError(t, err)
+	must.False(t, network.PeerClosed(server), must.Sprint("unread bytes"))
+	var next [1]byte
+	_, err = server.Read(next[:])
+	must.NoError(t, err)
+	must.Eq(t, "x", string(next[:]))
+	must.False(t, network.PeerClosed(server))
+	must.False(t, network.PeerClosed(nil))
+}
+
+// The end of a connection must be found whether or not another goroutine reads from it.
+func TestClosedConnectionIsFound(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){
+		"closed": func(c *net.TCPConn) { _ = c.Close() },
+		"reset": func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		},
+	} {
+		for _, reading := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				client, server := connPair(t)
+				read := make(chan struct{})
+				if reading {
+					go func() {
+						defer close(read)
+						_, _ = server.Read(make([]byte, 1))
+					}()
+				} else {
+					close(read)
+				}
+				end(client)
+				must.True(t, eventually(func() bool { return network.PeerClosed(server) }))
+				<-read
+				must.True(t, network.PeerClosed(server), must.Sprint("after it was read"))
+				_ = server.Close()
+				must.True(t, network.PeerClosed(server), must.Sprint("closed here"))
+			})
+		}
+	}
+}
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -20,6 +21,8 @@
 	// PingTimeout is how long an HTTP/2 connection may be silent before a ping is sent,
 	// and how long the client may take to answer it. Zero means two seconds.
 	PingTimeout time.Duration
+	// ConnContext, if not nil, returns the context of a new connection's requests.
+	ConnContext func(ctx context.Context, c net.Conn) context.Context
 }
 
 // ServeAll listens on every address and serves it until its server is closed.
@@ -37,6 +40,7 @@
 			return nil, err
 		}
 		server := newServer(b.Handler, cmp.Or(b.PingTimeout, pingTimeout))
+		server.ConnContext = b.ConnContext
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/runner/successor_test.go
+++ b/internal/runner/successor_test.go
@@ -13,8 +13,8 @@
 )
 
 // newSuccessor returns another endpoint process for the host's runner, which was started
-// later, and its server.
-func newSuccessor(t *testing.T, h *host, service string) (*platformtest.Endpoint, *httptest.Server) {
+// later.
+func newSuccessor(t *testing.T, h *host, service string) *platformtest.Endpoint {
 	e := &platformtest.Endpoint{
 		Service: service, Domain: domain, Capacity: h.endpoint.Capacity,
 		Need: h.endpoint.Need, Duration: h.endpoint.Duration, Checker: h.checker,
@@ -27,7 +27,7 @@
 	e.ID = strings.TrimPrefix(server.URL, "http://")
 	time.Sleep(2 * time.Millisecond) // start times are in milliseconds
 	e.Init()
-	return e, server
+	return e
 }
 
 // A heartbeat of another process must not make the runner give up the runs of an endpoint
@@ -40,7 +40,7 @@
 			d.requireReady()
 			run := d.sendOrder("a", 1, 0)
 			must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
-			other, _ := newSuccessor(t, h, service)
+			other := newSuccessor(t, h, service)
 			accepted := platformtest.PutHeartbeat(t.Context(), http.DefaultClient, h.listen, other.ID, other.Heartbeat(1, "ready"))
 			must.Eq(t, service != "unknown", accepted)
 			d.requireEnd(run, done)
@@ -60,7 +60,7 @@
 	d.requireReady()
 	run := d.sendOrder("a", 1, 0)
 	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
-	next, _ := newSuccessor(t, h, service)
+	next := newSuccessor(t, h, service)
 	h.endpoint.Crash()
 	h.closeServer()
 	must.True(t, next.SendHeartbeat(t.Context(), http.DefaultClient, h.listen, 1, "ready"))
