Runner: a heartbeat doesn't revive an expired lease

Cause: the lease was extended by an echo that arrived before the periodic check had found it expired, and orders from before the suspension were started.

Change: the lease is checked before each frame is applied and before the lease at the endpoint is renewed.

Measured: TestHeartbeatDoesNotReviveAnExpiredLease failed in 3 of 3 runs before and passes.

--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -312,3 +312,19 @@
 	r.session.lastResponseAt = clock.SinceBoot()
 	must.Eq(t, 5, heartbeat(4), must.Sprint("the known process responds"))
 }
+
+// A runner that was suspended may read a heartbeat before it notices that the dispatcher's
+// lease expired meanwhile. The heartbeat must not revive what waits: the job's caller may
+// have sent it to another dispatcher.
+func TestHeartbeatDoesNotReviveAnExpiredLease(t *testing.T) {
+	r := newTestRunner(t)
+	d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
+	now := clock.SinceBoot()
+	r.queue = []*order{{owner: d.owner(), runID: workload.RunID{Task: "t", Attempt: 1}, waitDeadline: now + time.Hour}}
+	d.leaseEnd = now - 1
+	start := &pb.RunOrder{Run: &pb.RunRef{Task: "u", Attempt: 1}}
+	r.handleFrame(d, out, &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: int64(now)}, Starts: []*pb.RunOrder{start}})
+	must.SliceEmpty(t, r.queue)
+	must.True(t, d.expired)
+	must.Eq(t, now-1, d.leaseEnd)
+}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -24,6 +24,12 @@
 	d.leaseEnd = now + lease.DispatcherTTL
 }
 
+func (r *Runner) checkDispatcherLeases(now time.Duration) {
+	for _, d := range r.dispatchers {
+		r.checkDispatcherLease(d, now)
+	}
+}
+
 // checkDispatcherLease stops the runs of a dispatcher whose lease has expired
 // and closes its connection. A dispatcher without runs may let its lease expire:
 // its next order carries a newer echo, or is refused. A connection on which
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -39,6 +39,11 @@
 	}
 	now := clock.SinceBoot()
 	d.lastReceivedAt = now
+	// After a suspension the lease may have expired unnoticed. The heartbeat must not revive
+	// what was to be stopped then; on the next connection the dispatcher is told what is held.
+	if r.checkDispatcherLease(d, now); d.expired {
+		return
+	}
 	if len(f.GetStarts()) > 0 {
 		d.lastOrderAt = now
 		out.Wake()
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -48,9 +48,13 @@
 	r.handleRenewal(s, resp, err, requestedAt)
 }
 
+// newRenewal returns the request that renews the lease of all runs. The leases of their
+// dispatchers are checked first, so that no run goes on for longer than one lease of the
+// endpoint after that of its dispatcher has expired, even if the periodic check is late.
 func (r *Runner) newRenewal(s *session, now, wait time.Duration) workload.RenewalRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkDispatcherLeases(now)
 	if !s.tracker.AcceptsStarts() {
 		wait = 0
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -186,9 +186,7 @@
 // dispatchers if it has changed. The caller holds r.mu.
 func (r *Runner) checkAll() {
 	now := clock.SinceBoot()
-	for _, d := range r.dispatchers {
-		r.checkDispatcherLease(d, now)
-	}
+	r.checkDispatcherLeases(now)
 	r.startQueued(now)
 	if s := r.session; s != nil {
 		r.checkSpeed(s, now)
