Odd entries of another writer are refused by their content

Operators of similar systems saw one odd entry end the machines that read the list, or keep them from following it.

Cause: a field that is there and has the right type counted as valid.

Change: addresses are checked in records, gossip and heartbeats, starts in the future in heartbeats; an unreadable record doesn't remove a known node.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/store"
 )
@@ -37,7 +38,7 @@
 
 // valid reports whether the node can be dialled.
 func (n *Node) valid() bool {
-	return n.Name != "" && n.Address != "" && (n.Role == Dispatcher || n.Role == Runner)
+	return n.Name != "" && network.ValidAddress(n.Address) && (n.Role == Dispatcher || n.Role == Runner)
 }
 
 // Cache holds the nodes that a process knows. A node is kept for
@@ -178,6 +179,8 @@
 		var n Node
 		if err := json.Unmarshal(e.Value, &n); err != nil || !n.valid() || Prefix+n.Name != e.Key {
 			errs = append(errs, result.Errorf(result.Malformed, "store key %s does not hold a valid process record", e.Key))
+			// Another writer's entry doesn't say that the process has ended.
+			seen[strings.TrimPrefix(e.Key, Prefix)] = true
 			continue
 		}
 		n.Revision = e.Revision
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,47 @@
 	c.Merge([]Node{{Name: "n", Role: Runner, Address: "b:1", Revision: 7}})
 	<-changed
 }
+
+// oddValues are values of another writer that name no process.
+var oddValues = map[string]string{
+	"deeply nested":           `{"name":"odd","role":"runner","address":"1.2.3.4:5","x":` + strings.Repeat(`{"x":`, 100_000) + `1` + strings.Repeat(`}`, 100_000) + `}`,
+	"deeply nested arrays":    strings.Repeat(`[`, 400_000),
+	"number too large":        `{"name":1e999,"role":"runner","address":"1.2.3.4:5"}`,
+	"port out of range":       `{"name":"odd","role":"runner","address":"1.2.3.4:99999"}`,
+	"port too large to parse": `{"name":"odd","role":"dispatcher","address":"1.2.3.4:` + strings.Repeat("9", 400) + `"}`,
+	"port 0":                  `{"name":"odd","role":"runner","address":"1.2.3.4:0"}`,
+	"no port":                 `{"name":"odd","role":"runner","address":"1.2.3.4"}`,
+	"no host":                 `{"name":"odd","role":"runner","address":":5"}`,
+	"not an address":          `{"name":"odd","role":"dispatcher","address":"[[%zz:5"}`,
+	"null":                    `null`,
+}
+
+// One odd entry of another writer must neither end the processes that read the directory,
+// nor keep them from following it, nor be dialled.
+func TestOddRecordsAreIgnored(t *testing.T) {
+	for name, value := range oddValues {
+		t.Run(name, func(t *testing.T) {
+			c := NewCache()
+			must.Len(t, 1, c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", runnerRecord, 3), storeEntry("odd", value, 4)}}, true, time.Now()))
+			must.Len(t, 0, c.Nodes(Dispatcher))
+			must.Len(t, 1, c.Nodes(Runner))
+			must.Len(t, 0, c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("m", `{"name":"m","role":"runner","address":"1.2.3.4:6"}`, 5)}}, false, time.Now()))
+			must.Len(t, 2, c.Nodes(Runner))
+		})
+	}
+}
+
+// An odd entry in the place of a known process's record doesn't say that the process has
+// ended.
+func TestOddRecordDoesNotRemoveAKnownNode(t *testing.T) {
+	for name, value := range oddValues {
+		t.Run(name, func(t *testing.T) {
+			c := NewCache()
+			now := time.Now()
+			c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", runnerRecord, 3)}}, true, now)
+			c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", value, 4)}}, true, now)
+			c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", value, 4)}}, true, now.Add(2*removedRetention))
+			must.Len(t, 1, c.Nodes(Runner))
+		})
+	}
+}
--- a/internal/dispatch/links_test.go
+++ b/internal/dispatch/links_test.go
@@ -116,7 +116,7 @@
 	atA, atB := newTestStreams(a, b)
 	must.Eq(t, 0, exchange(atA, atB), must.Sprint("the directories are equal"))
 
-	a.directory.Merge([]directory.Node{{Name: "d-new", Role: directory.Dispatcher, Address: "x", Revision: 2}})
+	a.directory.Merge([]directory.Node{{Name: "d-new", Role: directory.Dispatcher, Address: "x:1", Revision: 2}})
 	must.Between(t, 1, exchange(atA, atB), 2, must.Sprint("the other records are not sent"))
 	must.Len(t, 41, b.directory.Nodes(directory.Dispatcher))
 }
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -16,7 +16,7 @@
 func newDispatcherNodes(n int) []directory.Node {
 	var all []directory.Node
 	for i := range n {
-		all = append(all, directory.Node{Name: fmt.Sprintf("d-%d", i), Role: directory.Dispatcher, Address: "x", Revision: 1})
+		all = append(all, directory.Node{Name: fmt.Sprintf("d-%d", i), Role: directory.Dispatcher, Address: "x:1", Revision: 1})
 	}
 	return all
 }
--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -8,10 +8,15 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform"
 )
 
+// maxStartAhead bounds how far in the future the start of an endpoint's process may be by the
+// clock of this host. A later one would make all other processes count as older.
+const maxStartAhead = 24 * time.Hour
+
 // serveHeartbeat handles a heartbeat of the endpoint. A malformed heartbeat is
 // refused and changes nothing.
 func (r *Runner) serveHeartbeat(w http.ResponseWriter, req *http.Request) {
@@ -21,6 +26,9 @@
 		return
 	}
 	ep, err := platform.DecodeHeartbeat(req.PathValue("id"), body)
+	if err == nil && ep.StartedAtMS > time.Now().Add(maxStartAhead).UnixMilli() {
+		err = result.Errorf(result.Malformed, "heartbeat: the start of the process, %d, is in the future", ep.StartedAtMS)
+	}
 	if err != nil {
 		r.log.Warn("heartbeat: refused, it is malformed", zap.String("endpoint", req.PathValue("id")), zap.Error(err))
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -81,8 +81,13 @@
 	return h
 }
 
-// startRunner starts a new runner process for the endpoint.
+// startRunner starts a new runner process for the endpoint, and sends a heartbeat.
 func (h *host) startRunner() {
+	h.startRunnerProcess()
+	h.sendHeartbeat("ready")
+}
+
+func (h *host) startRunnerProcess() {
 	s := runner.DefaultSettings()
 	s.Name, s.Listen, s.Link, s.Store = "run-1", h.listen, h.link, "127.0.0.1:1"
 	s.Grace = settings.Duration(time.Second)
@@ -100,7 +105,6 @@
 			h.t.Errorf("runner: %v", err)
 		}
 	}()
-	h.sendHeartbeat("ready")
 }
 
 func (h *host) stopRunner() {
