Orders carry the label that their tasks require

Cause: only the dispatcher compared the label, with the state that it knew when it placed the task; the order didn't say it.

Change: the runner compares it when an order arrives and when its turn comes.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -191,6 +191,8 @@
 		Contained:  t.contained,
 		Priority:   uint32(level),
 		Overflow:   t.overflow,
+		// The endpoint may have been replaced by one of another kind meanwhile.
+		RequiredLabel: step.RequiredLabel,
 	}
 }
 
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -213,11 +213,16 @@
 
 // sendOrder orders one run of the job's first task.
 func (d *dispatcher) sendOrder(job string, attempt uint64, wait time.Duration) *pb.RunRef {
+	return d.sendLabelledOrder(job, attempt, wait, "")
+}
+
+// sendLabelledOrder is sendOrder for a task that requires a label.
+func (d *dispatcher) sendLabelledOrder(job string, attempt uint64, wait time.Duration, label string) *pb.RunRef {
 	run := &pb.RunRef{Task: workload.TaskID{Job: job}.String(), Attempt: attempt}
 	d.orders++
 	d.sendFrame(&pb.DispatcherFrame{Starts: []*pb.RunOrder{{
 		Run: run, Service: service, CpuMilli: taskCPU, EstimateUs: 100_000,
-		PatienceUs: wait.Microseconds(), SlackUs: wait.Microseconds(), Number: d.orders,
+		PatienceUs: wait.Microseconds(), SlackUs: wait.Microseconds(), Number: d.orders, RequiredLabel: label,
 	}}})
 	return run
 }
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,8 @@
 	resources workload.Resources
 	estimate  time.Duration
 	route     string
+	// requiredLabel is a label that the endpoint must have, empty if none is required.
+	requiredLabel string
 	// level is the priority level of the job's route; 0 comes first.
 	level int
 	// contained is set if the job may crash the endpoint.
@@ -63,6 +66,7 @@
 		level:         int(min(o.GetPriority(), policy.MaxLevels-1)),
 		contained:     o.GetContained(),
 		overflow:      o.GetOverflow(),
+		requiredLabel: o.GetRequiredLabel(),
 		waitDeadline:  now + decodeDuration(o.GetPatienceUs()),
 		startDeadline: now + decodeDuration(o.GetSlackUs()),
 	}
@@ -95,6 +99,8 @@
 		return result.Leaving
 	case s.endpoint.Service != o.service || !p.Config.Serves(o.service):
 		return result.CannotRun
+	case o.requiredLabel != "" && !slices.Contains(s.endpoint.Labels, o.requiredLabel):
+		return result.CannotRun
 	case p.OutOfService(s.endpoint.FailureDomain):
 		return result.OutOfService
 	case !o.resources.Fits(s.tracker.Capacity()):
--- a/internal/runner/order_test.go
+++ b/internal/runner/order_test.go
@@ -141,3 +141,25 @@
 	d.requireEnd(d.sendOrder("a", 1, 0), done)
 	must.Eq(t, 1, h.checker.Starts("a"))
 }
+
+// An endpoint may be back as another kind while orders wait at its runner. Those that require
+// a label that it no longer has must not be started there.
+func TestWaitingOrderIsNotStartedAtAnotherKind(t *testing.T) {
+	h := newHost(t, 300*time.Millisecond, nil)
+	d := h.connect("1")
+	d.requireReady()
+	first, second := d.sendOrder("a", 1, 0), d.sendOrder("b", 1, 0)
+	must.Eq(t, uint32(result.CannotRun), d.requireEnd(d.sendLabelledOrder("c", 1, time.Second, "x"), refused).GetCode())
+	labelled, plain := d.sendLabelledOrder("e", 1, 5*time.Second, "a"), d.sendOrder("f", 1, 5*time.Second)
+	must.True(t, eventually(func() bool { return h.endpoint.Running() == 2 }))
+	h.endpoint.Labels = []string{"b"}
+	h.endpoint.Restart()
+	h.sendHeartbeat("ready")
+	must.Eq(t, uint32(result.CannotRun), d.requireEnd(labelled, refused).GetCode())
+	d.requireEnd(plain, done)
+	for _, run := range []*pb.RunRef{first, second} {
+		d.requireEnd(run, lost)
+	}
+	must.Eq(t, 0, h.checker.Starts("e"))
+	h.requireNoViolations()
+}
