A job whose route was removed can be cancelled

Cause: a DELETE was matched with the present routes before the open jobs were looked at.

Change: the open jobs are looked at first, by the route that each came by.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -45,7 +45,12 @@
 		return
 	}
 	s := &submission{caller: callerAddress(r), connection: newCallerConn(r), host: requestHost(r), path: r.URL.Path}
-	if err := s.match(p); err != nil {
+	err := s.match(p)
+	if r.Method == http.MethodDelete {
+		d.handleCancel(w, r, s, err)
+		return
+	}
+	if err != nil {
 		d.refuse(w, r, "", err)
 		return
 	}
@@ -54,8 +59,6 @@
 		d.handleSubmit(w, r, s)
 	case r.Method == http.MethodGet && s.id == "":
 		d.handleQueueLength(w, s.route)
-	case r.Method == http.MethodDelete:
-		d.handleCancel(w, s.id)
 	case r.Method == http.MethodGet:
 		// A job's answer is only sent to its callers and not kept.
 		w.WriteHeader(http.StatusGone)
@@ -257,25 +260,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(platform.QueueLength{Waiting: n})
 }
-
-// handleCancel cancels a job that runs here or was forwarded from here.
-func (d *Dispatcher) handleCancel(w http.ResponseWriter, id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cancelForwarded(id) {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	j, found := d.jobs[id]
-	if !found {
-		w.WriteHeader(http.StatusGone)
-		return
-	}
-	d.log.Info("job: cancelled", zap.String("job", id))
-	code := result.Cancelled
-	if j.started() {
-		code = result.CancelledAfterStart
-	}
-	d.finish(j, platform.Answer{Code: code})
-	w.WriteHeader(http.StatusOK)
-}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -231,15 +231,3 @@
 	}
 	return false
 }
-
-// cancelForwarded cancels a forwarded job, and reports whether there is one with the ID. It
-// is called with the lock held.
-func (d *Dispatcher) cancelForwarded(id string) bool {
-	f := d.handover.forwarded[id]
-	if f == nil {
-		return false
-	}
-	d.log.Info("job: cancelled", zap.String("job", id), zap.String("peer", f.peer.Name))
-	d.endForwarded(f, platform.Answer{Code: result.CancelledAfterStart})
-	return true
-}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -43,6 +43,11 @@
 // overflow.
 const maxObjective = 30 * 24 * time.Hour
 
+// LeadsTo reports whether a request for the job is one on this route.
+func (r *Route) LeadsTo(host, path, job string) bool {
+	return r.Host == host && path == r.Prefix+job
+}
+
 // Limits bound the size of callers' requests.
 type Limits struct {
 	MaxBodyBytes   int64
