--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -91,11 +91,20 @@
 
 // Nodes returns the nodes with a role, sorted by name.
 func (c *Cache) Nodes(role Role) []Node {
+	return c.nodesIf(role, func(cachedNode) bool { return true })
+}
+
+// Registered returns the nodes with a role whose records exist, sorted by name.
+func (c *Cache) Registered(role Role) []Node {
+	return c.nodesIf(role, func(n cachedNode) bool { return n.removedAt.IsZero() })
+}
+
+func (c *Cache) nodesIf(role Role, include func(cachedNode) bool) []Node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var nodes []Node
 	for _, cached := range c.nodes {
-		if cached.node.Role == role {
+		if cached.node.Role == role && include(cached) {
 			nodes = append(nodes, cached.node)
 		}
 	}
--- a/internal/dispatch/cancel_system_test.go
+++ b/internal/dispatch/cancel_system_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pomelosill/pomelosill/internal/directory"
 )
 
 // startJob sends a job of two tasks and returns once both run.
@@ -33,3 +36,32 @@
 	must.True(t, eventually(func() bool { return sys.endpoints[0].Running() == 0 }))
 	must.Eq(t, http.StatusNotFound, sys.cancelJob(d, 1), must.Sprint("no such job and no route"))
 }
+
+// The retry of a DELETE may reach another dispatcher than the job's. If that one answered that
+// there is no such job without asking, the job would run on, and its later steps be started.
+func TestJobOfAnotherDispatcherIsCancelled(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 3, endpoints: 1, runDuration: constantDuration(time.Hour)})
+	answered := sys.startJob(sys.dispatchers[0], 1)
+	must.Eq(t, http.StatusOK, sys.cancelJob(sys.dispatchers[1], 1))
+	must.Eq(t, http.StatusConflict, <-answered)
+	must.True(t, eventually(func() bool { return sys.endpoints[0].Running() == 0 }))
+	must.Eq(t, http.StatusGone, sys.cancelJob(sys.dispatchers[1], 1))
+	sys.dispatchers[2].stop()
+	<-sys.dispatchers[2].done
+	must.Eq(t, http.StatusGone, sys.cancelJob(sys.dispatchers[1], 1), must.Sprint("a dispatcher that has ended has no jobs"))
+}
+
+// That a job doesn't exist must not be said while a dispatcher that may have it doesn't
+// answer.
+func TestUnansweredCancelIsNotAcknowledged(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 2, endpoints: 1, runDuration: constantDuration(time.Hour)})
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = silent.Close() }()
+	record := fmt.Sprintf(`{"name":"silent","role":"dispatcher","address":"%s"}`, silent.Addr())
+	sys.put(directory.Prefix+"silent", record)
+	must.True(t, eventually(func() bool { return sys.cancelJob(sys.dispatchers[0], 1) == http.StatusGatewayTimeout }))
+	answered := sys.startJob(sys.dispatchers[1], 1)
+	must.Eq(t, http.StatusOK, sys.cancelJob(sys.dispatchers[0], 1), must.Sprint("another has the job"))
+	must.Eq(t, http.StatusConflict, <-answered)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,6 +86,9 @@
 	// counts the calls.
 	forwardClient *http.Client
 	forwards      sync.WaitGroup
+	// peerCancels holds an element for each job for which other dispatchers are being asked
+	// to cancel it.
+	peerCancels chan struct{}
 	// runCtx ends with the process.
 	runCtx context.Context
 	// InjectLateness, if set, replaces the measured lateness of ticks. Tests set it before
@@ -118,6 +121,7 @@
 		estimates:        estimate.New(),
 		handover:         newHandoverState(s),
 		forwardClient:    newForwardClient(n),
+		peerCancels:      make(chan struct{}, maxPeerCancels),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
--- a/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
+++ b/internal/gen/pomelosill/v1/pomelosillv1connect/run.connect.go
@@ -37,6 +37,8 @@
 	PeerServiceGossipProcedure = "/pomelosill.v1.PeerService/Gossip"
 	// PeerServiceSubmitProcedure is the fully-qualified name of the PeerService's Submit RPC.
 	PeerServiceSubmitProcedure = "/pomelosill.v1.PeerService/Submit"
+	// PeerServiceCancelProcedure is the fully-qualified name of the PeerService's Cancel RPC.
+	PeerServiceCancelProcedure = "/pomelosill.v1.PeerService/Cancel"
 )
 
 // PeerServiceClient is a client for the pomelosill.v1.PeerService service.
@@ -45,6 +47,8 @@
 	Gossip(context.Context) *connect.BidiStreamForClient[v1.GossipFrame, v1.GossipFrame]
 	// Submit forwards a caller's job and returns its answer.
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error)
+	// Cancel cancels a job that is open at the dispatcher.
+	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelReply], error)
 }
 
 // NewPeerServiceClient constructs a client for the pomelosill.v1.PeerService service. By default,
@@ -70,6 +74,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Submit")),
 			connect.WithClientOptions(opts...),
 		),
+		cancel: connect.NewClient[v1.CancelRequest, v1.CancelReply](
+			httpClient,
+			baseURL+PeerServiceCancelProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Cancel")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -77,6 +87,7 @@
 type peerServiceClient struct {
 	gossip *connect.Client[v1.GossipFrame, v1.GossipFrame]
 	submit *connect.Client[v1.SubmitRequest, v1.SubmitReply]
+	cancel *connect.Client[v1.CancelRequest, v1.CancelReply]
 }
 
 // Gossip calls pomelosill.v1.PeerService.Gossip.
@@ -89,12 +100,19 @@
 	return c.submit.CallUnary(ctx, req)
 }
 
+// Cancel calls pomelosill.v1.PeerService.Cancel.
+func (c *peerServiceClient) Cancel(ctx context.Context, req *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelReply], error) {
+	return c.cancel.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the pomelosill.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Gossip exchanges the policy and the directory in both directions.
 	Gossip(context.Context, *connect.BidiStream[v1.GossipFrame, v1.GossipFrame]) error
 	// Submit forwards a caller's job and returns its answer.
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error)
+	// Cancel cancels a job that is open at the dispatcher.
+	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelReply], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -116,12 +134,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("Submit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCancelHandler := connect.NewUnaryHandler(
+		PeerServiceCancelProcedure,
+		svc.Cancel,
+		connect.WithSchema(peerServiceMethods.ByName("Cancel")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/pomelosill.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceGossipProcedure:
 			peerServiceGossipHandler.ServeHTTP(w, r)
 		case PeerServiceSubmitProcedure:
 			peerServiceSubmitHandler.ServeHTTP(w, r)
+		case PeerServiceCancelProcedure:
+			peerServiceCancelHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -138,3 +164,7 @@
 func (UnimplementedPeerServiceHandler) Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pomelosill.v1.PeerService.Submit is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("pomelosill.v1.PeerService.Cancel is not implemented"))
+}
