Runner: no start prolongs the runs of a dispatcher whose lease has expired

Callers could see a task run twice at once: an order of one dispatcher prolonged the endpoint's lease, and with it runs of another one whose lease had expired and not been checked yet.

Cause: only the sender's own lease was checked with a frame.

Change: all leases are checked before frames are applied and before queued orders are started. Besides, a dispatcher that has just been suspended declines forwarded jobs, whose senders may have given them up.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -127,6 +127,9 @@
 	switch {
 	case h.controller.Starved(), d.shuttingDown.Load(), d.policy.Current() == nil, !d.hasUsableRunner(now):
 		return false
+	case !d.suspension.settled(now):
+		// The request may have waited here until its sender gave it up.
+		return false
 	case m.GetPolicyRevision() > d.policy.Revision(), h.received[m.GetDispatcher()] >= maxReceivedPerSender:
 		return false
 	}
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -328,3 +328,18 @@
 	must.True(t, d.expired)
 	must.Eq(t, now-1, d.leaseEnd)
 }
+
+// A start prolongs the endpoint's lease for all runs there. Those of a dispatcher whose lease
+// has expired unnoticed must be stopped before an order of another one is started.
+func TestFrameOfOneDispatcherDoesNotProlongTheRunsOfAnother(t *testing.T) {
+	r := newTestRunner(t)
+	silent, _, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "silent", Incarnation: "1"}, func() {})
+	other, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "other", Incarnation: "1"}, func() {})
+	now := clock.SinceBoot()
+	r.queue = []*order{{owner: silent.owner(), runID: workload.RunID{Task: "t", Attempt: 1}, waitDeadline: now + time.Hour}}
+	silent.leaseEnd = now - 1
+	r.handleFrame(other, out, &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: int64(now)}})
+	must.SliceEmpty(t, r.queue)
+	must.True(t, silent.expired)
+	must.False(t, other.expired)
+}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -24,6 +24,7 @@
 	d.leaseEnd = now + lease.DispatcherTTL
 }
 
+// checkDispatcherLeases checks the leases of all dispatchers.
 func (r *Runner) checkDispatcherLeases(now time.Duration) {
 	for _, d := range r.dispatchers {
 		r.checkDispatcherLease(d, now)
--- a/internal/runner/queue.go
+++ b/internal/runner/queue.go
@@ -12,12 +12,13 @@
 
 // startQueued starts the queued orders for which there is capacity, in the order of
 // placement.InOrder, and refuses those whose wait deadline has passed. It checks the
-// leases of their dispatchers itself: after the process was suspended it may run
-// before the periodic check.
+// leases of all dispatchers first: after the process was suspended it may run before the
+// periodic check, and a start prolongs the endpoint's lease.
 func (r *Runner) startQueued(now time.Duration) {
 	if len(r.queue) == 0 {
 		return
 	}
+	r.checkDispatcherLeases(now)
 	var remaining []*order
 	queued := rankOrders(r.queue, now)
 	r.queue = nil
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -39,9 +39,10 @@
 	}
 	now := clock.SinceBoot()
 	d.lastReceivedAt = now
-	// After a suspension the lease may have expired unnoticed. The heartbeat must not revive
-	// what was to be stopped then; on the next connection the dispatcher is told what is held.
-	if r.checkDispatcherLease(d, now); d.expired {
+	// After a suspension leases may have expired unnoticed. The heartbeat must not revive what
+	// was to be stopped then; on the next connection the dispatcher is told what is held. A
+	// start prolongs the endpoint's lease, and so the runs of the other dispatchers.
+	if r.checkDispatcherLeases(now); d.expired {
 		return
 	}
 	if len(f.GetStarts()) > 0 {
