--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -188,7 +188,7 @@
 		var n Node
 		if err := json.Unmarshal(e.Value, &n); err != nil || !n.valid() || Prefix+n.Name != e.Key {
 			errs = append(errs, result.Errorf(result.Malformed, "store key %s does not hold a valid process record", e.Key))
-			// Another writer's entry doesn't say that the process has ended.
+			// An invalid value doesn't say that the process has ended.
 			seen[strings.TrimPrefix(e.Key, Prefix)] = true
 			continue
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -91,27 +91,27 @@
 	<-changed
 }
 
-// oddValues are values of another writer that name no process.
-var oddValues = map[string]string{
-	"deeply nested":           `{"name":"odd","role":"runner","address":"1.2.3.4:5","x":` + strings.Repeat(`{"x":`, 100_000) + `1` + strings.Repeat(`}`, 100_000) + `}`,
+// invalidValues are values that name no process.
+var invalidValues = map[string]string{
+	"deeply nested":           `{"name":"x","role":"runner","address":"1.2.3.4:5","x":` + strings.Repeat(`{"x":`, 100_000) + `1` + strings.Repeat(`}`, 100_000) + `}`,
 	"deeply nested arrays":    strings.Repeat(`[`, 400_000),
 	"number too large":        `{"name":1e999,"role":"runner","address":"1.2.3.4:5"}`,
-	"port out of range":       `{"name":"odd","role":"runner","address":"1.2.3.4:99999"}`,
-	"port too large to parse": `{"name":"odd","role":"dispatcher","address":"1.2.3.4:` + strings.Repeat("9", 400) + `"}`,
-	"port 0":                  `{"name":"odd","role":"runner","address":"1.2.3.4:0"}`,
-	"no port":                 `{"name":"odd","role":"runner","address":"1.2.3.4"}`,
-	"no host":                 `{"name":"odd","role":"runner","address":":5"}`,
-	"not an address":          `{"name":"odd","role":"dispatcher","address":"[[%zz:5"}`,
+	"port out of range":       `{"name":"x","role":"runner","address":"1.2.3.4:99999"}`,
+	"port too large to parse": `{"name":"x","role":"dispatcher","address":"1.2.3.4:` + strings.Repeat("9", 400) + `"}`,
+	"port 0":                  `{"name":"x","role":"runner","address":"1.2.3.4:0"}`,
+	"no port":                 `{"name":"x","role":"runner","address":"1.2.3.4"}`,
+	"no host":                 `{"name":"x","role":"runner","address":":5"}`,
+	"not an address":          `{"name":"x","role":"dispatcher","address":"[[%zz:5"}`,
 	"null":                    `null`,
 }
 
-// One odd entry of another writer must neither end the processes that read the directory,
+// One invalid record must neither end the processes that read the directory,
 // nor keep them from following it, nor be dialled.
-func TestOddRecordsAreIgnored(t *testing.T) {
-	for name, value := range oddValues {
+func TestInvalidRecordsAreIgnored(t *testing.T) {
+	for name, value := range invalidValues {
 		t.Run(name, func(t *testing.T) {
 			c := NewCache()
-			must.Len(t, 1, c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", runnerRecord, 3), storeEntry("odd", value, 4)}}, true, time.Now()))
+			must.Len(t, 1, c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("n", runnerRecord, 3), storeEntry("x", value, 4)}}, true, time.Now()))
 			must.Len(t, 0, c.Nodes(Dispatcher))
 			must.Len(t, 1, c.Nodes(Runner))
 			must.Len(t, 0, c.ApplyChanges(store.Changes{Entries: []store.Entry{storeEntry("m", `{"name":"m","role":"runner","address":"1.2.3.4:6"}`, 5)}}, false, time.Now()))
@@ -120,10 +120,9 @@
 	}
 }
 
-// An odd entry in the place of a known process's record doesn't say that the process has
-// ended.
-func TestOddRecordDoesNotRemoveAKnownNode(t *testing.T) {
-	for name, value := range oddValues {
+// An invalid value under the key of a known process doesn't say that the process has ended.
+func TestInvalidRecordDoesNotRemoveAKnownNode(t *testing.T) {
+	for name, value := range invalidValues {
 		t.Run(name, func(t *testing.T) {
 			c := NewCache()
 			now := time.Now()
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -14,7 +14,6 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
-	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform"
 )
 
@@ -178,17 +177,19 @@
 
 // arrive returns a new job and true, or a job that needs no admission and false: the
 // running one with the same ID, or a new one that was given up.
-func (d *Dispatcher) arrive(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, bool, error) {
-	if j, found := d.jobs[spec.ID]; found {
-		d.log.Info("job: resubmitted while it runs", zap.String("job", spec.ID))
+func (d *Dispatcher) arrive(s *submission, now time.Duration) (*job, bool, error) {
+	if j, found := d.jobs[s.spec.ID]; found {
+		d.log.Info("job: resubmitted while it runs", zap.String("job", s.spec.ID))
 		j.callerCount++
+		j.addConnection(s)
 		return j, false, nil
 	}
 	if d.refusingJobs.Load() {
-		return nil, false, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", spec.ID)
+		return nil, false, result.Errorf(result.ShuttingDown, "job %s is not admitted: the dispatcher is shutting down", s.spec.ID)
 	}
-	j := newJob(d.estimates, spec, route, now, deadline)
-	j.callerCount, j.caller = 1, caller
+	j := newJob(d.estimates, s.spec, s.route, now, s.deadline)
+	j.callerCount, j.caller = 1, s.caller
+	j.addConnection(s)
 	return j, !d.applyCrashHistory(j, now), nil
 }
 
--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -22,7 +22,8 @@
 // job is admitted or forwarded, before its tasks are ordered, and before the dispatcher's
 // lease is extended at a runner that has its runs.
 
-// callerConn is the connection on which a caller waits for the answer to a job.
+// callerConn is the connection on which a caller waits for the answer to a job. The zero
+// value is always open.
 type callerConn struct {
 	// done is closed when the request has ended.
 	done <-chan struct{}
@@ -54,20 +55,20 @@
 	}
 }
 
-// addConnection adds a caller's connection, which was open at the given time.
-func (j *job) addConnection(c callerConn, now time.Duration) {
-	j.connections = append(j.connections, c)
-	j.openAt = now
+// addConnection adds the connection of one more caller.
+func (j *job) addConnection(s *submission) {
+	j.connections = append(j.connections, s.connection)
+	j.openAt = s.openAt
 }
 
-// callersWait reports whether a caller of the job waits, and ends the job if there is none.
+// confirmCaller reports whether a caller of the job still waits, and ends the job otherwise.
 // The connections are checked unless that was done since the given time. It is called with
 // the lock held.
-func (d *Dispatcher) callersWait(j *job, since time.Duration) bool {
+func (d *Dispatcher) confirmCaller(j *job, since time.Duration) bool {
 	if j.answered {
 		return false
 	}
-	if len(j.connections) == 0 || j.openAt >= since {
+	if j.openAt >= since {
 		return true
 	}
 	now := clock.SinceBoot()
@@ -81,11 +82,11 @@
 	return false
 }
 
-// checkCallers ends the jobs with runs at a runner whose callers have disconnected, so that
+// confirmCallers ends the jobs with runs at a runner whose callers have disconnected, so that
 // the heartbeat that is echoed next doesn't extend the lease of their runs. It is called
 // with the lock held.
-func (d *Dispatcher) checkCallers(r *runner) {
+func (d *Dispatcher) confirmCallers(r *runner) {
 	for _, t := range r.runs {
-		d.callersWait(t.job, r.heartbeatReceivedAt)
+		d.confirmCaller(t.job, r.heartbeatReceivedAt)
 	}
 }
--- a/internal/dispatch/connection_test.go
+++ b/internal/dispatch/connection_test.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,23 +10,16 @@
 	"github.com/pomelosill/pomelosill/internal/clock"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/test/fleet"
 )
 
 // connect adds a caller's connection to the job. The function disconnects the caller and
 // returns once the end has arrived; nobody has read it.
 func (j *job) connect(t *testing.T) (disconnect func()) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	client, err := net.Dial("tcp", l.Addr().String())
-	must.NoError(t, err)
-	conn, err := l.Accept()
-	must.NoError(t, err)
-	t.Cleanup(func() {
-		_ = client.Close()
-		_ = conn.Close()
-	})
-	j.addConnection(callerConn{done: t.Context().Done(), conn: conn}, clock.SinceBoot())
+	client, conn := fleet.ConnPair(t)
+	// Test jobs begin with a caller that never leaves.
+	j.connections = slices.DeleteFunc(j.connections, func(c callerConn) bool { return c.conn == nil })
+	j.addConnection(&submission{connection: callerConn{done: t.Context().Done(), conn: conn}, openAt: clock.SinceBoot()})
 	return func() {
 		_ = client.Close()
 		for end := time.Now().Add(5 * time.Second); !network.PeerClosed(conn); time.Sleep(time.Millisecond) {
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -16,7 +16,7 @@
 func (d *Dispatcher) admit(spec *workload.Job, route *policy.Route, caller string, now, deadline time.Duration) (*job, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	j, arrived, err := d.arrive(spec, route, caller, now, deadline)
+	j, arrived, err := d.arrive(&submission{spec: spec, route: route, caller: caller, deadline: deadline}, now)
 	if !arrived || err != nil {
 		return j, err
 	}
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -23,6 +23,7 @@
 	spec := &workload.Job{ID: id, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{MilliCPU: 1000}, Estimate: 50 * time.Millisecond}}}
 	now := clock.SinceBoot()
 	j := newJob(d.estimates, spec, &policy.Route{Name: route, Service: "svc", MaxAttempts: 2, Stretch: 1, TargetLatency: time.Second}, now, now+time.Minute)
+	j.addConnection(&submission{})
 	d.jobs[id], d.waiting[id] = j, j
 	return j
 }
--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -65,8 +65,8 @@
 // again. If it is refused, the answer for the caller is returned with the error.
 func (d *Dispatcher) admitForwarded(ctx context.Context, m *pb.SubmitRequest) (*job, platform.Answer, error) {
 	s, err := d.decodeForwarded(m)
-	s.connection = callerConn{done: ctx.Done()}
 	now := clock.SinceBoot()
+	s.connection, s.openAt = callerConn{done: ctx.Done()}, now
 	if err == nil {
 		wait := min(m.GetWaitUs(), maxForwardedWait.Microseconds())
 		s.deadline = now + time.Duration(wait)*time.Microsecond
@@ -86,13 +86,9 @@
 	if d.handover.forwarded[s.spec.ID] != nil {
 		return nil, errDeclined
 	}
-	j, arrived, err := d.arrive(s.spec, s.route, s.caller, now, s.deadline)
-	if err != nil {
-		return nil, err
-	}
-	j.addConnection(s.connection, now)
-	if !arrived {
-		return j, nil
+	j, arrived, err := d.arrive(s, now)
+	if !arrived || err != nil {
+		return j, err
 	}
 	return d.admitNew(j, now)
 }
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -273,7 +273,7 @@
 // policy if the runner's is older. The echo extends the lease of the runs there, so their
 // callers are checked before. It is called with the lock held.
 func (d *Dispatcher) newHeartbeat(r *runner, now time.Duration) *pb.DispatcherFrame {
-	d.checkCallers(r)
+	d.confirmCallers(r)
 	r.lastEchoAt = now
 	f := &pb.DispatcherFrame{Beat: &pb.DispatcherBeat{
 		EchoNs: r.heartbeatSentNs, PolicyRevision: d.policy.Revision(),
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -138,7 +138,7 @@
 // disconnected. The tasks are to wait there if wait is set.
 func (d *Dispatcher) sendStarts(r *runner, tasks []*task, wait bool, area placement.Area, now time.Duration) {
 	j := tasks[0].job
-	if !d.callersWait(j, r.heartbeatReceivedAt) {
+	if !d.confirmCaller(j, r.heartbeatReceivedAt) {
 		return
 	}
 	// The echo proves to the runner that the orders are new, and that the caller was
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -23,8 +23,10 @@
 // submission is a request to run a job, from a caller or forwarded.
 type submission struct {
 	// caller is the network address of the caller, without the port.
-	caller     string
+	caller string
+	// connection was open at openAt.
 	connection callerConn
+	openAt     time.Duration
 	host, path string
 	body       []byte
 	// policyRevision, limits and route are those of the policy that the route was
@@ -114,11 +116,11 @@
 }
 
 // submit admits a caller's job, or forwards it to a peer. It returns either the running
-// job with the same ID or a new one: local or forwarded.
+// job with the same ID or a new one, local or forwarded, or errCallerGone.
 func (d *Dispatcher) submit(s *submission, now time.Duration) (*job, *forwardedJob, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	checkedAt := clock.SinceBoot()
+	s.openAt = clock.SinceBoot()
 	if !s.connection.open() {
 		d.log.Info("job: not admitted, its caller's connection is closed", zap.String("job", s.spec.ID))
 		return nil, nil, errCallerGone
@@ -126,16 +128,12 @@
 	if f := d.handover.forwarded[s.spec.ID]; f != nil {
 		d.log.Info("job: resubmitted while it is forwarded", zap.String("job", s.spec.ID), zap.String("peer", f.peer.Name))
 		f.callerCount++
-		f.job.addConnection(s.connection, checkedAt)
+		f.job.addConnection(s)
 		return nil, f, nil
 	}
-	j, arrived, err := d.arrive(s.spec, s.route, s.caller, now, s.deadline)
-	if err != nil {
-		return nil, nil, err
-	}
-	j.addConnection(s.connection, checkedAt)
-	if !arrived {
-		return j, nil, nil
+	j, arrived, err := d.arrive(s, now)
+	if !arrived || err != nil {
+		return j, nil, err
 	}
 	if peer, chosen := d.choosePeer(j, now); chosen {
 		return nil, d.forward(j, s, peer, now), nil
--- a/internal/network/closed.go
+++ b/internal/network/closed.go
@@ -5,11 +5,10 @@
 	"syscall"
 )
 
-// PeerClosed reports whether the peer of a connection has closed or reset it, as far as
-// the operating system has been told. It consumes nothing and may be called while
-// another goroutine reads: what it finds doesn't depend on whether the process has
-// already got to reading that far. It reports false for a connection without a file
-// descriptor, and while unread bytes precede the end.
+// PeerClosed reports whether the peer has closed or reset a connection, as far as the
+// operating system knows. It consumes nothing and may be called while another goroutine
+// reads. It reports false for a connection without a file descriptor, and while unread
+// bytes precede the end.
 func PeerClosed(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/network/closed_test.go
+++ b/internal/network/closed_test.go
@@ -8,24 +8,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/test/fleet"
 )
 
-// connPair returns both ends of a TCP connection.
-func connPair(t *testing.T) (client, server *net.TCPConn) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	c, err := net.Dial("tcp", l.Addr().String())
-	must.NoError(t, err)
-	s, err := l.Accept()
-	must.NoError(t, err)
-	t.Cleanup(func() {
-		_ = c.Close()
-		_ = s.Close()
-	})
-	return c.(*net.TCPConn), s.(*net.TCPConn)
-}
-
 func eventually(condition func() bool) bool {
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if condition() {
@@ -37,7 +22,7 @@
 
 // A connection that is open must not count as closed, or its caller would get no answer.
 func TestOpenConnectionIsNotClosed(t *testing.T) {
-	client, server := connPair(t)
+	client, server := fleet.ConnPair(t)
 	must.False(t, network.PeerClosed(server))
 	_, err := client.Write([]byte("x"))
 	must.NoError(t, err)
@@ -61,7 +46,7 @@
 	} {
 		for _, reading := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
-				client, server := connPair(t)
+				client, server := fleet.ConnPair(t)
 				read := make(chan struct{})
 				if reading {
 					go func() {
@@ -81,3 +66,10 @@
 		}
 	}
 }
+
+func BenchmarkPeerClosed(b *testing.B) {
+	_, server := fleet.ConnPair(b)
+	for b.Loop() {
+		_ = network.PeerClosed(server)
+	}
+}
--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -53,7 +53,7 @@
 	switch {
 	case s == nil:
 		r.startSession(ep)
-	case r.isForeign(s, ep):
+	case r.refusesHeartbeat(s, ep):
 		r.log.Warn("heartbeat: refused, its service is not configured", zap.String("life", ep.Incarnation()),
 			zap.String("service", ep.Service), zap.String("known", s.endpoint.Incarnation()))
 		return true
--- a/internal/runner/odd_test.go
+++ b/internal/runner/invalid_heartbeat_test.go
@@ -13,9 +13,9 @@
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 )
 
-// Odd heartbeats of another writer must neither end the runner nor keep it from its
+// Invalid heartbeats of another process must neither end the runner nor keep it from its
 // endpoint, whether they come before the endpoint's first heartbeat or after it.
-func TestOddHeartbeatsAreRefused(t *testing.T) {
+func TestInvalidHeartbeatsAreRefused(t *testing.T) {
 	h := newHost(t, 100*time.Millisecond, nil)
 	var complete map[string]any
 	must.NoError(t, json.Unmarshal(h.endpoint.Heartbeat(1, "ready"), &complete))
@@ -41,9 +41,9 @@
 		"no port":                 body(map[string]any{"address": "127.0.0.1", "born": soon}),
 		"not an address":          body(map[string]any{"address": "[[%zz:5", "born": soon}),
 	}
-	sendOdd := func() {
-		for name, odd := range bodies {
-			must.False(t, platformtest.PutHeartbeat(t.Context(), http.DefaultClient, h.listen, "odd", []byte(odd)), must.Sprint(name))
+	sendInvalid := func() {
+		for name, invalid := range bodies {
+			must.False(t, platformtest.PutHeartbeat(t.Context(), http.DefaultClient, h.listen, "other", []byte(invalid)), must.Sprint(name))
 		}
 	}
 	h.stopRunner()
@@ -55,12 +55,12 @@
 		}
 		return err == nil
 	}))
-	sendOdd()
+	sendInvalid()
 	h.sendHeartbeat("ready")
 	d := h.connect("1")
 	d.requireReady()
 	run := d.sendOrder("a", 1, 0)
-	sendOdd()
+	sendInvalid()
 	d.requireEnd(run, done)
 	h.requireNoViolations()
 }
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -84,7 +84,7 @@
 	}
 	switch code {
 	case result.OK:
-		r.keepPlace(s, requestedAt)
+		r.dropSuccessor(s, requestedAt)
 		r.applyRenewal(s, resp, requestedAt, now)
 		s.failingSince = 0
 	case result.StaleFence:
--- a/internal/runner/successor.go
+++ b/internal/runner/successor.go
@@ -22,9 +22,9 @@
 	return p == nil || p.Config.Serves(service)
 }
 
-// isForeign reports whether a heartbeat is for a service that isn't configured, and would
-// take the place of an endpoint that is served.
-func (r *Runner) isForeign(s *session, ep *workload.Endpoint) bool {
+// refusesHeartbeat reports whether a heartbeat is refused: its service isn't configured, and
+// that of the session's endpoint, which is not down, is.
+func (r *Runner) refusesHeartbeat(s *session, ep *workload.Endpoint) bool {
 	return ep.Service != s.endpoint.Service && !r.serves(ep.Service) && r.serves(s.endpoint.Service) && !s.down
 }
 
@@ -46,9 +46,8 @@
 	go r.renewNow(s)
 }
 
-// mayReplace reports whether another process may take the place of the session's: that
-// one has ended, has been unreachable until its lease expired, or has never responded.
-// One of a service that isn't configured keeps its place only while it has runs.
+// mayReplace reports whether another process may replace the session's: that one has ended, has been unreachable until its lease expired, or has never responded.
+// One of a service that isn't configured keeps its session only while it has runs.
 func (r *Runner) mayReplace(s *session) bool {
 	if s.down || s.lastResponseAt == 0 {
 		return true
@@ -56,10 +55,9 @@
 	return !r.serves(s.endpoint.Service) && s.tracker.RunCount() == 0
 }
 
-// keepPlace forgets the successor, because the session's process has responded to a
-// request that was sent after the successor's heartbeat had arrived: both live, and the
-// first one keeps its place.
-func (r *Runner) keepPlace(s *session, requestedAt time.Duration) {
+// dropSuccessor forgets the successor if the session's process has responded to a request
+// that was sent after the successor's heartbeat had arrived: that process is alive.
+func (r *Runner) dropSuccessor(s *session, requestedAt time.Duration) {
 	if s.successor == nil || requestedAt <= s.successor.heartbeatAt {
 		return
 	}
--- a/test/fleet/port.go
+++ b/test/fleet/port.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"testing"
+
+	"github.com/shoenig/test/must"
 )
 
 // Ports are taken below the operating system's range of ephemeral ports, so that
@@ -45,3 +47,19 @@
 	t.Fatal("no free port left in the range for tests")
 	return ""
 }
+
+// ConnPair returns both ends of a TCP connection on loopback. They are closed with the test.
+func ConnPair(t testing.TB) (client, server *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	s, err := l.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		_ = c.Close()
+		_ = s.Close()
+	})
+	return c.(*net.TCPConn), s.(*net.TCPConn)
+}
