--- a/review/driver2/executor.go
+++ b/review/driver2/executor.go
@@ -38,6 +38,16 @@
 	at                   time.Time
 }
 
+// period is the time of one run.
+type period struct {
+	executor, task string
+	attempt        int64
+	from, to       time.Time
+}
+
+// lateBy is how late a stop that was left unanswered is carried out.
+const lateBy = 3 * time.Second
+
 // executor is a stand-in for an executor that doesn't guard its capacity. The spec of a
 // job lists the run times of its steps' tasks in milliseconds, separated by commas.
 type executor struct {
@@ -57,6 +67,12 @@
 	starts   []started
 	sequence int64
 	state    string
+	// ends holds the runs that have ended.
+	ends []period
+	// leavesStop reports whether a stop of the task gets no answer and is carried out late.
+	leavesStop func(task string) bool
+	// orders and left count the orders, and those that were left unanswered.
+	orders, left int
 	// drainAck is when a draining heartbeat was first acknowledged.
 	drainAck time.Time
 }
@@ -97,6 +113,11 @@
 	case "/run-start":
 		reason = e.start(c)
 	case "/run-stop":
+		if e.leaves(c.Task) {
+			time.AfterFunc(lateBy, func() { _ = e.stop(c) })
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		reason = e.stop(c)
 	case "/hold":
 		reason = e.hold(r.Context(), c)
@@ -107,6 +128,19 @@
 	e.reply(w, reason, r.URL.Path == "/hold")
 }
 
+// leaves counts a stop and reports whether it is left unanswered.
+func (e *executor) leaves(task string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	if e.leavesStop == nil || !e.leavesStop(task) {
+		return false
+	}
+	e.left++
+	e.rec.add("executor %s (%s): a stop of %s is left unanswered", e.id, e.zone, task)
+	return true
+}
+
 // reply writes the response.
 func (e *executor) reply(w http.ResponseWriter, reason string, lists bool) {
 	e.mu.Lock()
@@ -149,6 +183,9 @@
 	}
 }
 
+// runKey names one run.
+func runKey(task string, attempt int64) string { return task + "#" + strconv.FormatInt(attempt, 10) }
+
 // length returns the run time of a task.
 func length(task, spec string) time.Duration {
 	parts, lengths := strings.Split(task, "."), strings.Split(spec, ",")
@@ -169,10 +206,12 @@
 func (e *executor) start(c executorCall) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.orders++
 	if !e.accepts(c.Fence) {
 		return "fence"
 	}
-	if r := e.runs[c.Task]; r != nil && r.attempt == c.Attempt {
+	key := runKey(c.Task, c.Attempt)
+	if e.runs[key] != nil {
 		e.extend(c.Deadline)
 		return ""
 	}
@@ -186,7 +225,7 @@
 	e.highest[c.Task] = c.Attempt
 	r := &run{task: c.Task, attempt: c.Attempt, started: time.Now(), length: length(c.Task, c.Spec)}
 	r.end = time.AfterFunc(r.length, func() { e.endRun(r, "done") })
-	e.runs[c.Task] = r
+	e.runs[key] = r
 	e.starts = append(e.starts, started{e.id, e.zone, c.Task, r.started})
 	e.rec.add("executor %s (%s): starts %s run %d", e.id, e.zone, c.Task, c.Attempt)
 	return ""
@@ -200,11 +239,13 @@
 }
 
 func (e *executor) endLocked(r *run, how string) {
-	if e.runs[r.task] != r {
+	key := runKey(r.task, r.attempt)
+	if e.runs[key] != r {
 		return
 	}
 	r.end.Stop()
-	delete(e.runs, r.task)
+	delete(e.runs, key)
+	e.ends = append(e.ends, period{e.id, r.task, r.attempt, r.started, time.Now()})
 	e.endCount++
 	e.ended = append(e.ended, []any{e.endCount, r.task, r.attempt, how, ""})
 	e.rec.add("executor %s (%s): %s run %d ended: %s", e.id, e.zone, r.task, r.attempt, how)
@@ -219,7 +260,7 @@
 		return "fence"
 	}
 	e.highest[c.Task] = max(e.highest[c.Task], c.Attempt)
-	if r := e.runs[c.Task]; r != nil && r.attempt == c.Attempt {
+	if r := e.runs[runKey(c.Task, c.Attempt)]; r != nil {
 		time.AfterFunc(stopDuration, func() { e.endRun(r, "stopped") })
 	}
 	return ""
--- a/review/driver2/fleet.go
+++ b/review/driver2/fleet.go
@@ -51,6 +51,8 @@
 	gate           *gate
 	process        *exec.Cmd
 	exited         chan struct{}
+	// restart starts the process again.
+	restart func() error
 }
 
 // fleet is a small deployment on loopback addresses.
@@ -160,7 +162,7 @@
 
 // start starts a program of the deploy file on a new machine.
 func (f *fleet) start(program, template, name, zone string) (*machine, error) {
-	m := &machine{name: name, zone: zone, ip: fmt.Sprintf("%s.%d", f.network, f.nextHost), exited: make(chan struct{})}
+	m := &machine{name: name, zone: zone, ip: fmt.Sprintf("%s.%d", f.network, f.nextHost)}
 	f.nextHost++
 	m.gate = &gate{name: name, store: f.store, rec: f.rec}
 	if name == f.loseFirst {
@@ -170,7 +172,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return m, f.launch(m, program, template, storeAddress)
+	m.restart = func() error { return f.launch(m, program, template, storeAddress) }
+	if err := m.restart(); err != nil {
+		return nil, err
+	}
+	f.machines = append(f.machines, m)
+	return m, nil
 }
 
 func (f *fleet) launch(m *machine, program, template, storeAddress string) error {
@@ -188,7 +195,7 @@
 		return err
 	}
 	m.process = exec.Command(program, "--settings", path)
-	if m.process.Stdout, err = os.Create(filepath.Join(f.dir, m.name+".log")); err != nil {
+	if m.process.Stdout, err = os.OpenFile(filepath.Join(f.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
 	}
 	m.process.Stderr = m.process.Stdout
@@ -196,11 +203,12 @@
 	if err := m.process.Start(); err != nil {
 		return err
 	}
-	f.machines = append(f.machines, m)
 	f.rec.add("machine %s (%s): process started", m.name, m.zone)
+	exited, process := make(chan struct{}), m.process
+	m.exited = exited
 	go func() {
-		_ = m.process.Wait()
-		close(m.exited)
+		_ = process.Wait()
+		close(exited)
 	}()
 	return nil
 }
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -31,6 +31,8 @@
 	"evacuation": playEvacuation,
 	"cancel":     playCancel,
 	"drain":      playDrain,
+	"unread":     playUnread,
+	"stops":      playStops,
 }
 
 func main() {
