--- a/review/driver2/executor.go
+++ b/review/driver2/executor.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -69,6 +70,12 @@
 	state    string
 	// ends holds the runs that have ended.
 	ends []period
+	// slowShare is the share of the tasks that begin only after a while: after the next list
+	// of runs that the runner asks for without a wait. That list is under way for listDelay,
+	// so that a later one may overtake it.
+	slowShare  float64
+	listDelay  time.Duration
+	slowStarts map[string]*slowStart
 	// leavesStop reports whether a stop of the task gets no answer and is carried out late.
 	leavesStop func(task string) bool
 	// orders and left count the orders, and those that were left unanswered.
@@ -81,7 +88,7 @@
 	return &executor{
 		id: id, service: service, zone: zone, address: address, control: control, rec: rec, born: time.Now(),
 		client: &http.Client{Timeout: time.Second}, runs: map[string]*run{}, highest: map[string]int64{},
-		changed: make(chan struct{}), state: "ready",
+		changed: make(chan struct{}), state: "ready", slowStarts: map[string]*slowStart{},
 	}
 }
 
@@ -111,29 +118,89 @@
 	reason := ""
 	switch r.URL.Path {
 	case "/run-start":
-		reason = e.start(c)
+		e.awaitBeginning(r.Context(), c)
+		reason = e.order(r.Context(), c, e.start, false)
 	case "/run-stop":
-		if e.leaves(c.Task) {
-			time.AfterFunc(lateBy, func() { _ = e.stop(c) })
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
-		reason = e.stop(c)
+		reason = e.order(r.Context(), c, e.stop, true)
 	case "/hold":
 		reason = e.hold(r.Context(), c)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	e.reply(w, reason, r.URL.Path == "/hold")
+	e.reply(w, reason, r.URL.Path == "/hold", c.WaitMS > 0)
+}
+
+// maxSlow bounds how long a slow executor takes to begin a task.
+const maxSlow = 110 * time.Millisecond
+
+// slowStart is a start that the executor is slow to carry out.
+type slowStart struct {
+	call  executorCall
+	once  sync.Once
+	begun chan struct{}
 }
 
-// leaves counts a stop and reports whether it is left unanswered.
-func (e *executor) leaves(task string) bool {
+// awaitBeginning waits until a slow start has been carried out. Repetitions wait for the same.
+func (e *executor) awaitBeginning(ctx context.Context, c executorCall) {
+	key := runKey(c.Task, c.Attempt)
+	e.mu.Lock()
+	s := e.slowStarts[key]
+	if s == nil && rand.Float64() < e.slowShare && e.runs[key] == nil {
+		s = &slowStart{call: c, begun: make(chan struct{})}
+		e.slowStarts[key] = s
+		e.rec.add("executor %s (%s): is slow to begin %s run %d", e.id, e.zone, c.Task, c.Attempt)
+		time.AfterFunc(maxSlow, func() { e.begin(s) })
+	}
+	e.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case <-s.begun:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// begin carries out a slow start.
+func (e *executor) begin(s *slowStart) {
+	s.once.Do(func() {
+		reason := e.start(s.call)
+		e.rec.add("executor %s (%s): slow start of %s run %d: %q", e.id, e.zone, s.call.Task, s.call.Attempt, reason)
+		close(s.begun)
+	})
+}
+
+// beginAll carries out the slow starts after a list has been made.
+func (e *executor) beginAll() {
+	e.mu.Lock()
+	var all []*slowStart
+	for _, s := range e.slowStarts {
+		all = append(all, s)
+	}
+	e.mu.Unlock()
+	for _, s := range all {
+		e.begin(s)
+	}
+}
+
+// order carries out an order, or leaves a stop unanswered and carries it out late.
+func (e *executor) order(ctx context.Context, c executorCall, execute func(executorCall) string, stops bool) string {
+	if !e.leaves(c.Task, stops) {
+		return execute(c)
+	}
+	time.AfterFunc(lateBy, func() { _ = execute(c) })
+	<-ctx.Done()
+	panic(http.ErrAbortHandler)
+}
+
+// leaves counts an order and reports whether it is left unanswered.
+func (e *executor) leaves(task string, stops bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
-	if e.leavesStop == nil || !e.leavesStop(task) {
+	if !stops || e.leavesStop == nil || !e.leavesStop(task) {
 		return false
 	}
 	e.left++
@@ -142,7 +209,7 @@
 }
 
 // reply writes the response.
-func (e *executor) reply(w http.ResponseWriter, reason string, lists bool) {
+func (e *executor) reply(w http.ResponseWriter, reason string, lists, waits bool) {
 	e.mu.Lock()
 	out := map[string]any{"clock_ms": e.clockMS(), "born": e.born.UnixMilli()}
 	if lists && reason == "" {
@@ -153,7 +220,12 @@
 		}
 		out["running"], out["ended"] = running, append([][]any{}, e.ended...)
 	}
+	delay := e.listDelay
 	e.mu.Unlock()
+	if lists && !waits && delay > 0 {
+		e.beginAll()
+		time.Sleep(delay)
+	}
 	status := http.StatusOK
 	if reason != "" {
 		out["reason"], status = reason, http.StatusConflict
@@ -206,7 +278,6 @@
 func (e *executor) start(c executorCall) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders++
 	if !e.accepts(c.Fence) {
 		return "fence"
 	}
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -33,6 +33,7 @@
 	"drain":      playDrain,
 	"unread":     playUnread,
 	"stops":      playStops,
+	"lists":      playLists,
 }
 
 func main() {
@@ -54,6 +55,9 @@
 	if err == nil {
 		err = ctx.Err()
 	}
+	for _, what := range broken {
+		rec.add("broken: %s", what)
+	}
 	switch {
 	case err != nil:
 		rec.add("result: the case couldn't run: %v", err)
--- a/review/driver2/stops.go
+++ b/review/driver2/stops.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +14,8 @@
 	// longJobs is the number of jobs that run when their dispatcher is killed; the stops of
 	// every fourth one are left unanswered.
 	longJobs = 8
+	// leaveLength is how long the executors leave stops unanswered.
+	leaveLength = 4500 * time.Millisecond
 	// resendDelay is the time from the loss of a channel until a job is sent again.
 	resendDelay = 1300 * time.Millisecond
 	// restartDelay is the time until the platform starts a killed process again.
@@ -32,25 +33,21 @@
 	stop := make(chan struct{})
 	f.clients.Go(func() { f.load(fronts[1:], 4*time.Millisecond, stop) })
 	time.Sleep(calmTime)
-	var late []string
+	var left []string
 	for i := range longJobs {
 		id := newJobID()
 		if i%4 == 0 {
-			late = append(late, id)
+			left = append(left, id)
 		}
 		f.clients.Go(func() { f.submitUntilAnswered(id, fronts) })
 	}
 	time.Sleep(time.Second)
-	var active atomic.Bool
-	active.Store(trouble)
-	for _, e := range f.executors {
-		e.mu.Lock()
-		e.leavesStop = func(task string) bool {
+	if trouble {
+		f.rec.add("disruption: executors leave the stops of %v unanswered", left)
+		f.leaveStops(func(task string) bool {
 			id, _, _ := strings.Cut(task, ".")
-			return active.Load() && slices.Contains(late, id)
-		}
-		e.orders, e.left = 0, 0
-		e.mu.Unlock()
+			return slices.Contains(left, id)
+		})
 	}
 	f.rec.add("disruption: %s is killed", fronts[0].name)
 	_ = fronts[0].process.Process.Kill()
@@ -59,8 +56,8 @@
 	if err := fronts[0].restart(); err != nil {
 		return nil, err
 	}
-	time.Sleep(4 * time.Second)
-	active.Store(false)
+	time.Sleep(leaveLength - restartDelay)
+	f.leaveStops(nil)
 	f.countOrders()
 	close(stop)
 	f.clients.Wait()
@@ -83,6 +80,19 @@
 	}
 }
 
+// leaveStops makes all executors leave the stops of some tasks unanswered, and counts the
+// orders from now on if there are any.
+func (f *fleet) leaveStops(of func(task string) bool) {
+	for _, e := range f.executors {
+		e.mu.Lock()
+		e.leavesStop = of
+		if of != nil {
+			e.orders, e.left = 0, 0
+		}
+		e.mu.Unlock()
+	}
+}
+
 // countOrders records which share of the orders was left unanswered.
 func (f *fleet) countOrders() {
 	orders, left := 0, 0
@@ -91,7 +101,7 @@
 		orders, left = orders+e.orders, left+e.left
 		e.mu.Unlock()
 	}
-	f.rec.add("executors: %d of %d orders were left unanswered since the kill", left, orders)
+	f.rec.add("executors: %d of %d orders were left unanswered since then", left, orders)
 }
 
 // overlaps returns the runs of the same task that were there at the same time.
--- a/review/driver2/unread.go
+++ b/review/driver2/unread.go
@@ -16,7 +16,7 @@
 	// node_freeze: after a longer one, the dispatcher refuses the jobs that have waited.
 	freezeLength = 250 * time.Millisecond
 	// freezes is how many machines are frozen, one after the other.
-	freezes        = 3
+	freezes        = 4
 	betweenFreezes = time.Second
 	// cancelledJobs is the number of jobs that are sent during each and cancelled.
 	cancelledJobs = 8
@@ -45,7 +45,7 @@
 	time.Sleep(calmTime)
 	var jobs []cancelledJob
 	for i, m := range fronts[:freezes] {
-		round, err := f.playFreeze(m, fronts[i+1], trouble)
+		round, err := f.playFreeze(m, fronts[(i+1)%len(fronts)], trouble)
 		if err != nil {
 			return nil, err
 		}
