Runner: a run whose stops get no answer ends with the endpoint's lease

Cause: the runner ends such runs by stop requests. While the endpoint left these unanswered it repeated them without a bound and kept extending the lease of the endpoint, which alone was certain to end them.

Change: a run that must end is revoked with the time until which its dispatcher's lease allows it. After that the endpoint's lease isn't extended until the end is proved: by an acknowledged stop, by a list under a higher fencing token for a start without an answer, or by the end of the lease. Runs that a dispatcher only moves don't count, as it waits for their end. The first renewal of a new runner process asks for the list without extending the lease.

--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -32,7 +32,7 @@
 		}
 	}
 	listed := t.applyRunning(resp.Running, sentAt, now)
-	released = append(released, t.releaseUnlisted(listed, sentAt, now)...)
+	released = append(released, t.releaseUnlisted(listed, resp.FencingToken, sentAt, now)...)
 	t.synced = true
 	t.pruneReleased(now)
 	return released
@@ -73,8 +73,9 @@
 // releaseUnlisted releases the runs that must have ended or can't start any
 // more: those that are not listed although their start was accepted, or their
 // stop acknowledged, before the request was sent. An endpoint that has
-// acknowledged a run's stop refuses its start if that arrives later.
-func (t *Tracker) releaseUnlisted(listed map[workload.RunID]bool, sentAt, now time.Duration) []ReleasedRun {
+// acknowledged a run's stop refuses its start if that arrives later, and so does one
+// that has seen a higher fencing token, as that of the request.
+func (t *Tracker) releaseUnlisted(listed map[workload.RunID]bool, token int64, sentAt, now time.Duration) []ReleasedRun {
 	var released []ReleasedRun
 	for run, res := range t.reservations {
 		if listed[run] {
@@ -82,7 +83,7 @@
 		}
 		accepted := res.AcceptedAt > 0 && res.AcceptedAt < sentAt
 		stopped := res.StopAcked && res.StopAckedAt < sentAt
-		if accepted || stopped {
+		if accepted || stopped || res.fenced(token) {
 			t.release(res, now)
 			released = append(released, ReleasedRun{Reservation: *res, Outcome: res.inferredOutcome(), Elapsed: now - res.StartSentAt})
 		}
--- a/internal/capacity/reservation.go
+++ b/internal/capacity/reservation.go
@@ -45,6 +45,14 @@
 	// For a run whose start request got no response, it is when the renewal
 	// request was sent whose response listed the run.
 	AcceptedAt time.Duration
+	// FencingToken is that of the start request.
+	FencingToken int64
+	// revoked is set once the run must end. The endpoint's lease may be extended for it
+	// until revokedAt.
+	revoked   bool
+	revokedAt time.Duration
+	// stopUnanswered is set once a stop request got no response.
+	stopUnanswered bool
 	// listed is set once the endpoint has listed the run as running.
 	listed bool
 	// processEnded is set when the endpoint's process was replaced after the run
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -348,3 +348,48 @@
 		must.Between(t, 0, tr.Speed(), 2)
 	}
 }
+
+// The lease of an endpoint must not be extended for a run that must end, unless its stop is
+// acknowledged. Otherwise an endpoint that leaves stops unanswered would run it on.
+func TestRevokedRunHoldsUpTheLease(t *testing.T) {
+	tr := newSyncedTracker()
+	reserve(t, tr, newRunID("a"), 1000, 10*ms)
+	tr.StartAccepted(newRunID("a"), 11*ms)
+	tr.Revoke(newRunID("a"), 50*ms)
+	tr.Revoke(newRunID("a"), 70*ms)
+	must.False(t, tr.MustLapse(50*ms), must.Sprint("it may go on until then"))
+	must.True(t, tr.MustLapse(51*ms), must.Sprint("a later revocation doesn't allow more"))
+	tr.StopAcked(newRunID("a"), 60*ms)
+	must.False(t, tr.MustLapse(61*ms))
+}
+
+// A higher fencing token proves that an unanswered start won't be carried out, but only once
+// the endpoint has seen it, and only if it doesn't list the run then.
+func TestFencedStartIsReleased(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		resp  workload.RenewalResponse
+		freed bool
+	}{
+		{"an equal token", workload.RenewalResponse{FencingToken: 7}, false},
+		{"a higher token, run listed", func() workload.RenewalResponse {
+			resp := runningResponse(newRunID("a"))
+			resp.FencingToken = 8
+			return resp
+		}(), false},
+		{"a higher token", workload.RenewalResponse{FencingToken: 8}, true},
+	} {
+		tr := newSyncedTracker()
+		must.True(t, tr.Reserve(Reservation{Run: newRunID("a"), Resources: resources(1000), FencingToken: 7}, 10*ms))
+		must.Len(t, 0, tr.Reconcile(workload.RenewalResponse{FencingToken: 8}, 11*ms, 12*ms), must.Sprint("the start is still under way"))
+		must.True(t, tr.MarkUnanswered(newRunID("a")))
+		must.True(t, tr.BeginStop(newRunID("a")))
+		tr.Revoke(newRunID("a"), 15*ms)
+		must.False(t, tr.NeedsFence(7, 20*ms), must.Sprint("its stop may be answered"))
+		tr.StopUnanswered(newRunID("a"))
+		must.True(t, tr.NeedsFence(7, 20*ms))
+		must.False(t, tr.NeedsFence(8, 20*ms))
+		must.Eq(t, c.freed, len(tr.Reconcile(c.resp, 21*ms, 22*ms)) == 1, must.Sprint(c.name))
+		must.Eq(t, !c.freed, tr.MustLapse(23*ms), must.Sprint(c.name))
+	}
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -117,7 +117,7 @@
 	r.unaccounted, r.lastOrderNumber, r.policyRevision = map[uint64]workload.Resources{}, 0, 0
 	d.applyHeartbeat(r, first, now)
 	for run := range r.stopping {
-		r.outbox.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{runref.Encode(run)}})
+		r.outbox.Put(r.newStop(run))
 	}
 	return r.outbox
 }
@@ -299,6 +299,7 @@
 		}
 		f.Starts = append(f.Starts, item.GetStarts()...)
 		f.Stops = append(f.Stops, item.GetStops()...)
+		f.Moves = append(f.Moves, item.GetMoves()...)
 	}
 	if echo > 0 {
 		f.Beat.EchoNs = echo
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -13,6 +13,7 @@
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/runref"
+	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform"
 )
 
@@ -295,6 +296,16 @@
 	}
 	r.stopping[t.runID()] = true
 	if r.outbox != nil {
-		r.outbox.Put(&pb.DispatcherFrame{Stops: []*pb.RunRef{runref.Encode(t.runID())}})
+		r.outbox.Put(r.newStop(t.runID()))
 	}
 }
+
+// newStop returns the frame that requests the stop of a run. The run of an open job is only
+// moved: its task waits until the runner has reported the end.
+func (r *runner) newStop(run workload.RunID) *pb.DispatcherFrame {
+	refs := []*pb.RunRef{runref.Encode(run)}
+	if t := r.runs[run]; t != nil && !t.job.answered {
+		return &pb.DispatcherFrame{Moves: refs}
+	}
+	return &pb.DispatcherFrame{Stops: refs}
+}
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -66,6 +66,17 @@
 	return crashed
 }
 
+// expiredRuns returns the number of runs that have ended with the endpoint's lease.
+func expiredRuns(released []capacity.ReleasedRun) int {
+	n := 0
+	for _, run := range released {
+		if run.Outcome == workload.OutcomeLeaseExpired {
+			n++
+		}
+	}
+	return n
+}
+
 // recordUnreachable records that the process from which no response came until its
 // lease had expired has ended: the runs that were given up then may have been lost in
 // its crash. The caller holds r.mu.
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -147,14 +147,17 @@
 
 // connect connects as an incarnation of the dispatcher "d", sends the policy
 // and keeps sending heartbeats.
-func (h *host) connect(incarnation string) *dispatcher {
+func (h *host) connect(incarnation string) *dispatcher { return h.connectAs("d", incarnation) }
+
+// connectAs is connect for the dispatcher with the name.
+func (h *host) connectAs(name, incarnation string) *dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.t.Cleanup(cancel)
 	c, err := stream.Dial(ctx, network.TCP, h.link)
 	must.NoError(h.t, err)
 	context.AfterFunc(ctx, c.Close)
 	d := &dispatcher{t: h.t, cancel: cancel, events: map[string]*pb.RunEvent{}, stream: c}
-	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: incarnation}))
+	must.NoError(h.t, d.stream.Send(&pb.DispatcherFrame{Dispatcher: name, Incarnation: incarnation}))
 	first := &pb.RunnerFrame{}
 	must.NoError(h.t, d.stream.Receive(first))
 	d.held = first.GetHeld()
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -64,7 +64,8 @@
 	return false
 }
 
-// stopRunsOf stops all runs of a dispatcher and refuses its queued orders.
+// stopRunsOf stops all runs of a dispatcher, which may go on until its lease has expired at
+// most, and refuses its queued orders.
 func (r *Runner) stopRunsOf(d *dispatcher, reason string) {
 	owner := d.owner()
 	stopped := 0
@@ -76,7 +77,7 @@
 	if s := r.session; s != nil {
 		for _, run := range s.tracker.OwnedBy(owner) {
 			stopped++
-			r.stopRun(owner, run)
+			r.revokeRun(owner, run, d.leaseEnd)
 		}
 	}
 	r.log.Info("dispatcher: runs stopped", zap.String("dispatcher", d.name), zap.String("reason", reason), zap.Int("runs", stopped))
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -110,11 +110,11 @@
 }
 
 // hasCapacity reports whether the order's run may start now: the endpoint has
-// responded and told its capacity recently, its health allows the run, it has free
-// capacity, and no contained run of another job if the order is contained.
+// responded and told its capacity recently, its lease is extended, its health allows the
+// run, it has free capacity, and no contained run of another job if the order is contained.
 func (r *Runner) hasCapacity(o *order, now time.Duration) bool {
 	s := r.session
-	if now-s.lastResponseAt > maxResponseAge || !r.capacityKnown(s, now) || !s.healthAllows(o, now) {
+	if now-s.lastResponseAt > maxResponseAge || !r.capacityKnown(s, now) || r.mustLapse(s, now) || !s.healthAllows(o, now) {
 		return false
 	}
 	if o.contained && s.tracker.HasContained(o.job()) {
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -49,13 +49,19 @@
 		d.lastOrderAt = now
 		out.Wake()
 	}
+	// The dispatcher found the callers of the runs that it stops connected when it sent
+	// the heartbeat before, and may not have when it sent the one in this frame.
+	leaseEnd := d.leaseEnd
 	r.applyDispatcherHeartbeat(d, f.GetBeat(), now)
 	r.applyPolicy(f.GetPolicy())
 	r.acceptOrders(d, f.GetStarts(), now)
 	for _, s := range f.GetStops() {
+		r.revokeRun(d.owner(), runref.Decode(s), leaseEnd)
+	}
+	for _, s := range f.GetMoves() {
 		r.stopRun(d.owner(), runref.Decode(s))
 	}
-	if len(f.GetStarts())+len(f.GetStops()) > 0 {
+	if len(f.GetStarts())+len(f.GetStops())+len(f.GetMoves()) > 0 {
 		r.markStateChanged()
 	}
 }
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -55,6 +55,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.checkDispatcherLeases(now)
+	r.raiseFence(s, now)
 	if !s.tracker.AcceptsStarts() {
 		wait = 0
 	}
@@ -62,12 +63,17 @@
 }
 
 // nextLeaseEnd returns the lease end to request. While the endpoint does not
-// respond the lease is not extended, so that it expires at a known time.
+// respond the lease is not extended, so that it expires at a known time; nor before the
+// endpoint has listed the runs of an earlier process of the runner, or while a run there
+// must end.
 func (r *Runner) nextLeaseEnd(s *session, now time.Duration) int64 {
+	if s.lastResponseAt == 0 || r.mustLapse(s, now) {
+		return s.leaseEndMS
+	}
 	if s.leaseEndMS != 0 && now-s.lastResponseAt > maxResponseAge {
 		return s.leaseEndMS
 	}
-	end := s.clockMS + (now - s.clockAt + lease.EndpointTTL(r.settings.LeaseMax.Std())).Milliseconds()
+	end := s.clockMS + (now - s.clockAt + r.endpointTTL()).Milliseconds()
 	s.leaseEndMS = max(end, s.leaseEndMS)
 	return s.leaseEndMS
 }
@@ -128,8 +134,9 @@
 	}
 	s.lastResponseAt, s.clockMS, s.clockAt = now, resp.ClockMS, now
 	remaining := time.Duration(s.leaseEndMS-resp.ClockMS) * time.Millisecond
-	s.leasedUntil = requestedAt + min(remaining, lease.EndpointTTL(r.settings.LeaseMax.Std()))
+	s.leasedUntil = requestedAt + min(remaining, r.endpointTTL())
 	released := s.tracker.Reconcile(resp, requestedAt, now)
+	r.logLapse(s, expiredRuns(released), now)
 	r.recordCrash(s, s.previousIncarnation, crashedRuns(released), s.previousLeased, now)
 	for _, run := range released {
 		r.updateHealth(s, run, now)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -65,6 +65,9 @@
 	// leaseEndMS is the latest lease end that was requested, on the endpoint's
 	// clock in milliseconds.
 	leaseEndMS int64
+	// lapsingSince is since when the lease has not been extended because of a run that
+	// must end, zero while it is.
+	lapsingSince time.Duration
 	// down is set when the runs are reported as lost, because the process is
 	// gone or was unreachable until its lease had expired, and cleared when the
 	// endpoint responds again.
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -9,7 +9,6 @@
 
 	"github.com/pomelosill/pomelosill/internal/capacity"
 	"github.com/pomelosill/pomelosill/internal/clock"
-	"github.com/pomelosill/pomelosill/internal/lease"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
@@ -19,7 +18,7 @@
 	s := r.session
 	reserved := s.tracker.Reserve(capacity.Reservation{
 		Run: o.runID, Owner: o.owner, Resources: o.resources, Estimate: o.estimate, Route: o.route, Contained: o.contained,
-		Overflow: o.overflow,
+		Overflow: o.overflow, FencingToken: s.fencingToken,
 	}, now)
 	if !reserved {
 		r.refuse(o, result.AlreadyStarted)
@@ -28,7 +27,7 @@
 	r.counters.starts.Add(r.baseCtx, 1)
 	r.countStarted(o, now)
 	start := workload.StartRequest{Run: o.runID, Spec: o.spec, LeaseEndMS: r.nextLeaseEnd(s, now), FencingToken: s.fencingToken}
-	go r.startOnEndpoint(s, o, start, now+lease.EndpointTTL(r.settings.LeaseMax.Std()))
+	go r.startOnEndpoint(s, o, start, now+r.endpointTTL())
 }
 
 // mayStart reports whether a start request may still be sent: the process may have
@@ -141,6 +140,9 @@
 			return
 		}
 		r.log.Info("order: stop failed, retrying", zap.String("task", run.Task), zap.Error(err))
+		r.mu.Lock()
+		s.tracker.StopUnanswered(run)
+		r.mu.Unlock()
 		if !clock.Sleep(r.baseCtx, retryDelay) {
 			return
 		}
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -87,7 +87,7 @@
 	out.Life, out.Service, out.FailureDomain, out.Labels = ep.Incarnation(), ep.Service, ep.FailureDomain, ep.Labels
 	reachable := !s.down && s.lastResponseAt != 0 && now-s.lastResponseAt < maxResponseAge
 	suspended := s.health.Suspended(now)
-	startable := !r.draining && !ep.Draining && reachable && r.capacityKnown(s, now) && s.tracker.AcceptsStarts()
+	startable := !r.draining && !ep.Draining && reachable && r.capacityKnown(s, now) && s.tracker.AcceptsStarts() && !s.lapsing(now, r.endpointTTL())
 	out.Ready = startable && !suspended
 	out.Slow = startable && s.health.SuspendedAsSlow(now)
 	out.Healthy = !suspended && s.health.MaxRuns() == 0
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -234,8 +234,11 @@
 	StartedAtMS int64
 	// ClockMS is the endpoint's own clock in milliseconds.
 	ClockMS int64
-	Running []RunProgress
-	Ended   []EndedRun
+	// FencingToken is that of the request: the endpoint refuses all starts with a
+	// lower one that arrive after it.
+	FencingToken int64
+	Running      []RunProgress
+	Ended        []EndedRun
 }
 
 // RenewalRequest renews an endpoint's lease and asks for its runs.
--- a/test/simulate/fault.go
+++ b/test/simulate/fault.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/faultinject"
 )
 
@@ -11,6 +12,41 @@
 	MinDuration: 100 * time.Millisecond, MaxDuration: 3 * time.Second,
 }
 
+// stopsTiming is that of dispatchers and callers that are lost while stops are unanswered:
+// callers come again before such a fault ends.
+var stopsTiming = faultinject.Timing{
+	MinGap: 200 * time.Millisecond, MaxGap: 1500 * time.Millisecond,
+	MinDuration: 1500 * time.Millisecond, MaxDuration: 4 * time.Second,
+}
+
+// chooseStopsFault draws the loss of a dispatcher or of its callers while endpoints leave
+// stops unanswered, or another fault.
+func (c *cluster) chooseStopsFault() faultinject.Fault {
+	d := c.dispatchers[c.rng.IntN(len(c.dispatchers))]
+	var lost faultinject.Fault
+	switch c.rng.IntN(4) {
+	case 0:
+		return c.chooseFault()
+	case 1:
+		lost = c.processFault(d)
+	case 2:
+		all := c.routesOf(d.name)
+		lost = faultinject.NewFault("pause network of "+d.name, func() { c.network.setBlocked(true, all...) }, func() { c.network.setBlocked(false, all...) })
+	default:
+		lost = faultinject.NewFault("reset callers of "+d.name, func() { c.network.closeConns(d.name, "callers") }, faultinject.NoOp)
+	}
+	return faultinject.WithUnansweredStops(lost, c.injectors())
+}
+
+// injectors returns those of all endpoints.
+func (c *cluster) injectors() []*platformtest.FaultInjector {
+	var all []*platformtest.FaultInjector
+	for _, h := range c.hosts {
+		all = append(all, &h.faults)
+	}
+	return all
+}
+
 // slowDelay is the added latency of a slow route.
 const slowDelay = 60 * time.Millisecond
 
--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -16,6 +16,7 @@
 var (
 	seedCount        = flag.Int("seeds", 20, "how many seeds to run")
 	firstSeed        = flag.Uint64("from", 1, "the first seed")
+	stopsSeedCount   = flag.Int("stops-seeds", 6, "how many seeds to run with unanswered stops")
 	fleetSeedCount   = flag.Int("fleet-seeds", 2, "how many seeds to run with a fleet")
 	fleetHosts       = flag.Int("fleet-hosts", 30, "hosts of the fleet")
 	fleetDispatchers = flag.Int("fleet-dispatchers", 18, "dispatchers of the fleet")
@@ -66,19 +67,32 @@
 	})
 }
 
+// TestSimulatedUnansweredStops runs seeds in which dispatchers, or callers' connections, are
+// lost while endpoints leave stops unanswered. Runs that a runner kept alive then went on
+// beside those of the jobs that were sent again.
+func TestSimulatedUnansweredStops(t *testing.T) {
+	faultinject.RunSeeds(t, nil, *firstSeed, *stopsSeedCount, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, seed, randomSize)
+			defer c.close()
+			c.runScenario(t, seed, stopsTiming, c.chooseStopsFault, nil)
+		})
+	})
+}
+
 // runSeed returns the number of jobs that were forwarded between dispatchers.
 func runSeed(t *testing.T, seed uint64, chooseSize func(*rand.Rand) size) int {
 	c := newCluster(t, seed, chooseSize)
 	defer c.close()
-	c.runScenario(t, seed, nil)
+	c.runScenario(t, seed, faultTiming, c.chooseFault, nil)
 	return strings.Count(c.log.String(), `"job: handed over"`)
 }
 
 // runScenario runs the load and the faults of a seed.
-func (c *cluster) runScenario(t *testing.T, seed uint64, contention *faultinject.Contention) {
+func (c *cluster) runScenario(t *testing.T, seed uint64, timing faultinject.Timing, chooseFault func() faultinject.Fault, contention *faultinject.Contention) {
 	c.crashes = faultinject.InjectsCrashes(seed)
 	scenario := faultinject.Scenario{
-		Callers: c.newCallers(c.dispatcherAddresses), RecoveryCallers: c.newCallers(c.sampleDispatchers()), Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: faultTiming, ChooseFault: c.chooseFault,
+		Callers: c.newCallers(c.dispatcherAddresses), RecoveryCallers: c.newCallers(c.sampleDispatchers()), Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: timing, ChooseFault: chooseFault,
 		Duration: *faultDuration, RecoveryTimeout: recoveryTimeout, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
 		Contention: contention,
 	}
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -56,6 +56,8 @@
 	process       *fleet.Process
 	listen, ready string
 	store         *proxy
+	// callers is in front of listen.
+	callers *proxy
 }
 
 // cluster is the system under test.
@@ -209,6 +211,7 @@
 		Name: name, Listen: d.listen, Ready: d.ready, Peer: fleet.FreeAddress(c.t),
 		Store: d.store.address(), Grace: "3s",
 	})
+	d.callers = c.addProxy(d.listen)
 	c.dispatchers = append(c.dispatchers, d)
 }
 
@@ -225,6 +228,15 @@
 	return callers
 }
 
+// newProxiedCallers returns callers whose connections a fault can reset.
+func (c *cluster) newProxiedCallers() *caller.Callers {
+	callers := c.newCallers()
+	for i, d := range c.dispatchers {
+		callers.Dispatchers[i] = d.callers.address()
+	}
+	return callers
+}
+
 // allReady waits until every dispatcher is ready and reports whether this
 // happened in time.
 func (c *cluster) allReady(within time.Duration) bool {
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/faultinject"
 	"github.com/pomelosill/pomelosill/test/fleet"
 )
@@ -37,6 +38,39 @@
 	return kinds[c.rng.IntN(len(kinds))]()
 }
 
+// stopsTiming is that of dispatchers and callers that are lost while stops are unanswered:
+// callers come again before such a fault ends.
+var stopsTiming = faultinject.Timing{
+	MinGap: 200 * time.Millisecond, MaxGap: 1500 * time.Millisecond,
+	MinDuration: 1500 * time.Millisecond, MaxDuration: 3500 * time.Millisecond,
+}
+
+// chooseStopsFault draws the loss of a dispatcher or of its callers while endpoints leave
+// stops unanswered.
+func (c *cluster) chooseStopsFault() faultinject.Fault {
+	d := c.dispatchers[c.rng.IntN(len(c.dispatchers))]
+	p := d.process
+	var lost faultinject.Fault
+	switch c.rng.IntN(3) {
+	case 0:
+		lost = faultinject.NewFault("kill "+p.Name, p.Kill, func() { c.restart(p, func() { p.Start(c.t) }) })
+	case 1:
+		lost = faultinject.NewFault("pause "+p.Name, func() { p.Pause(c.t) }, p.Resume)
+	default:
+		lost = faultinject.NewFault("reset callers of "+p.Name, d.callers.closeConns, faultinject.NoOp)
+	}
+	return faultinject.WithUnansweredStops(lost, c.injectors())
+}
+
+// injectors returns those of all endpoints.
+func (c *cluster) injectors() []*platformtest.FaultInjector {
+	var all []*platformtest.FaultInjector
+	for _, h := range c.hosts {
+		all = append(all, &h.faults)
+	}
+	return all
+}
+
 func (c *cluster) processFault(p *fleet.Process) faultinject.Fault {
 	start := func() { p.Start(c.t) }
 	switch c.rng.IntN(4) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,7 @@
 var (
 	seedCount     = flag.Int("seeds", 2, "how many seeds to run")
 	firstSeed     = flag.Uint64("from", 2, "the first seed")
+	stopsSeeds    = flag.Int("stops-seeds", 1, "how many seeds to run with unanswered stops")
 	faultDuration = flag.Duration("lasts", 8*time.Second, "how long faults are injected under each seed")
 )
 
@@ -44,6 +45,16 @@
 
 func TestSoak(t *testing.T) { faultinject.RunSeeds(t, failedSeeds, *firstSeed, *seedCount, runSeed) }
 
+// TestSoakUnansweredStops runs seeds in which dispatchers, or callers' connections, are lost
+// while endpoints leave stops unanswered. Runs that a runner kept alive then went on beside
+// those of the jobs that were sent again.
+func TestSoakUnansweredStops(t *testing.T) {
+	faultinject.RunSeeds(t, nil, *firstSeed, *stopsSeeds, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed, nil)
+		c.runScenario(t, c.newProxiedCallers(), stopsTiming, c.chooseStopsFault)
+	})
+}
+
 // contends reports whether a seed includes routes of different priority under an
 // overload and uneven endpoints. Seeds that have failed before keep their load.
 func contends(seed uint64) bool { return seed%2 == 0 && !slices.Contains(failedSeeds, seed) }
@@ -54,10 +65,14 @@
 		contention = &faultinject.Contention{Speed: caller.UnevenSpeed(0), Duration: *faultDuration}
 	}
 	c := newCluster(t, seed, contention)
+	c.runScenario(t, c.newCallers(), faultTiming, c.chooseFault)
+}
+
+// runScenario runs the load and the faults of a seed.
+func (c *cluster) runScenario(t *testing.T, callers *caller.Callers, timing faultinject.Timing, chooseFault func() faultinject.Fault) {
 	must.True(t, c.allReady(readyTimeout), must.Sprint("dispatchers were not ready in time"))
-	callers := c.newCallers()
 	scenario := faultinject.Scenario{
-		Callers: callers, RecoveryCallers: callers, Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: faultTiming, ChooseFault: c.chooseFault,
+		Callers: callers, RecoveryCallers: callers, Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: timing, ChooseFault: chooseFault,
 		Duration: *faultDuration, RecoveryTimeout: recoveryTimeout, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
 		Contention: c.contention,
 	}
