Runner: a run starts only on a policy that the store confirmed recently

Cause: only dispatchers read the operators' keys, and a runner acted on the newest policy it had been sent, however long ago the store had confirmed that.

Change: each process knows when the store last confirmed its policy. Dispatchers tell runners with their heartbeats; while none can, a few runners read the keys and tell the others through the dispatchers. The runner starts a run only if the policy was confirmed at most 4 s ago, or its own read of the store failed at most 2.5 s ago.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,6 +73,9 @@
 	usableViews, overflowViews endpointViews
 	// suspension detects that the process was suspended.
 	suspension suspension
+	// askedAt is when all runners were last asked for a confirmation of the policy, zero
+	// once there is a recent one.
+	askedAt time.Duration
 	// contention is the state of admission by priority.
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -42,3 +42,63 @@
 func pushDelay(rank int) time.Duration {
 	return time.Duration(min(rank, maxPushTurns)) * pushTurnInterval
 }
+
+// A dispatcher that lacks the store asks its runners when the store last confirmed the policy
+// to one of them, and passes that on to the others.
+const (
+	// maxConfirmationAge is the age of the last confirmation from which the dispatcher
+	// asks. The watch of the operators' keys confirms the policy each second.
+	maxConfirmationAge = 2500 * time.Millisecond
+	// askInterval is the time between two questions to all runners.
+	askInterval = time.Second
+)
+
+// addConfirmation adds to a heartbeat when the store confirmed the policy.
+func (d *Dispatcher) addConfirmation(b *pb.DispatcherBeat, r *runner, now time.Duration) {
+	revision, confirmedAt := d.policy.Confirmed()
+	if confirmedAt > 0 {
+		confirmed := (confirmedAt - r.heartbeatReceivedAt).Microseconds()
+		b.PolicyRevision, b.ConfirmedUs = revision, &confirmed
+	}
+	if now-confirmedAt > maxConfirmationAge {
+		b.AskedNs = int64(now)
+	}
+}
+
+// checkConfirmation asks all runners for a confirmation of the policy if there was none for
+// long, and tells all of them once there is one. It is called with the lock held.
+func (d *Dispatcher) checkConfirmation(now time.Duration) {
+	_, confirmedAt := d.policy.Confirmed()
+	switch {
+	case now-confirmedAt <= maxConfirmationAge:
+		if d.askedAt == 0 {
+			return
+		}
+		d.askedAt = 0
+	case d.askedAt > 0 && now-d.askedAt < askInterval:
+		return
+	default:
+		d.askedAt = now
+	}
+	d.sendHeartbeats(now)
+}
+
+// sendHeartbeats sends a heartbeat to all connected runners.
+func (d *Dispatcher) sendHeartbeats(now time.Duration) {
+	for _, r := range d.runners {
+		if r.outbox != nil {
+			r.outbox.Put(d.newHeartbeat(r, now))
+		}
+	}
+}
+
+// confirmPolicy applies what a runner's heartbeat says of its policy. The runner received the
+// heartbeat that it echoes after this dispatcher had sent it.
+func (d *Dispatcher) confirmPolicy(b *pb.RunnerBeat, now time.Duration) {
+	asked := time.Duration(b.GetEchoNs())
+	if asked <= 0 || asked > now {
+		return
+	}
+	confirmed := time.Duration(min(max(b.GetConfirmedUs(), -asked.Microseconds()), now.Microseconds())) * time.Microsecond
+	d.policy.Confirm(b.GetPolicyRevision(), min(asked+confirmed, now))
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -180,6 +180,7 @@
 	if b := f.GetBeat(); b != nil {
 		r.heartbeatSentNs, r.heartbeatReceivedAt = b.GetSentNs(), now
 		r.policyRevision = b.GetPolicyRevision()
+		d.confirmPolicy(b, now)
 		if r.echoDue(d.policy.Revision(), now) {
 			r.outbox.Put(d.newHeartbeat(r, now))
 		}
@@ -280,6 +281,7 @@
 		StateGapUs: d.stateInterval().Microseconds(), LinkLoad: d.linkLoad(now),
 	}}
 	d.addDemand(f.GetBeat(), now)
+	d.addConfirmation(f.GetBeat(), r, now)
 	f.Policy = d.policyFor(r)
 	return f
 }
--- a/internal/dispatch/watcher.go
+++ b/internal/dispatch/watcher.go
@@ -27,6 +27,9 @@
 	// apply applies changes. If all is set, they are the complete state instead
 	// of a difference.
 	apply func(c store.Changes, all bool)
+	// confirm, if not nil, is called after apply with the time at which the request was
+	// sent: all changes until then are applied.
+	confirm func(sentAt time.Duration)
 	// revision is the revision after which to watch; zero reads all keys.
 	revision uint64
 	// failing is set while calls fail, to log only the first failure.
@@ -50,11 +53,15 @@
 	ctx, cancel := context.WithTimeout(ctx, w.watchTimeout+w.responseTimeout)
 	defer cancel()
 	all := w.revision == 0
+	sentAt := clock.SinceBoot()
 	c, err := w.store.Watch(ctx, w.prefix, w.revision, w.watchTimeout)
 	if err != nil {
 		return err
 	}
 	w.apply(c, all)
+	if w.confirm != nil {
+		w.confirm(sentAt)
+	}
 	// The revision of a response without changes is ignored: the watch may have
 	// missed earlier writes. Watching again from the last change costs the
 	// same.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -167,7 +167,10 @@
 	current *Snapshot
 	// appliedAt is when the current policy was applied.
 	appliedAt time.Duration
-	changed   chan struct{}
+	// confirmedAt is a time at which the store held no later change than those in the
+	// current policy, zero if none is known.
+	confirmedAt time.Duration
+	changed     chan struct{}
 }
 
 // NewHolder returns a holder without a policy.
@@ -190,6 +193,27 @@
 	return 0
 }
 
+// Confirm records that the store held no later change than those in the policy of a revision
+// at the given time. It is ignored while the current policy is older.
+func (h *Holder) Confirm(revision uint64, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current != nil && h.current.Revision >= revision {
+		h.confirmedAt = max(h.confirmedAt, at)
+	}
+}
+
+// Confirmed returns the revision of the current policy, and the latest time at which it is
+// known to have included all changes in the store; zero if there is none.
+func (h *Holder) Confirmed() (revision uint64, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current == nil {
+		return 0, 0
+	}
+	return h.current.Revision, h.confirmedAt
+}
+
 // Age returns the time since the newest policy was applied.
 func (h *Holder) Age() time.Duration {
 	h.mu.Lock()
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -87,6 +87,10 @@
 	// runner's own.
 	policyRevision   uint64
 	policyStaleSince time.Duration
+	// askedNs is the dispatcher's clock in its last heartbeat that asked for a confirmation
+	// of the policy, received at askedAt; zero if there was none.
+	askedNs int64
+	askedAt time.Duration
 }
 
 // serveDispatcher serves a connection of a dispatcher. The first frame names
@@ -128,12 +132,12 @@
 	ended := make(chan struct{})
 	d.outbox = outbox.New[*pb.RunnerFrame]()
 	d.cancel, d.ended = cancel, ended
-	d.lastOrder, d.expired, d.policyRevision = 0, false, 0
+	d.lastOrder, d.expired, d.policyRevision, d.askedNs = 0, false, 0, 0
 	d.lastReceivedAt = clock.SinceBoot()
 	r.grantLease(d, d.lastReceivedAt)
 	d.outbox.Put(&pb.RunnerFrame{
 		Runner: r.settings.Name, Incarnation: r.incarnation,
-		Held: r.heldRuns(d), Beat: r.newHeartbeat(), Crashes: r.encodeCrashes(),
+		Held: r.heldRuns(d), Beat: r.newHeartbeat(d), Crashes: r.encodeCrashes(),
 	})
 	if len(d.unsent) > 0 {
 		d.outbox.Put(&pb.RunnerFrame{Events: d.unsent})
--- a/internal/runner/dispatcher_test.go
+++ b/internal/runner/dispatcher_test.go
@@ -190,6 +190,7 @@
 	out.TryTakeAll()
 	now := clock.SinceBoot()
 	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
+	r.policy.Confirm(1, clock.SinceBoot())
 	r.mu.Lock()
 	r.session = &session{
 		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, tracker: capacity.New(workload.Resources{MilliCPU: 1000}),
@@ -222,6 +223,7 @@
 	out.TryTakeAll()
 	now := clock.SinceBoot()
 	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
+	r.policy.Confirm(1, clock.SinceBoot())
 	resources := workload.Resources{MilliCPU: 1000}
 	r.session = &session{
 		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(network.TCP, "127.0.0.1:1", "e"),
--- a/internal/runner/fuzz_test.go
+++ b/internal/runner/fuzz_test.go
@@ -41,6 +41,7 @@
 		d, out, _ := r.attach(&pb.DispatcherFrame{Dispatcher: "d", Incarnation: "1"}, func() {})
 		now := clock.SinceBoot()
 		r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
+		r.policy.Confirm(1, clock.SinceBoot())
 		free := workload.Resources{MilliCPU: 1000, MemoryMB: 1000, GPUs: 1}
 		r.session = &session{
 			endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(network.TCP, "127.0.0.1:1", "e"),
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -143,6 +143,8 @@
 	events map[string]*pb.RunEvent
 	orders uint64
 	muted  bool
+	// lacksStore is set while the dispatcher can't confirm the policy.
+	lacksStore bool
 }
 
 // connect connects as an incarnation of the dispatcher "d", sends the policy
@@ -163,7 +165,7 @@
 	d.held = first.GetHeld()
 	d.handleFrame(first)
 	go d.receive()
-	d.sendFrame(&pb.DispatcherFrame{Policy: &pb.Policy{Revision: 1, Config: []byte(policyConfig)}})
+	d.sendFrame(&pb.DispatcherFrame{Policy: &pb.Policy{Revision: 1, Config: []byte(policyConfig)}, Beat: d.newHeartbeat()})
 	go d.sendHeartbeats(ctx)
 	return d
 }
@@ -177,15 +179,27 @@
 func (d *dispatcher) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		echo, muted := d.echo, d.muted
+		muted := d.muted
 		d.mu.Unlock()
 		if !muted {
-			d.sendFrame(&pb.DispatcherFrame{Beat: &pb.DispatcherBeat{EchoNs: echo}})
+			d.sendFrame(&pb.DispatcherFrame{Beat: d.newHeartbeat()})
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 }
 
+// newHeartbeat returns a heartbeat that echoes the runner's last one, at which the store
+// confirmed the policy, unless the dispatcher has lost the store.
+func (d *dispatcher) newHeartbeat() *pb.DispatcherBeat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := &pb.DispatcherBeat{EchoNs: d.echo, PolicyRevision: 1}
+	if !d.lacksStore {
+		b.ConfirmedUs = new(int64)
+	}
+	return b
+}
+
 func (d *dispatcher) receive() {
 	for {
 		f := &pb.RunnerFrame{}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -16,6 +16,8 @@
 	refusals metric.Int64Counter
 	ends     metric.Int64Counter
 	overflow metric.Int64Counter
+	// policyReads counts the reads of the operators' keys.
+	policyReads metric.Int64Counter
 }
 
 func newCounters(m metric.Meter) (*counters, error) {
@@ -26,7 +28,7 @@
 	}{
 		{&c.starts, "runner_starts"}, {&c.stops, "runner_stops"},
 		{&c.refusals, "runner_refusals"}, {&c.ends, "runner_ends"},
-		{&c.overflow, "runner_overflow_starts"},
+		{&c.overflow, "runner_overflow_starts"}, {&c.policyReads, "runner_policy_reads"},
 	} {
 		created, err := m.Int64Counter(i.name)
 		if err != nil {
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -112,11 +112,15 @@
 // hasCapacity reports whether the order's run may start now: the endpoint has
 // responded and told its capacity recently, its lease is extended, its health allows the
 // run, it has free capacity, and no contained run of another job if the order is contained.
+// The policy that allows the order must be recent.
 func (r *Runner) hasCapacity(o *order, now time.Duration) bool {
 	s := r.session
 	if now-s.lastResponseAt > maxResponseAge || !r.capacityKnown(s, now) || r.mustLapse(s, now) || !s.healthAllows(o, now) {
 		return false
 	}
+	if !r.mayActOnPolicy(now) {
+		return false
+	}
 	if o.contained && s.tracker.HasContained(o.job()) {
 		return false
 	}
--- a/internal/runner/queue_test.go
+++ b/internal/runner/queue_test.go
@@ -36,6 +36,7 @@
 	out.TryTakeAll()
 	now := clock.SinceBoot()
 	r.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{{Service: "svc"}}}})
+	r.policy.Confirm(1, clock.SinceBoot())
 	r.session = &session{
 		endpoint: &workload.Endpoint{ID: "e", Service: "svc"}, client: platform.NewEndpointClient(silentNetwork{}, "e:1", "e"),
 		tracker: capacity.New(workload.Resources{MilliCPU: milliCPU}), health: capacity.NewHealth(), cancel: func() {}, lastResponseAt: now, heartbeatAt: now,
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -54,6 +54,7 @@
 	leaseEnd := d.leaseEnd
 	r.applyDispatcherHeartbeat(d, f.GetBeat(), now)
 	r.applyPolicy(f.GetPolicy())
+	r.confirmPolicy(f.GetBeat(), now)
 	r.acceptOrders(d, f.GetStarts(), now)
 	for _, s := range f.GetStops() {
 		r.revokeRun(d.owner(), runref.Decode(s), leaseEnd)
@@ -76,6 +77,9 @@
 	if echo := time.Duration(b.GetEchoNs()); echo > 0 && echo <= now {
 		d.leaseEnd = max(d.leaseEnd, echo+lease.DispatcherTTL)
 	}
+	if asked := b.GetAskedNs(); asked != 0 {
+		d.askedNs, d.askedAt = asked, now
+	}
 	d.policyRevision = max(d.policyRevision, b.GetPolicyRevision())
 	d.stateInterval = time.Duration(min(max(b.GetStateGapUs(), 0), maxStateInterval.Microseconds())) * time.Microsecond
 	if load := b.GetLinkLoad(); placement.ValidLoad(load) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,6 +22,7 @@
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/network"
+	"github.com/pomelosill/pomelosill/internal/operators"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/process"
@@ -41,6 +42,7 @@
 	debug       *process.Debug
 	counters    *counters
 	policy      *policy.Holder
+	operators   *operators.Reader
 	network     network.Network
 	incarnation string
 
@@ -64,6 +66,7 @@
 	// session uses a higher one. It is initially the runner's start time in
 	// Unix milliseconds, which is normally above the tokens of its predecessor.
 	fencingToken int64
+	freshness    freshness
 	// policyPushDelay is how long a dispatcher's policy must have been older
 	// than the runner's before the runner sends its own.
 	policyPushDelay time.Duration
@@ -79,11 +82,14 @@
 		return nil, err
 	}
 	startedAtMS := time.Now().UnixMilli()
+	holder := policy.NewHolder()
 	r := &Runner{
 		settings:        s,
 		log:             log,
 		debug:           debug,
-		policy:          policy.NewHolder(),
+		policy:          holder,
+		operators:       operators.NewReader(platform.NewStore(n, s.Store), holder, log),
+		freshness:       freshness{readAge: drawReadAge(s.EvacuationTimeout.Std(), rand.Float64())},
 		network:         n,
 		incarnation:     strconv.FormatInt(time.Now().UnixNano(), 36),
 		dispatchers:     map[string]*dispatcher{},
@@ -118,6 +124,7 @@
 	}
 	wg.Go(func() { registrar.Run(baseCtx) })
 	wg.Go(func() { r.checkLoop(baseCtx) })
+	wg.Go(func() { r.confirmLoop(baseCtx) })
 	r.log.Info("runner: started", zap.String("name", r.settings.Name), zap.String("incarnation", r.incarnation),
 		zap.String("version", process.Version()))
 	<-ctx.Done()
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -12,8 +12,11 @@
 )
 
 // newHeartbeat returns a heartbeat with the current time.
-func (r *Runner) newHeartbeat() *pb.RunnerBeat {
-	return &pb.RunnerBeat{SentNs: int64(clock.SinceBoot()), PolicyRevision: r.policy.Revision()}
+func (r *Runner) newHeartbeat(d *dispatcher) *pb.RunnerBeat {
+	now := clock.SinceBoot()
+	b := &pb.RunnerBeat{SentNs: int64(now), PolicyRevision: r.policy.Revision()}
+	r.addConfirmation(b, d, now)
+	return b
 }
 
 // sendFrames is the connection's only writer. Events are sent at once, together
@@ -87,7 +90,7 @@
 	}
 	d.lastFrameAt = now
 	if f.GetBeat() == nil && heartbeatIn <= slack {
-		f.Beat = r.newHeartbeat()
+		f.Beat = r.newHeartbeat(d)
 	}
 	if f.GetBeat() != nil {
 		d.lastHeartbeatAt = now
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -18,11 +18,21 @@
 	// HeartbeatInterval is the time between two heartbeats of the endpoint. Its
 	// capacity counts as known for 2.5 times as long.
 	HeartbeatInterval settings.Duration `json:"heartbeat_interval"`
+	// EvacuationTimeout is how long runs may still be started in a failure domain that an
+	// operator has taken out of service.
+	EvacuationTimeout settings.Duration `json:"evacuation_timeout"`
+	// ContactTime is how long a host must have reached the store for that to hold there.
+	ContactTime settings.Duration `json:"contact_time"`
 }
 
 // DefaultSettings returns the values of settings that are not in the file.
 func DefaultSettings() Settings {
-	return Settings{Service: settings.DefaultService(), HeartbeatInterval: settings.Duration(defaultHeartbeatInterval)}
+	return Settings{
+		Service:           settings.DefaultService(),
+		HeartbeatInterval: settings.Duration(defaultHeartbeatInterval),
+		EvacuationTimeout: settings.Duration(defaultEvacuationTimeout),
+		ContactTime:       settings.Duration(defaultContactTime),
+	}
 }
 
 // address returns the address that dispatchers dial.
@@ -43,6 +53,15 @@
 	defaultHeartbeatInterval = 1500 * time.Millisecond
 	// minHeartbeatInterval is the shortest valid heartbeat_interval.
 	minHeartbeatInterval = 10 * time.Millisecond
+	// defaultEvacuationTimeout and defaultContactTime are those of the platform's
+	// smallest deployments.
+	defaultEvacuationTimeout = 5 * time.Second
+	defaultContactTime       = 3 * time.Second
+	// minEvacuationTimeout is the shortest one within which dispatchers confirm the
+	// policy: they ask the store each second, and tell idle runners each second.
+	minEvacuationTimeout = 4500 * time.Millisecond
+	// minContactTime is the shortest one within which a failed read is repeated in time.
+	minContactTime = 2500 * time.Millisecond
 )
 
 // Validate implements settings.Settings.
@@ -50,6 +69,12 @@
 	if s.HeartbeatInterval.Std() < minHeartbeatInterval {
 		return settings.BadValue("heartbeat_interval", "must be at least "+minHeartbeatInterval.String())
 	}
+	if s.EvacuationTimeout.Std() < minEvacuationTimeout {
+		return settings.BadValue("evacuation_timeout", "must be at least "+minEvacuationTimeout.String())
+	}
+	if s.ContactTime.Std() < minContactTime {
+		return settings.BadValue("contact_time", "must be at least "+minContactTime.String())
+	}
 	return s.Check(minLeaseMax, minGrace,
 		settings.RequiredField{Field: "listen", Value: s.Listen}, settings.RequiredField{Field: "link", Value: s.Link})
 }
--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -39,6 +39,11 @@
 	maxSends      = 3
 )
 
+// ConfigOfVersion returns Config with another version.
+func ConfigOfVersion(version int) []byte {
+	return []byte(strings.Replace(Config, `"version":1`, fmt.Sprintf(`"version":%d`, version), 1))
+}
+
 // Shape is a kind of job.
 type Shape struct {
 	Tasks        int
--- a/test/simulate/cluster.go
+++ b/test/simulate/cluster.go
@@ -32,14 +32,18 @@
 )
 
 const (
-	domainCount = 2
+	domainCount  = 2
+	readyTimeout = 10 * time.Second
 	// endpointTasks is how many tasks an endpoint has capacity for.
 	endpointTasks     = 8
 	heartbeatInterval = 300 * time.Millisecond
 	// stopDelay is how long an endpoint takes to stop a run.
-	stopDelay    = 40 * time.Millisecond
-	grace        = 2 * time.Second
-	storeAddress = "store:1"
+	stopDelay = 40 * time.Millisecond
+	grace     = 2 * time.Second
+	// storeAddress is the store's address for runners, dispatcherStoreAddress that for
+	// dispatchers.
+	storeAddress           = "store:1"
+	dispatcherStoreAddress = "store:2"
 )
 
 // proc is a process of the system; it can be killed and restarted.
@@ -65,14 +69,16 @@
 
 // cluster is the system under test.
 type cluster struct {
-	t        *testing.T
-	rng      *rand.Rand
-	network  *simNetwork
-	checker  *platformtest.Checker
-	store    *kvstore.Server
-	operator *platform.Store
-	hosts    []*host
-	procs    []*proc
+	t       *testing.T
+	rng     *rand.Rand
+	network *simNetwork
+	checker *platformtest.Checker
+	store   *kvstore.Server
+	// runnerGate and dispatcherGate are in front of the store.
+	runnerGate, dispatcherGate *platformtest.Gate
+	operator                   *platform.Store
+	hosts                      []*host
+	procs                      []*proc
 	// dispatchers are the dispatcher processes among procs; dispatcherAddresses
 	// are where they accept jobs.
 	dispatchers         []*proc
@@ -121,7 +127,10 @@
 		closed: make(chan struct{}), log: &logbuf.Buffer{},
 		jobInterval: caller.OverloadInterval + time.Duration(rng.Int64N(int64(caller.JobInterval-caller.OverloadInterval))),
 	}
-	c.serve("store", storeAddress, (&platformtest.Store{Server: c.store}).Handler())
+	handler := (&platformtest.Store{Server: c.store}).Handler()
+	c.runnerGate, c.dispatcherGate = &platformtest.Gate{Handler: handler}, &platformtest.Gate{Handler: handler}
+	c.serve("store", storeAddress, c.runnerGate)
+	c.serve("store", dispatcherStoreAddress, c.dispatcherGate)
 	c.operator = platform.NewStore(c.network.newStack("operator"), storeAddress)
 	_, err := c.operator.CompareAndSwap(t.Context(), platform.KeyConfig, 0, []byte(caller.Config), 0)
 	must.NoError(t, err)
@@ -278,7 +287,7 @@
 	listen := name + ":1"
 	p := c.addProc(name, func(n network.Network, log *zap.Logger) func(context.Context) error {
 		s := dispatch.DefaultSettings()
-		s.Name, s.Listen, s.Ready, s.Peer, s.Store = name, listen, name+":2", name+":3", storeAddress
+		s.Name, s.Listen, s.Ready, s.Peer, s.Store = name, listen, name+":2", name+":3", dispatcherStoreAddress
 		s.Grace = settings.Duration(grace)
 		if forwards(i) {
 			s.ProcessorCores = smallShare
@@ -309,10 +318,10 @@
 }
 
 // allReady waits until every dispatcher is ready and reports whether this
-// happened in time.
-func (c *cluster) allReady(within time.Duration) bool {
+// happened within readyTimeout.
+func (c *cluster) allReady() bool {
 	client := c.newHTTPClient("balancer")
-	end := time.Now().Add(within)
+	end := time.Now().Add(readyTimeout)
 	for _, p := range c.dispatchers {
 		for !platformtest.DispatcherReady(c.t.Context(), client, p.name+":2") {
 			if time.Now().After(end) {
--- a/test/simulate/crash_test.go
+++ b/test/simulate/crash_test.go
@@ -26,7 +26,7 @@
 	c := newCluster(t, seed, func(*rand.Rand) size { return size{hosts: 9, dispatchers: 3} })
 	defer c.close()
 	c.jobInterval, c.crashes = caller.JobInterval, true
-	must.True(t, c.allReady(readyTimeout), must.Sprint("dispatchers were not ready in time"))
+	must.True(t, c.allReady(), must.Sprint("dispatchers were not ready in time"))
 	ctx, cancel := context.WithTimeout(t.Context(), crashDuration)
 	defer cancel()
 	if fault != nil {
--- a/test/simulate/fault.go
+++ b/test/simulate/fault.go
@@ -38,6 +38,28 @@
 	return faultinject.WithUnansweredStops(lost, c.injectors())
 }
 
+// storeLosses returns a fault for each dispatcher, in random order: it is partitioned from the
+// store, or all are turned away.
+func (c *cluster) storeLosses() []faultinject.Fault {
+	turnAway := c.rng.IntN(2) == 0
+	var all []faultinject.Fault
+	for _, i := range c.rng.Perm(len(c.dispatchers)) {
+		d := c.dispatchers[i]
+		there, back := route{d.name, "store"}, route{"store", d.name}
+		if !turnAway {
+			all = append(all, faultinject.NewFault("partition "+d.name+" from the store",
+				func() { c.network.setBlocked(true, there, back) }, func() { c.network.setBlocked(false, there, back) }))
+			continue
+		}
+		begin := func() {
+			c.dispatcherGate.TurnAway(true)
+			c.network.closeConns(d.name, "store")
+		}
+		all = append(all, faultinject.NewFault("turn away "+d.name, begin, func() { c.dispatcherGate.TurnAway(false) }))
+	}
+	return all
+}
+
 // injectors returns those of all endpoints.
 func (c *cluster) injectors() []*platformtest.FaultInjector {
 	var all []*platformtest.FaultInjector
--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pomelosill/pomelosill/platform/platformtest"
 	"github.com/pomelosill/pomelosill/test/faultinject"
 )
 
@@ -17,6 +18,7 @@
 	seedCount        = flag.Int("seeds", 20, "how many seeds to run")
 	firstSeed        = flag.Uint64("from", 1, "the first seed")
 	stopsSeedCount   = flag.Int("stops-seeds", 6, "how many seeds to run with unanswered stops")
+	lossSeedCount    = flag.Int("loss-seeds", 8, "how many seeds to run in which dispatchers lose the store")
 	fleetSeedCount   = flag.Int("fleet-seeds", 2, "how many seeds to run with a fleet")
 	fleetHosts       = flag.Int("fleet-hosts", 30, "hosts of the fleet")
 	fleetDispatchers = flag.Int("fleet-dispatchers", 18, "dispatchers of the fleet")
@@ -33,13 +35,14 @@
 var failedSeeds = []uint64{1022, 417, 402}
 
 const (
-	readyTimeout = 10 * time.Second
 	// recoveryTimeout bounds the time from the last fault until jobs are
 	// completed again.
 	recoveryTimeout = 8 * time.Second
 	// evacuationTimeout is how long runs may still be started in an evacuated
 	// failure domain.
 	evacuationTimeout = 2 * time.Second
+	// evacuationBound is the same while dispatchers lack the store: the platform's bound.
+	evacuationBound = 5 * time.Second
 )
 
 func TestSimulated(t *testing.T) {
@@ -80,6 +83,94 @@
 	})
 }
 
+// TestSimulatedStoreLoss runs seeds in which a failure domain is evacuated while all
+// dispatchers lack the store and runners reach it: runners that relied on their dispatchers
+// went on starting tasks there.
+func TestSimulatedStoreLoss(t *testing.T) {
+	faultinject.RunSeeds(t, nil, *firstSeed, *lossSeedCount, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, seed, randomSize)
+			defer c.close()
+			c.runStoreLoss(t)
+			if t.Failed() && *printLogs {
+				t.Log(c.log.String())
+			}
+		})
+	})
+}
+
+// While all dispatchers lack the store, few runners read it and tell the others. The reads
+// must not grow with the number of runners: a fleet that read for itself would exceed what
+// the store serves, and fall on it when it comes back.
+func TestRunnersShareReadsOfTheStore(t *testing.T) {
+	for _, hosts := range []int{10, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 1, func(*rand.Rand) size { return size{hosts: hosts, dispatchers: 6} })
+			defer c.close()
+			must.True(t, c.allReady())
+			time.Sleep(readShareTime)
+			must.Eq(t, 0, c.runnerGate.Lists.Load(), must.Sprint("reads while dispatchers reach the store"))
+			for _, d := range c.dispatchers {
+				c.network.setBlocked(true, route{d.name, "store"}, route{"store", d.name})
+			}
+			time.Sleep(readShareTime)
+			reads := float64(c.runnerGate.Lists.Load()) / readShareTime.Seconds()
+			t.Logf("%d runners: %.2f reads a second", hosts, reads)
+			must.Positive(t, reads)
+			must.Less(t, maxSharedReads, reads)
+		})
+	}
+}
+
+// When a store comes back that all processes had lost, the first to reach it spare the others
+// their reads. If each runner read the keys at once, a fleet would overrun it.
+func TestReturningStoreIsNotOverrun(t *testing.T) {
+	const hosts = 60
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, func(*rand.Rand) size { return size{hosts: hosts, dispatchers: 6} })
+		defer c.close()
+		must.True(t, c.allReady())
+		gates := []*platformtest.Gate{c.runnerGate, c.dispatcherGate}
+		for _, g := range gates {
+			g.TurnAway(true)
+		}
+		time.Sleep(outageTime)
+		before := c.runnerGate.Lists.Load()
+		for _, g := range gates {
+			g.TurnAway(false)
+		}
+		time.Sleep(returnTime)
+		reads := c.runnerGate.Lists.Load() - before
+		t.Logf("%d reads of %d runners within %s of the store's return", reads, hosts, returnTime)
+		must.LessEq(t, hosts/6, reads)
+	})
+}
+
+const (
+	// outageTime is the length of the outage, returnTime the time after it in which reads
+	// are counted.
+	outageTime = 20 * time.Second
+	returnTime = 2 * time.Second
+	// readShareTime is how long reads are counted.
+	readShareTime = 60 * time.Second
+	// maxSharedReads is the bound of the reads a second of all runners together. Each for
+	// itself would read every 3 s.
+	maxSharedReads = 3.0
+)
+
+// runStoreLoss evacuates a failure domain while all dispatchers lack the store.
+func (c *cluster) runStoreLoss(t *testing.T) {
+	must.True(t, c.allReady(), must.Sprint("dispatchers were not ready in time"))
+	loss := faultinject.StoreLoss{
+		Callers: c.newCallers(c.dispatcherAddresses), Checker: c.checker, Operator: c.operator, Rand: c.rng,
+		Losses: c.storeLosses(), Domain: domainName(0), Timeout: evacuationBound,
+	}
+	loss.Run(t)
+	if t.Failed() {
+		t.Logf("losses: %s", loss.Names())
+	}
+}
+
 // runSeed returns the number of jobs that were forwarded between dispatchers.
 func runSeed(t *testing.T, seed uint64, chooseSize func(*rand.Rand) size) int {
 	c := newCluster(t, seed, chooseSize)
@@ -96,7 +187,7 @@
 		Duration: *faultDuration, RecoveryTimeout: recoveryTimeout, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
 		Contention: contention,
 	}
-	if c.allReady(readyTimeout) {
+	if c.allReady() {
 		scenario.Run(t)
 	} else {
 		t.Error("dispatchers were not ready in time")
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -62,6 +62,27 @@
 	return faultinject.WithUnansweredStops(lost, c.injectors())
 }
 
+// storeLosses returns a fault for each dispatcher, in random order: it is partitioned from the
+// store or turned away.
+func (c *cluster) storeLosses() []faultinject.Fault {
+	name, lost := "partition", dropAll
+	if c.rng.IntN(2) == 0 {
+		name, lost = "turn away", answerBusy
+	}
+	var all []faultinject.Fault
+	for _, i := range c.rng.Perm(len(c.dispatchers)) {
+		d := c.dispatchers[i]
+		set := func(m mode) func() {
+			return func() {
+				d.store.setMode(m)
+				d.store.closeConns()
+			}
+		}
+		all = append(all, faultinject.NewFault(name+" "+d.process.Name, set(lost), set(forwardAll)))
+	}
+	return all
+}
+
 // injectors returns those of all endpoints.
 func (c *cluster) injectors() []*platformtest.FaultInjector {
 	var all []*platformtest.FaultInjector
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -19,8 +19,13 @@
 	dropAll
 	// dropFromClient forwards only what the server sends.
 	dropFromClient
+	// answerBusy forwards nothing, and answers HTTP requests with status 503.
+	answerBusy
 )
 
+// busyAnswer is the response under answerBusy.
+const busyAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
 const (
 	// slowDelay is the delay of each piece of data under forwardDelayed.
 	slowDelay   = 40 * time.Millisecond
@@ -159,6 +164,12 @@
 			return
 		}
 		m := p.currentMode()
+		if m == answerBusy {
+			if _, err := from.Write([]byte(busyAnswer)); fromServer || err != nil {
+				return
+			}
+			continue
+		}
 		dropping = dropping || m == dropAll || (m == dropFromClient && !fromServer)
 		if dropping {
 			continue
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,6 +18,7 @@
 	seedCount     = flag.Int("seeds", 2, "how many seeds to run")
 	firstSeed     = flag.Uint64("from", 2, "the first seed")
 	stopsSeeds    = flag.Int("stops-seeds", 1, "how many seeds to run with unanswered stops")
+	lossSeeds     = flag.Int("loss-seeds", 1, "how many seeds to run in which dispatchers lose the store")
 	faultDuration = flag.Duration("lasts", 8*time.Second, "how long faults are injected under each seed")
 )
 
@@ -55,6 +56,24 @@
 	})
 }
 
+// TestSoakStoreLoss runs seeds in which a failure domain is evacuated while all dispatchers
+// lack the store and runners reach it: runners that relied on their dispatchers went on
+// starting tasks there.
+func TestSoakStoreLoss(t *testing.T) {
+	faultinject.RunSeeds(t, nil, *firstSeed, *lossSeeds, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed, nil)
+		must.True(t, c.allReady(readyTimeout), must.Sprint("dispatchers were not ready in time"))
+		loss := faultinject.StoreLoss{
+			Callers: c.newCallers(), Checker: c.checker, Operator: c.operator, Rand: c.rng,
+			Losses: c.storeLosses(), Domain: domainName(0), Timeout: evacuationTimeout,
+		}
+		loss.Run(t)
+		if t.Failed() {
+			t.Logf("losses: %s", loss.Names())
+		}
+	})
+}
+
 // contends reports whether a seed includes routes of different priority under an
 // overload and uneven endpoints. Seeds that have failed before keep their load.
 func contends(seed uint64) bool { return seed%2 == 0 && !slices.Contains(failedSeeds, seed) }
