Runner: a run counts as ended only in a list that was asked for after one with it

Cause: the run's acceptance was dated to the time at which the renewal that lists it was sent; the run may have begun long after.

Change: it is dated to the arrival of the list. A request that is sent after that is answered from a later state, whatever the delays.

--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -53,8 +53,9 @@
 		}
 		res.listed, res.processEnded = true, false
 		if res.State == StartUnanswered {
+			// A request that waits at the endpoint lists what began after it was sent.
 			res.State = Running
-			res.AcceptedAt = sentAt
+			res.AcceptedAt = now
 		}
 		if now-sentAt > maxResponseDelay {
 			res.skipProgress(l.Percent, now)
--- a/internal/capacity/reservation.go
+++ b/internal/capacity/reservation.go
@@ -42,8 +42,9 @@
 	// StartSentAt is when the start request was sent.
 	StartSentAt time.Duration
 	// AcceptedAt is when the start was known to be accepted, zero before that.
-	// For a run whose start request got no response, it is when the renewal
-	// request was sent whose response listed the run.
+	// For a run whose start request got no response, it is when the response to a
+	// renewal arrived that listed the run: only a later request is answered from a
+	// later state.
 	AcceptedAt time.Duration
 	// FencingToken is that of the start request.
 	FencingToken int64
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -393,3 +393,16 @@
 		must.Eq(t, !c.freed, tr.MustLapse(23*ms), must.Sprint(c.name))
 	}
 }
+
+// A renewal that waits at the endpoint lists runs that began long after it was sent, and an
+// earlier list may arrive after it. The run must not count as ended because that one lacks it.
+func TestRunIsNotLostByAnEarlierList(t *testing.T) {
+	tr := newSyncedTracker()
+	reserve(t, tr, newRunID("a"), 6000, 10*ms)
+	must.True(t, tr.MarkUnanswered(newRunID("a")))
+	must.Len(t, 0, tr.Reconcile(runningResponse(newRunID("a")), 20*ms, 100*ms))
+	must.Len(t, 0, tr.Reconcile(workload.RenewalResponse{}, 80*ms, 110*ms), must.Sprint("requested before the list that has the run arrived"))
+	must.False(t, tr.Fits(resources(6000)), must.Sprint("the run holds its capacity"))
+	released := tr.Reconcile(workload.RenewalResponse{}, 101*ms, 120*ms)
+	must.Len(t, 1, released, must.Sprint("requested after it"))
+}
