Runner: no heartbeat of another writer hides that an endpoint drains

Cause: a heartbeat of another writer, with a higher sequence number and without fields that the runner doesn't use, was taken; the endpoint's own heartbeats then counted as late, and the draining one was acknowledged and ignored.

--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -62,6 +62,10 @@
 		s.setCapacity(ep.Capacity, now)
 	case s.endpoint.Incarnation() == ep.Incarnation() && ep.Newer(s.endpoint):
 		r.updateEndpoint(s, ep)
+	case s.endpoint.Incarnation() == ep.Incarnation() && ep.Draining:
+		// A process that drains doesn't return, so this is true however old it is. An
+		// acknowledgement promises that no run is started any more.
+		r.drainEndpoint(s)
 	case s.endpoint.Incarnation() != ep.Incarnation() && (ep.Newer(s.endpoint) || s.gone(now) || !r.serves(s.endpoint.Service)):
 		r.replaceEndpoint(s, ep, now)
 	default:
@@ -87,14 +91,22 @@
 
 // updateEndpoint applies a newer heartbeat of the same endpoint process.
 func (r *Runner) updateEndpoint(s *session, ep *workload.Endpoint) {
-	if ep.Draining && !s.endpoint.Draining {
-		r.log.Info("endpoint: draining", zap.String("life", ep.Incarnation()), zap.Int("running", s.tracker.RunCount()))
-	}
+	draining := ep.Draining || s.endpoint.Draining
+	ep.Draining = s.endpoint.Draining
 	s.endpoint = ep
 	s.setCapacity(ep.Capacity, clock.SinceBoot())
-	if ep.Draining {
-		r.refuseQueued()
+	if draining {
+		r.drainEndpoint(s)
+	}
+}
+
+// drainEndpoint stops the starts of runs at an endpoint that is about to end.
+func (r *Runner) drainEndpoint(s *session) {
+	if !s.endpoint.Draining {
+		r.log.Info("endpoint: draining", zap.String("life", s.endpoint.Incarnation()), zap.Int("running", s.tracker.RunCount()))
 	}
+	s.endpoint.Draining = true
+	r.refuseQueued()
 }
 
 // setCapacity applies the capacity in a heartbeat that was received now.
@@ -110,8 +122,7 @@
 	r.mu.Lock()
 	if s := r.session; s != nil && s.endpoint.ID == id {
 		r.log.Info("endpoint: deregistered", zap.String("life", s.endpoint.Incarnation()))
-		s.endpoint.Draining = true
-		r.refuseQueued()
+		r.drainEndpoint(s)
 		r.markStateChanged()
 	}
 	r.mu.Unlock()
