Dispatcher: a cancel is remembered for a job whose request is still unread

Cause: the frozen dispatcher was asked by another whether it has the job, and read the question before the job's request. Nobody remembered the cancel.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -178,6 +178,9 @@
 // arrive returns a new job and true, or a job that needs no admission and false: the
 // running one with the same ID, or a new one that was given up.
 func (d *Dispatcher) arrive(s *submission, now time.Duration) (*job, bool, error) {
+	if d.cancelled.has(jobPath{s.host, s.path}) {
+		return nil, false, result.Errorf(result.CancelledAfterStart, "job %s was cancelled before its request was read", s.spec.ID)
+	}
 	if j, found := d.jobs[s.spec.ID]; found {
 		d.log.Info("job: resubmitted while it runs", zap.String("job", s.spec.ID))
 		j.callerCount++
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/result"
@@ -130,7 +131,7 @@
 }
 
 // cancelOpen cancels the job at a path if it runs here or was forwarded from here, and
-// reports whether it does.
+// reports whether it does. If not, it isn't started here for a while.
 func (d *Dispatcher) cancelOpen(host, path string) bool {
 	id, ok := platform.JobID(path)
 	if !ok {
@@ -138,6 +139,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// The job's request may have been sent before and not been read yet, here or at
+	// another dispatcher that is asked.
+	d.cancelled.add(jobPath{host, path}, clock.SinceBoot())
 	if f := d.handover.forwarded[id]; f != nil && f.job.route.LeadsTo(host, path, id) {
 		d.log.Info("job: cancelled", zap.String("job", id), zap.String("peer", f.peer.Name))
 		d.endForwarded(f, platform.Answer{Code: result.CancelledAfterStart})
--- a/internal/dispatch/cancel_system_test.go
+++ b/internal/dispatch/cancel_system_test.go
@@ -94,3 +94,15 @@
 		return status == http.StatusOK
 	}), must.Sprint("another has the job"))
 }
+
+// A cancel may overtake its job, whose request a dispatcher that was suspended has not read
+// yet. If nobody remembered the cancel, the job would be started after it was acknowledged.
+func TestCancelThatOvertakesItsJob(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 2, endpoints: 1, runDuration: constantDuration(time.Hour)})
+	must.Eq(t, http.StatusGone, sys.cancelUntilAcknowledged(sys.dispatchers[0], 1))
+	for _, d := range sys.dispatchers {
+		status, _ := sys.postUntilAccepted(d, "/p/"+jobID(1), fmt.Sprintf(jobTemplate, 2, 5000))
+		must.Eq(t, http.StatusConflict, status)
+	}
+	must.Eq(t, 0, sys.checker.TotalStarts())
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -89,6 +89,8 @@
 	// counts the calls.
 	forwardClient *http.Client
 	forwards      sync.WaitGroup
+	// cancelled holds the jobs that callers have cancelled recently.
+	cancelled cancelMemory
 	// peerCancels holds an element for each job for which other dispatchers are being asked
 	// to cancel it.
 	peerCancels chan struct{}
