Dispatcher: no cancel misses the job of a dispatcher that isn't listed

Cause: a cancel is passed to the dispatchers that the directory lists. The new one took jobs before its record was written; and the others learn of a record from a watch, which may be late.

Change: a dispatcher is ready and takes jobs once its record is in the store, or another dispatcher has called it; until then it answers 503 (code 120). A cancel of an unknown job lists the dispatchers' records after it has arrived, under a prefix of their own, and is passed to all of them; without the store it is answered with 504 unless a dispatcher has the job. Each call that writes the record has its own time limit.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,8 +15,13 @@
 	"github.com/pomelosill/pomelosill/internal/store"
 )
 
-// Prefix is the prefix of the processes' keys in the store.
-const Prefix = "pomelosill/nodes/"
+const (
+	// Prefix is the prefix of the processes' keys in the store.
+	Prefix = "pomelosill/nodes/"
+	// DispatcherPrefix is that of the dispatchers among them, which can be listed without
+	// the many runners.
+	DispatcherPrefix = Prefix + "dispatcher/"
+)
 
 // Role is the kind of a process.
 type Role string
@@ -41,6 +46,22 @@
 	return n.Name != "" && network.ValidAddress(n.Address) && (n.Role == Dispatcher || n.Role == Runner)
 }
 
+// Key returns the key of the node's record in the store.
+func (n *Node) Key() string {
+	if n.Role == Dispatcher {
+		return DispatcherPrefix + n.Name
+	}
+	return Prefix + n.Name
+}
+
+// nameOf returns the name of the process that a key is meant for.
+func nameOf(key string) string {
+	if name, ok := strings.CutPrefix(key, DispatcherPrefix); ok {
+		return name
+	}
+	return strings.TrimPrefix(key, Prefix)
+}
+
 // Cache holds the nodes that a process knows. A node is kept for
 // removedRetention after its record was removed, because the store may also
 // remove the record of a running process when it loses a lease. Its methods are
@@ -186,10 +207,10 @@
 	seen := map[string]bool{}
 	for _, e := range changes.Entries {
 		var n Node
-		if err := json.Unmarshal(e.Value, &n); err != nil || !n.valid() || Prefix+n.Name != e.Key {
+		if err := json.Unmarshal(e.Value, &n); err != nil || !n.valid() || n.Key() != e.Key {
 			errs = append(errs, result.Errorf(result.Malformed, "store key %s does not hold a valid process record", e.Key))
 			// An invalid value doesn't say that the process has ended.
-			seen[strings.TrimPrefix(e.Key, Prefix)] = true
+			seen[nameOf(e.Key)] = true
 			continue
 		}
 		n.Revision = e.Revision
@@ -197,7 +218,7 @@
 		c.put(n)
 	}
 	for name, cached := range c.nodes {
-		removed := slices.Contains(changes.Deleted, Prefix+name) || (all && !seen[name])
+		removed := slices.Contains(changes.Deleted, cached.node.Key()) || (all && !seen[name])
 		if removed && cached.removedAt.IsZero() {
 			cached.removedAt = now
 			c.nodes[name] = cached
--- a/internal/directory/register.go
+++ b/internal/directory/register.go
@@ -31,6 +31,8 @@
 	Store store.Store
 	Node  Node
 	Log   *zap.Logger
+	// Written, if not nil, is called each time the record has been written.
+	Written func()
 }
 
 // Run writes the record and renews its lease until ctx is done.
@@ -45,34 +47,50 @@
 			continue
 		}
 		r.Log.Info("directory: record written", zap.String("name", r.Node.Name), zap.String("address", r.Node.Address))
+		if r.Written != nil {
+			r.Written()
+		}
 		backoff = minBackoff
 		r.renew(ctx, lease)
 	}
 }
 
-// register writes the record under a new lease.
+// register writes the record under a new lease. Each call has its own time limit, so that one
+// whose answer is lost is soon repeated.
 func (r *Registrar) register(ctx context.Context) (store.LeaseID, error) {
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
-	defer cancel()
 	value, err := json.Marshal(r.Node)
 	if err != nil {
 		return 0, err
 	}
-	lease, err := r.Store.Grant(ctx, recordTTL)
+	lease, err := r.grant(ctx)
 	if err != nil {
 		return 0, err
 	}
-	key := Prefix + r.Node.Name
-	_, err = r.Store.CompareAndSwap(ctx, key, 0, value, lease)
+	err = r.write(ctx, value, 0, lease)
 	if result.CodeOf(err) != result.StoreConflict {
 		return lease, err
 	}
-	old, err := r.Store.Get(ctx, key)
+	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	old, err := r.Store.Get(readCtx, r.Node.Key())
+	cancel()
 	if err != nil {
 		return 0, err
 	}
-	_, err = r.Store.CompareAndSwap(ctx, key, old.Revision, value, lease)
-	return lease, err
+	return lease, r.write(ctx, value, old.Revision, lease)
+}
+
+func (r *Registrar) grant(ctx context.Context) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Store.Grant(ctx, recordTTL)
+}
+
+// write writes the record if its revision is the expected one.
+func (r *Registrar) write(ctx context.Context, value []byte, expect uint64, lease store.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := r.Store.CompareAndSwap(ctx, r.Node.Key(), expect, value, lease)
+	return err
 }
 
 // renew renews the lease until the lease or ctx has ended.
--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -54,6 +54,8 @@
 		return
 	}
 	switch {
+	case r.Method == http.MethodPost && !d.awaitListed(r.Context()):
+		d.refuse(w, r, s.routeName(), result.Errorf(result.NotListed, "other dispatchers can't find this one yet"))
 	case r.Method == http.MethodPost:
 		d.handleSubmit(w, r, s)
 	case r.Method == http.MethodGet && s.id == "":
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -46,8 +46,8 @@
 )
 
 // cancelAnywhere cancels the job at a path, here or at another dispatcher, and reports whether
-// it was open. Only the dispatcher that has admitted a job knows it, so all are asked. The
-// error means that the job was not found, but may be open where there was no answer, or that
+// it was open. Only the dispatcher that has admitted a job knows it, so all are asked, also one
+// that has registered so recently that no watch has told of it. The error means that the job was not found, but may be open where there was no answer, or that
 // too many jobs are being cancelled.
 func (d *Dispatcher) cancelAnywhere(ctx context.Context, host, path string) (bool, error) {
 	if d.cancelOpen(host, path) {
@@ -64,7 +64,12 @@
 		return false, result.Errorf(result.Overloaded, "job %s is not cancelled: too many others are", id)
 	}
 	silent := 0
-	outcomes := d.cancelAtPeers(ctx, &pb.CancelRequest{Host: host, Path: path})
+	peers, err := d.listedDispatchers(ctx)
+	if err != nil {
+		d.log.Info("job: not all dispatchers that may have it are known", zap.String("path", path), zap.Error(err))
+		silent++
+	}
+	outcomes := d.cancelAtPeers(ctx, peers, &pb.CancelRequest{Host: host, Path: path})
 	for outcome := range outcomes {
 		switch outcome {
 		case cancelFound:
@@ -74,7 +79,7 @@
 		}
 	}
 	if silent > 0 {
-		return false, result.Errorf(result.StillRunning, "job %s may be open at %d dispatchers that did not answer", id, silent)
+		return false, result.Errorf(result.StillRunning, "job %s may be open at %d dispatchers that did not answer or are not known", id, silent)
 	}
 	return false, nil
 }
@@ -91,10 +96,9 @@
 	cancelUnanswered
 )
 
-// cancelAtPeers asks all other dispatchers at the same time. The channel has an outcome for
-// each and is closed then.
-func (d *Dispatcher) cancelAtPeers(ctx context.Context, m *pb.CancelRequest) <-chan cancelOutcome {
-	peers := d.directory.Registered(directory.Dispatcher)
+// cancelAtPeers asks all of the dispatchers but this one at the same time. The channel has an
+// outcome for each and is closed then.
+func (d *Dispatcher) cancelAtPeers(ctx context.Context, peers []directory.Node, m *pb.CancelRequest) <-chan cancelOutcome {
 	outcomes := make(chan cancelOutcome, len(peers))
 	var calls sync.WaitGroup
 	for _, n := range peers {
--- a/internal/dispatch/cancel_system_test.go
+++ b/internal/dispatch/cancel_system_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/pomelosill/pomelosill/internal/directory"
+	"github.com/pomelosill/pomelosill/internal/standin/kvstore"
+	"github.com/pomelosill/pomelosill/internal/store/wire"
 )
 
 // startJob sends a job of two tasks and returns once both run.
@@ -82,7 +85,7 @@
 	must.NoError(t, err)
 	defer func() { _ = silent.Close() }()
 	record := fmt.Sprintf(`{"name":"silent","role":"dispatcher","address":"%s"}`, silent.Addr())
-	sys.put(directory.Prefix+"silent", record)
+	sys.put(directory.DispatcherPrefix+"silent", record)
 	must.True(t, eventually(func() bool { return sys.cancelJob(sys.dispatchers[0], 1) == http.StatusGatewayTimeout }))
 	// On a busy machine, the dispatcher that has the job may answer late as well.
 	n := 1
@@ -106,3 +109,46 @@
 	}
 	must.Eq(t, 0, sys.checker.TotalStarts())
 }
+
+// A dispatcher that has just registered may have the job, though no watch has told of it yet.
+// If only those that are known already were asked, the job would go on.
+func TestCancelAsksDispatcherThatHasJustRegistered(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 1, endpoints: 1, runDuration: constantDuration(time.Hour)})
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = silent.Close() }()
+	must.Eq(t, http.StatusGone, sys.cancelUntilAcknowledged(sys.dispatchers[0], 1))
+	sys.store.SetFaults(kvstore.Fault{Kind: kvstore.StaleWatch})
+	sys.put(directory.DispatcherPrefix+"silent", fmt.Sprintf(`{"name":"silent","role":"dispatcher","address":"%s"}`, silent.Addr()))
+	must.Eq(t, http.StatusGatewayTimeout, sys.cancelJob(sys.dispatchers[0], 2))
+}
+
+// While the store can't be asked which dispatchers there are, a cancel of an unknown job must not
+// be acknowledged.
+func TestCancelIsNotAcknowledgedWithoutTheStore(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 1, endpoints: 1, runDuration: constantDuration(time.Hour)})
+	sys.store.SetFaults(kvstore.Fault{Kind: kvstore.Unavailable})
+	must.Eq(t, http.StatusGatewayTimeout, sys.cancelJob(sys.dispatchers[0], 1))
+	sys.store.SetFaults()
+	must.Eq(t, http.StatusGone, sys.cancelUntilAcknowledged(sys.dispatchers[0], 1))
+}
+
+// A dispatcher whose record isn't in the store is not asked by the others, so it must not take
+// jobs: the record's write may have been refused, or its answer lost.
+func TestUnlistedDispatcherTakesNoJobs(t *testing.T) {
+	sys := newSystem(t, systemOptions{dispatchers: 1, endpoints: 1, runDuration: constantDuration(time.Hour)})
+	sys.store.SetFaults(kvstore.Fault{Kind: kvstore.Unavailable, Calls: []wire.Kind{wire.Grant}})
+	sys.addDispatcher(1, systemOptions{})
+	unlisted := sys.dispatchers[1]
+	must.True(t, eventually(func() bool {
+		status, _ := sys.post(t.Context(), unlisted, "/p/"+jobID(1), fmt.Sprintf(jobTemplate, 1, 100))
+		return status == http.StatusServiceUnavailable && strings.Contains(sys.log.String(), "other dispatchers can't find this one yet")
+	}))
+	must.False(t, isReady(unlisted))
+	must.Eq(t, 0, sys.checker.TotalStarts())
+	sys.store.SetFaults()
+	sys.waitReady(unlisted)
+	answered := sys.startJob(unlisted, 2)
+	sys.requireCancelled(sys.dispatchers[0], 2)
+	must.Eq(t, http.StatusConflict, <-answered)
+}
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,8 +21,8 @@
 )
 
 // newDirectoryWatcher returns a watcher that keeps the directory equal to the
-// records in the store.
-func newDirectoryWatcher(s store.Store, cache *directory.Cache, log *zap.Logger) *prefixWatcher {
+// records in the store, and calls changed after each response.
+func newDirectoryWatcher(s store.Store, cache *directory.Cache, changed func(), log *zap.Logger) *prefixWatcher {
 	return &prefixWatcher{
 		store: s, log: log, prefix: directory.Prefix, subject: "directory",
 		watchTimeout: directoryWatchTimeout, responseTimeout: directoryResponseTimeout, retryDelay: directoryRetryDelay,
@@ -29,10 +30,32 @@
 			for _, err := range cache.ApplyChanges(c, all, time.Now()) {
 				log.Warn("directory: invalid record ignored", zap.Error(err))
 			}
+			changed()
 		},
 	}
 }
 
+// listedDispatchers returns all dispatchers whose records are in the store, also those that no
+// watch has told of yet: a dispatcher takes jobs only once the others can find it there. The
+// error means that some may be missing.
+func (d *Dispatcher) listedDispatchers(ctx context.Context) ([]directory.Node, error) {
+	ctx, cancel := context.WithTimeout(ctx, cancelCallTimeout)
+	defer cancel()
+	known := d.directory.Registered(directory.Dispatcher)
+	c, err := d.store.Watch(ctx, directory.DispatcherPrefix, 0, 0)
+	if err != nil {
+		return known, err
+	}
+	listed := directory.NewCache()
+	listed.ApplyChanges(c, true, time.Now())
+	for _, n := range listed.Registered(directory.Dispatcher) {
+		if !slices.ContainsFunc(known, func(k directory.Node) bool { return k.Name == n.Name && k.Address == n.Address }) {
+			known = append(known, n)
+		}
+	}
+	return known, nil
+}
+
 // unlinkCheckInterval is the time between two checks whether the runners that
 // are no longer assigned to the dispatcher have finished its runs.
 const unlinkCheckInterval = 200 * time.Millisecond
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -89,6 +89,8 @@
 	// counts the calls.
 	forwardClient *http.Client
 	forwards      sync.WaitGroup
+	// listing tells whether cancels at other dispatchers reach this one.
+	listing *listing
 	// cancelled holds the jobs that callers have cancelled recently.
 	cancelled cancelMemory
 	// peerCancels holds an element for each job for which other dispatchers are being asked
@@ -127,6 +129,7 @@
 		handover:         newHandoverState(s),
 		forwardClient:    newForwardClient(n),
 		peerCancels:      make(chan struct{}, maxPeerCancels),
+		listing:          newListing(),
 	}
 	d.metrics, err = newMetrics(debug.Meter)
 	return d, err
@@ -144,13 +147,14 @@
 	}
 	registrar := &directory.Registrar{
 		Store: d.store, Log: d.log,
-		Node: directory.Node{Name: d.settings.Name, Role: directory.Dispatcher, Address: d.settings.Peer},
+		Node:    directory.Node{Name: d.settings.Name, Role: directory.Dispatcher, Address: d.settings.Peer},
+		Written: d.listing.confirm,
 	}
 	var running sync.WaitGroup
 	for _, run := range []func(context.Context){
 		registrar.Run,
 		newOperatorWatcher(d.store, d.policy, d.log).run,
-		newDirectoryWatcher(d.store, d.directory, d.log).run,
+		newDirectoryWatcher(d.store, d.directory, d.checkListing, d.log).run,
 		d.maintainConnections,
 		d.runTicks,
 	} {
@@ -197,7 +201,7 @@
 func (d *Dispatcher) isReady(now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.shuttingDown.Load() && d.policy.Current() != nil && d.hasUsableRunner(now) && !d.handover.readiness.Unready(now)
+	return !d.shuttingDown.Load() && d.listing.confirmed() && d.policy.Current() != nil && d.hasUsableRunner(now) && !d.handover.readiness.Unready(now)
 }
 
 // hasUsableRunner is called with the lock held.
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -91,6 +91,8 @@
 // Gossip serves a stream that another dispatcher has opened. It implements
 // PeerService.
 func (d *Dispatcher) Gossip(ctx context.Context, stream *connect.BidiStream[pb.GossipFrame, pb.GossipFrame]) error {
+	// The caller has this dispatcher in its directory.
+	d.listing.confirm()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	g := newGossipStream(d, stream.Send, stream.Receive)
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -54,6 +54,7 @@
 	EntryUnreachable Code = 117
 	NoPolicy         Code = 118
 	NoEndpoint       Code = 119
+	NotListed        Code = 120
 
 	TaskFailed          Code = 201
 	OutcomeUnknown      Code = 202
@@ -135,6 +136,7 @@
 	{EntryUnreachable, "EntryUnreachable", "No entry could be reached; nothing was sent.", EffectNotRun, true, http.StatusServiceUnavailable},
 	{NoPolicy, "NoPolicy", "The process has no configuration yet.", EffectNotRun, true, http.StatusServiceUnavailable},
 	{NoEndpoint, "NoEndpoint", "No endpoint of the service takes tasks now.", EffectNotRun, true, http.StatusServiceUnavailable},
+	{NotListed, "NotListed", "Other dispatchers can't find this one yet, so a cancel might not reach the job.", EffectNotRun, true, http.StatusServiceUnavailable},
 
 	{TaskFailed, "TaskFailed", "A task ran and failed.", EffectMayHaveRun, false, http.StatusBadGateway},
 	{OutcomeUnknown, "OutcomeUnknown", "The outcome is unknown; nothing is started again.", EffectMayHaveRun, false, http.StatusBadGateway},
