--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -47,8 +47,8 @@
 
 // cancelAnywhere cancels the job at a path, here or at another dispatcher, and reports whether
 // it was open. Only the dispatcher that has admitted a job knows it, so all are asked, also one
-// that has registered so recently that no watch has told of it. The error means that the job was not found, but may be open where there was no answer, or that
-// too many jobs are being cancelled.
+// that has registered so recently that no watch has told of it. The error means that the job was
+// not found, but may be open where there was no answer, or that too many jobs are being cancelled.
 func (d *Dispatcher) cancelAnywhere(ctx context.Context, host, path string) (bool, error) {
 	if d.cancelOpen(host, path) {
 		return true, nil
--- a/internal/runner/heartbeat.go
+++ b/internal/runner/heartbeat.go
@@ -91,11 +91,12 @@
 
 // updateEndpoint applies a newer heartbeat of the same endpoint process.
 func (r *Runner) updateEndpoint(s *session, ep *workload.Endpoint) {
-	draining := ep.Draining || s.endpoint.Draining
+	announced := ep.Draining
+	// A process that drains doesn't return.
 	ep.Draining = s.endpoint.Draining
 	s.endpoint = ep
 	s.setCapacity(ep.Capacity, clock.SinceBoot())
-	if draining {
+	if announced || ep.Draining {
 		r.drainEndpoint(s)
 	}
 }
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -61,7 +61,7 @@
 	// policy: they ask the store each second, and tell idle runners each second.
 	minEvacuationTimeout = 4500 * time.Millisecond
 	// minContactTime is the shortest one within which a failed read is repeated in time.
-	minContactTime = 2500 * time.Millisecond
+	minContactTime = 2800 * time.Millisecond
 )
 
 // Validate implements settings.Settings.
