Simulation, soak: calls that are carried out late and overtake each other

Change: platformtest.Delays delays each call to an endpoint or the store, and each heartbeat, by itself: it is carried out late, also when its sender has given it up, and its answer is late or lost. A call that is repeated unchanged is as late as before, so that starts are slow to begin. Most delays are drawn around the time after which the sender gives up. A late call belongs to the process that it was sent to. A simulated connection takes more chunks: with 256 a writer under a lock could stop simulated time.

--- a/test/caller/caller.go
+++ b/test/caller/caller.go
@@ -31,6 +31,8 @@
 	TaskCPU = 1000
 	// JobInterval is the time between two jobs of a normal load.
 	JobInterval = 45 * time.Millisecond
+	// QuickInterval is the time between two jobs if most are short.
+	QuickInterval = 8 * time.Millisecond
 	// resendDelay is how long a caller waits after a lost answer before it
 	// sends its job again.
 	resendDelay = 1300 * time.Millisecond
@@ -133,6 +135,21 @@
 	Dispatchers []string
 	// JobInterval is the time between two jobs.
 	JobInterval time.Duration
+	// ManyQuick makes most jobs short ones: the same capacity serves several times as many.
+	ManyQuick bool
+}
+
+const (
+	// longDuration is the duration from which ManyQuick leaves tasks out, but for the jobs
+	// of one in longJobInterval rounds of the shapes.
+	longDuration    = 500 * time.Millisecond
+	longJobInterval = 8
+)
+
+// leavesOut reports whether the job with the number isn't sent.
+func (c *Callers) leavesOut(number uint64) bool {
+	round := number / uint64(len(shapes))
+	return c.ManyQuick && ShapeOf(number).TaskDuration >= longDuration && round%longJobInterval != 0
 }
 
 // SendJobs sends jobs, numbered from first, until ctx ends, and returns the
@@ -142,6 +159,9 @@
 	var results []*JobResult
 	var wg sync.WaitGroup
 	for number := first; ctx.Err() == nil; number++ {
+		if c.leavesOut(number) {
+			continue
+		}
 		wg.Go(func() {
 			r := c.sendJob(number)
 			mu.Lock()
--- a/test/simulate/cluster.go
+++ b/test/simulate/cluster.go
@@ -74,6 +74,8 @@
 	network *simNetwork
 	checker *platformtest.Checker
 	store   *kvstore.Server
+	// storeDelays delays the calls to the store.
+	storeDelays platformtest.Delays
 	// runnerGate and dispatcherGate are in front of the store.
 	runnerGate, dispatcherGate *platformtest.Gate
 	operator                   *platform.Store
@@ -89,6 +91,8 @@
 	log                 *logbuf.Buffer
 	// jobInterval is the time between two jobs.
 	jobInterval time.Duration
+	// manyQuick is set if most jobs are short.
+	manyQuick bool
 	// crashes is set if some jobs crash the endpoints that start them, and faults
 	// include changes of capacities.
 	crashes bool
@@ -127,7 +131,7 @@
 		closed: make(chan struct{}), log: &logbuf.Buffer{},
 		jobInterval: caller.OverloadInterval + time.Duration(rng.Int64N(int64(caller.JobInterval-caller.OverloadInterval))),
 	}
-	handler := (&platformtest.Store{Server: c.store}).Handler()
+	handler := c.storeDelays.Handler((&platformtest.Store{Server: c.store}).Handler(), nil)
 	c.runnerGate, c.dispatcherGate = &platformtest.Gate{Handler: handler}, &platformtest.Gate{Handler: handler}
 	c.serve("store", storeAddress, c.runnerGate)
 	c.serve("store", dispatcherStoreAddress, c.dispatcherGate)
@@ -305,7 +309,7 @@
 
 // newCallers returns callers that send jobs to the dispatchers at the addresses.
 func (c *cluster) newCallers(addresses []string) *caller.Callers {
-	return &caller.Callers{HTTP: c.newHTTPClient("callers"), Dispatchers: addresses, JobInterval: c.jobInterval}
+	return &caller.Callers{HTTP: c.newHTTPClient("callers"), Dispatchers: addresses, JobInterval: c.jobInterval, ManyQuick: c.manyQuick}
 }
 
 // maxSample is the largest number of dispatchers of a small system.
--- a/test/simulate/conn.go
+++ b/test/simulate/conn.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -9,9 +10,11 @@
 
 const (
 	// chunkBytes is the maximum size of a chunk; maxQueuedChunks is how many
-	// chunks a writer may be ahead of its reader.
+	// chunks a writer may be ahead of its reader. A writer that waits for longer may hold a
+	// lock that others wait for, and simulated time stands still while anybody waits for a
+	// lock.
 	chunkBytes      = 32 << 10
-	maxQueuedChunks = 256
+	maxQueuedChunks = 4096
 )
 
 // conn is a connection between two nodes.
@@ -89,14 +92,14 @@
 	chunks := make(chan chunk, maxQueuedChunks)
 	go c.deliver(dst, chunks, r)
 	defer close(chunks)
+	buffer := make([]byte, chunkBytes)
 	for {
-		data := make([]byte, chunkBytes)
-		n, err := src.Read(data)
+		n, err := src.Read(buffer)
 		if err != nil {
 			return
 		}
 		select {
-		case chunks <- chunk{data[:n], time.Now().Add(c.network.latency(r))}:
+		case chunks <- chunk{bytes.Clone(buffer[:n]), time.Now().Add(c.network.latency(r))}:
 		case <-c.stop:
 			return
 		}
--- a/test/simulate/fault.go
+++ b/test/simulate/fault.go
@@ -38,6 +38,15 @@
 	return faultinject.WithUnansweredStops(lost, c.injectors())
 }
 
+// chooseDelayFault draws calls that are late and overtake each other, or another fault.
+func (c *cluster) chooseDelayFault() faultinject.Fault {
+	var hosts []faultinject.DelayedHost
+	for _, h := range c.hosts {
+		hosts = append(hosts, faultinject.DelayedHost{Name: h.name, Endpoint: h.endpoint})
+	}
+	return faultinject.ChooseDelayFault(c.rng, &c.storeDelays, hosts, c.chooseFault)
+}
+
 // storeLosses returns a fault for each dispatcher, in random order: it is partitioned from the
 // store, or all are turned away.
 func (c *cluster) storeLosses() []faultinject.Fault {
--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pomelosill/pomelosill/platform/platformtest"
+	"github.com/pomelosill/pomelosill/test/caller"
 	"github.com/pomelosill/pomelosill/test/faultinject"
 )
 
@@ -18,6 +19,7 @@
 	seedCount        = flag.Int("seeds", 20, "how many seeds to run")
 	firstSeed        = flag.Uint64("from", 1, "the first seed")
 	stopsSeedCount   = flag.Int("stops-seeds", 6, "how many seeds to run with unanswered stops")
+	delaySeedCount   = flag.Int("delay-seeds", 10, "how many seeds to run in which calls overtake each other")
 	lossSeedCount    = flag.Int("loss-seeds", 8, "how many seeds to run in which dispatchers lose the store")
 	fleetSeedCount   = flag.Int("fleet-seeds", 2, "how many seeds to run with a fleet")
 	fleetHosts       = flag.Int("fleet-hosts", 30, "hosts of the fleet")
@@ -83,6 +85,20 @@
 	})
 }
 
+// TestSimulatedDelays runs seeds in which calls are carried out late and overtake each other.
+// A run that one list showed and an earlier one lacked, which arrived after it, then counted
+// as ended (docs/incidents/0015).
+func TestSimulatedDelays(t *testing.T) {
+	faultinject.RunSeeds(t, nil, *firstSeed, *delaySeedCount, func(t *testing.T, seed uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, seed, randomSize)
+			defer c.close()
+			c.jobInterval, c.manyQuick = caller.QuickInterval, true
+			c.runScenario(t, seed, faultinject.DelayTiming, c.chooseDelayFault, nil)
+		})
+	})
+}
+
 // TestSimulatedStoreLoss runs seeds in which a failure domain is evacuated while all
 // dispatchers lack the store and runners reach it: runners that relied on their dispatchers
 // went on starting tasks there.
@@ -181,7 +197,7 @@
 
 // runScenario runs the load and the faults of a seed.
 func (c *cluster) runScenario(t *testing.T, seed uint64, timing faultinject.Timing, chooseFault func() faultinject.Fault, contention *faultinject.Contention) {
-	c.crashes = faultinject.InjectsCrashes(seed)
+	c.crashes = faultinject.InjectsCrashes(seed) && !c.manyQuick
 	scenario := faultinject.Scenario{
 		Callers: c.newCallers(c.dispatcherAddresses), RecoveryCallers: c.newCallers(c.sampleDispatchers()), Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: timing, ChooseFault: chooseFault,
 		Duration: *faultDuration, RecoveryTimeout: recoveryTimeout, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -62,11 +62,13 @@
 
 // cluster is the system under test.
 type cluster struct {
-	t            *testing.T
-	rng          *rand.Rand
-	dir          string
-	checker      *platformtest.Checker
-	store        *kvstore.Server
+	t       *testing.T
+	rng     *rand.Rand
+	dir     string
+	checker *platformtest.Checker
+	store   *kvstore.Server
+	// storeDelays delays the calls to the store.
+	storeDelays  platformtest.Delays
 	operator     *platform.Store
 	storeAddress string
 	hosts        []*host
@@ -87,7 +89,7 @@
 		crashes: faultinject.InjectsCrashes(seed), contention: contention,
 		store: kvstore.NewServer(time.Now), ctx: ctx,
 	}
-	server := httptest.NewServer((&platformtest.Store{Server: c.store}).Handler())
+	server := httptest.NewServer(c.storeDelays.Handler((&platformtest.Store{Server: c.store}).Handler(), nil))
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	c.operator = platform.NewStore(network.TCP, c.storeAddress)
 	t.Cleanup(func() {
@@ -175,9 +177,7 @@
 	})
 	h.calls = c.addProxy(strings.TrimPrefix(server.URL, "http://"))
 	h.endpoint.ID = h.calls.address()
-	if c.crashes {
-		h.endpoint.Crashes = caller.CrashesEndpoint
-	}
+	h.endpoint.Crashes = func(run workload.RunID) bool { return c.crashes && caller.CrashesEndpoint(run) }
 	h.endpoint.OnProcess = func(running bool) {
 		if err := h.calls.setListening(running); err != nil {
 			c.t.Errorf("proxy in front of an endpoint: %v", err)
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -62,6 +62,20 @@
 	return faultinject.WithUnansweredStops(lost, c.injectors())
 }
 
+// chooseDelayFault draws calls that are late and overtake each other, or another fault.
+func (c *cluster) chooseDelayFault() faultinject.Fault {
+	return faultinject.ChooseDelayFault(c.rng, &c.storeDelays, c.delayedHosts(), c.chooseFault)
+}
+
+// delayedHosts returns what can be delayed at each host.
+func (c *cluster) delayedHosts() []faultinject.DelayedHost {
+	var all []faultinject.DelayedHost
+	for _, h := range c.hosts {
+		all = append(all, faultinject.DelayedHost{Name: h.runner.Name, Endpoint: h.endpoint})
+	}
+	return all
+}
+
 // storeLosses returns a fault for each dispatcher, in random order: it is partitioned from the
 // store or turned away.
 func (c *cluster) storeLosses() []faultinject.Fault {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,6 +18,7 @@
 	seedCount     = flag.Int("seeds", 2, "how many seeds to run")
 	firstSeed     = flag.Uint64("from", 2, "the first seed")
 	stopsSeeds    = flag.Int("stops-seeds", 1, "how many seeds to run with unanswered stops")
+	delaySeeds    = flag.Int("delay-seeds", 1, "how many seeds to run in which calls overtake each other")
 	lossSeeds     = flag.Int("loss-seeds", 1, "how many seeds to run in which dispatchers lose the store")
 	faultDuration = flag.Duration("lasts", 8*time.Second, "how long faults are injected under each seed")
 )
@@ -56,6 +57,19 @@
 	})
 }
 
+// TestSoakDelays runs seeds in which calls are carried out late and overtake each other. A run
+// that one list showed and an earlier one lacked, which arrived after it, then counted as ended
+// (docs/incidents/0015).
+func TestSoakDelays(t *testing.T) {
+	faultinject.RunSeeds(t, nil, *firstSeed, *delaySeeds, func(t *testing.T, seed uint64) {
+		c := newCluster(t, seed, nil)
+		c.crashes = false
+		callers := c.newCallers()
+		callers.JobInterval, callers.ManyQuick = caller.QuickInterval, true
+		c.runScenario(t, callers, faultinject.DelayTiming, c.chooseDelayFault)
+	})
+}
+
 // TestSoakStoreLoss runs seeds in which a failure domain is evacuated while all dispatchers
 // lack the store and runners reach it: runners that relied on their dispatchers went on
 // starting tasks there.
