Runner: a run it didn't request is gone only in a list asked for after one with it

Change: the arrival of the first list with the run is recorded; only a list that was requested after that proves its end, as for the runner's own runs.

Evidence: TestUnknownRunIsNotClearedByAnEarlierList failed in 3 of 3 runs before.

--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -47,7 +47,7 @@
 		res, found := t.reservations[l.Run]
 		if !found {
 			if at, known := t.released[l.Run]; !known || at < sentAt {
-				t.unknown[l.Run] = true
+				t.noteUnknown(l.Run, now)
 			}
 			continue
 		}
@@ -63,14 +63,22 @@
 		}
 		t.speed.observeProgress(res, l.Percent, now)
 	}
-	for run := range t.unknown {
-		if !listed[run] {
+	for run, since := range t.unknown {
+		// A list that was requested before the one with the run may be an earlier one.
+		if !listed[run] && since < sentAt {
 			delete(t.unknown, run)
 		}
 	}
 	return listed
 }
 
+// noteUnknown records that the endpoint lists a run that this runner did not request.
+func (t *Tracker) noteUnknown(run workload.RunID, now time.Duration) {
+	if _, known := t.unknown[run]; !known {
+		t.unknown[run] = now
+	}
+}
+
 // releaseUnlisted releases the runs that must have ended or can't start any
 // more: those that are not listed although their start was accepted, or their
 // stop acknowledged, before the request was sent. An endpoint that has
--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -18,9 +18,9 @@
 	capacity     workload.Resources
 	used         workload.Resources
 	reservations map[workload.RunID]*Reservation
-	// unknown holds runs that the endpoint lists but this runner did not
-	// request.
-	unknown map[workload.RunID]bool
+	// unknown holds runs that the endpoint lists but this runner did not request, and when
+	// the response arrived that first listed them.
+	unknown map[workload.RunID]time.Duration
 	// released holds when a run's capacity was released: a response that was
 	// sent before may arrive later and still list the run.
 	released map[workload.RunID]time.Duration
@@ -38,7 +38,7 @@
 
 // New returns a tracker for an incarnation that has not listed its runs yet.
 func New(capacity workload.Resources) *Tracker {
-	return &Tracker{capacity: capacity, reservations: map[workload.RunID]*Reservation{}, unknown: map[workload.RunID]bool{}, released: map[workload.RunID]time.Duration{}, speed: newSpeedEstimator()}
+	return &Tracker{capacity: capacity, reservations: map[workload.RunID]*Reservation{}, unknown: map[workload.RunID]time.Duration{}, released: map[workload.RunID]time.Duration{}, speed: newSpeedEstimator()}
 }
 
 // Capacity returns the endpoint's capacity.
@@ -228,7 +228,7 @@
 	t.lastEndSequence = 0
 	t.synced = false
 	t.rating = Rating{}
-	t.unknown = map[workload.RunID]bool{}
+	t.unknown = map[workload.RunID]time.Duration{}
 	for _, res := range t.reservations {
 		res.processEnded = crashed && res.Begun()
 	}
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -406,3 +406,16 @@
 	released := tr.Reconcile(workload.RenewalResponse{}, 101*ms, 120*ms)
 	must.Len(t, 1, released, must.Sprint("requested after it"))
 }
+
+// A run of an earlier process of the runner must keep starts blocked until a list that was
+// requested after one with it lacks it: an earlier list may arrive later.
+func TestUnknownRunIsNotClearedByAnEarlierList(t *testing.T) {
+	tr := newSyncedTracker()
+	tr.Reconcile(runningResponse(newRunID("old")), 20*ms, 100*ms)
+	must.False(t, tr.AcceptsStarts())
+	tr.Reconcile(workload.RenewalResponse{}, 80*ms, 110*ms)
+	must.False(t, tr.AcceptsStarts(), must.Sprint("requested before the list that has the run arrived"))
+	must.True(t, tr.MustLapse(110*ms))
+	tr.Reconcile(workload.RenewalResponse{}, 101*ms, 120*ms)
+	must.True(t, tr.AcceptsStarts(), must.Sprint("requested after it"))
+}
