Runner: only a list asked for with the raised fencing token proves a run's absence

After an endpoint's restart under the same id, or after it was unreachable, a task could run twice at once: the runner raises its fencing token when it notices, but took the first list, which it had requested with the old token, as proof. A start that was left unanswered may begin after that list, at the new process, which has seen no higher token; by then the run had been reported as lost and its task started elsewhere. An acknowledged stop of the old process also counted at the new one, which knows of none.

Change: the tracker ignores the absence of runs in responses to requests with a lower token than the raised one, and starts nothing before one with it; at a restart the acknowledged stops are requested again.

--- a/internal/capacity/rating_test.go
+++ b/internal/capacity/rating_test.go
@@ -108,7 +108,7 @@
 	rating, known := tr.Rating()
 	must.True(t, known)
 	must.Between(t, 1.5, rating, 1.75)
-	tr.EndpointRestarted(false)
+	tr.EndpointRestarted(false, 0)
 	_, known = tr.Rating()
 	must.False(t, known)
 }
--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -32,8 +32,10 @@
 		}
 	}
 	listed := t.applyRunning(resp.Running, sentAt, now)
-	released = append(released, t.releaseUnlisted(listed, resp.FencingToken, sentAt, now)...)
-	t.synced = true
+	if resp.FencingToken >= t.syncToken {
+		released = append(released, t.releaseUnlisted(listed, resp.FencingToken, sentAt, now)...)
+		t.synced = true
+	}
 	t.pruneReleased(now)
 	return released
 }
--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -24,8 +24,10 @@
 	// released holds when a run's capacity was released: a response that was
 	// sent before may arrive later and still list the run.
 	released map[workload.RunID]time.Duration
-	// synced is set once the endpoint has listed its runs.
-	synced bool
+	// synced is set once the endpoint has listed its runs. Only the response to a request
+	// with at least syncToken proves that a run isn't there.
+	synced    bool
+	syncToken int64
 	// lastEndSequence is the sequence number of the last processed end of a
 	// run.
 	lastEndSequence int64
@@ -221,19 +223,27 @@
 
 // EndpointRestarted records that the endpoint's process was replaced under the
 // same name. Ends are numbered from one again, and no start is requested until
-// the next response has listed the runs, including those that were requested
-// meanwhile. The runs that had begun are lost in a crash, unless the new process
-// lists them or the old one had announced its end.
-func (t *Tracker) EndpointRestarted(crashed bool) {
+// the response to a request with the fencing token has listed the runs, including
+// those that were requested meanwhile. The runs that had begun are lost in a crash,
+// unless the new process lists them or the old one had announced its end. It returns the
+// runs whose stop has to be requested again: the new process knows of none.
+func (t *Tracker) EndpointRestarted(crashed bool, token int64) []workload.RunID {
 	t.lastEndSequence = 0
-	t.synced = false
+	t.RequireSync(token)
 	t.rating = Rating{}
 	t.unknown = map[workload.RunID]time.Duration{}
-	for _, res := range t.reservations {
+	var stops []workload.RunID
+	for run, res := range t.reservations {
 		res.processEnded = crashed && res.Begun()
+		if res.StopAcked {
+			res.StopAcked = false
+			stops = append(stops, run)
+		}
 	}
+	return stops
 }
 
-// RequireSync blocks starts until the endpoint has listed its runs again, after
-// it was unreachable.
-func (t *Tracker) RequireSync() { t.synced = false }
+// RequireSync blocks starts until the endpoint has listed its runs in response to a request
+// with the fencing token, which it uses after it was restarted or unreachable: it refuses the
+// starts that were requested before.
+func (t *Tracker) RequireSync(token int64) { t.synced, t.syncToken = false, token }
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -238,7 +238,7 @@
 	tr := newSyncedTracker()
 	reserve(t, tr, newRunID("a"), 1000, 10*ms)
 	must.Len(t, 1, tr.ReleaseAll(20*ms))
-	tr.RequireSync()
+	tr.RequireSync(0)
 	must.False(t, tr.Fits(resources(1)))
 }
 
@@ -419,3 +419,20 @@
 	tr.Reconcile(workload.RenewalResponse{}, 101*ms, 120*ms)
 	must.True(t, tr.AcceptsStarts(), must.Sprint("requested after it"))
 }
+
+// After an endpoint was restarted or unreachable, starts that were requested before may still
+// begin until it has seen a higher fencing token. A list that was requested with the lower one
+// must not prove that they aren't there, nor unblock further starts.
+func TestListWithALowerTokenProvesNoAbsence(t *testing.T) {
+	tr := newSyncedTracker()
+	must.True(t, tr.Reserve(Reservation{Run: newRunID("a"), Owner: "d", Resources: resources(1000), FencingToken: 5}, 10*ms))
+	must.True(t, tr.MarkUnanswered(newRunID("a")))
+	must.True(t, tr.BeginStop(newRunID("a")))
+	tr.StopAcked(newRunID("a"), 20*ms)
+	must.Eq(t, []workload.RunID{newRunID("a")}, tr.EndpointRestarted(true, 6), must.Sprint("the new process knows of no stop"))
+	tr.StopAcked(newRunID("a"), 25*ms)
+	must.Len(t, 0, tr.Reconcile(workload.RenewalResponse{FencingToken: 5}, 30*ms, 31*ms), must.Sprint("the start may begin after this"))
+	must.False(t, tr.AcceptsStarts())
+	must.Len(t, 1, tr.Reconcile(workload.RenewalResponse{FencingToken: 6}, 32*ms, 33*ms))
+	must.True(t, tr.AcceptsStarts())
+}
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -96,7 +96,7 @@
 func (r *Runner) processEnded(s *session, now time.Duration) {
 	r.recordUnreachable(s, now)
 	released := s.tracker.ReleaseAll(now)
-	s.tracker.RequireSync()
+	s.tracker.RequireSync(s.fencingToken + 1)
 	if s.endpoint.Draining {
 		r.reportEnds(released, result.EndpointGone)
 		return
@@ -114,7 +114,7 @@
 // not respond. Whether its process has ended is not known.
 func (r *Runner) processUnreachable(s *session, now time.Duration) {
 	released := s.tracker.ReleaseAll(now)
-	s.tracker.RequireSync()
+	s.tracker.RequireSync(s.fencingToken + 1)
 	for _, run := range released {
 		if run.Reservation.Begun() {
 			s.unreachableRuns = append(s.unreachableRuns, run)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -121,10 +121,12 @@
 	r.log.Warn("endpoint: restarted under the same id", zap.String("life", ep.Incarnation()), zap.String("before", s.endpoint.Incarnation()), zap.Int("running", s.tracker.RunCount()))
 	r.recordUnreachable(s, now)
 	s.previousIncarnation, s.previousLeased = s.endpoint.Incarnation(), s.leased(now)
-	s.tracker.EndpointRestarted(!s.endpoint.Draining)
-	s.endpoint = ep
 	r.fencingToken = max(r.fencingToken, s.fencingToken) + 1
 	s.fencingToken = r.fencingToken
+	for _, run := range s.tracker.EndpointRestarted(!s.endpoint.Draining, s.fencingToken) {
+		go r.stopOnEndpoint(s, run)
+	}
+	s.endpoint = ep
 	s.leaseEndMS, s.clockMS, s.clockAt = 0, ep.ClockMS, now
 	s.heartbeatAt = 0
 }
--- a/internal/runner/session_test.go
+++ b/internal/runner/session_test.go
@@ -141,3 +141,32 @@
 	time.Sleep(300 * time.Millisecond)
 	must.Eq(t, 1, starts.Load())
 }
+
+// The first list of an endpoint that has restarted under its ID is requested with the fencing
+// token of before: a start that was left unanswered may begin after it. The run must not be
+// reported as lost because of that list, and then start beside the one that replaces it.
+func TestRestartedEndpointsFirstListProvesNoEnd(t *testing.T) {
+	var restarted atomic.Bool
+	// listsAgainAt is when the endpoint lists its runs again, in Unix nanoseconds.
+	var listsAgainAt atomic.Int64
+	h := newHost(t, time.Hour, func(e *platformtest.Endpoint) {
+		e.ChooseFault = func(c platformtest.Call) platformtest.Fault {
+			switch {
+			case c.Kind == "start":
+				return platformtest.FaultDelayed
+			case c.Kind == "stop":
+				listsAgainAt.CompareAndSwap(0, time.Now().Add(2*platformtest.CallDelay).UnixNano())
+			case listsAgainAt.Load() > 0 && restarted.CompareAndSwap(false, true):
+				e.Restart()
+			case time.Now().UnixNano() < listsAgainAt.Load():
+				return platformtest.FaultOverloaded
+			}
+			return platformtest.FaultNone
+		}
+	})
+	d := h.connect("1")
+	d.requireReady()
+	d.requireEnd(d.sendOrder("a", 1, 0), lost)
+	time.Sleep(2 * platformtest.CallDelay)
+	must.Eq(t, 0, h.checker.Starts("a"), must.Sprint("the run began after it was reported as lost"))
+}
