Runner: a refusal ends only the runs whose starts had returned before it

When a renewal found the endpoint's process gone, the runner reported all runs there as lost, and dispatchers started their tasks elsewhere. Two orders of events made a task run twice: a start request that was under way reached the next process; and the refusal was overtaken by an answer of the next process, where runs had begun by then.

Cause: the end of the process was dated to the arrival of the refusal. It is certain only for what was over before the refused request was sent.

Change: each start's last try records when it returned. A refusal is ignored if the endpoint has responded since it was sent. When the endpoint is reachable again, runs that are being stopped are stopped again.

--- a/internal/capacity/reservation.go
+++ b/internal/capacity/reservation.go
@@ -46,6 +46,9 @@
 	// renewal arrived that listed the run: only a later request is answered from a
 	// later state.
 	AcceptedAt time.Duration
+	// startReturnedAt is when the last try of the start request had a response or was given
+	// up, zero before that.
+	startReturnedAt time.Duration
 	// FencingToken is that of the start request.
 	FencingToken int64
 	// revoked is set once the run must end. The endpoint's lease may be extended for it
--- a/internal/capacity/tracker.go
+++ b/internal/capacity/tracker.go
@@ -151,7 +151,7 @@
 	if res.State == StartSent || res.State == StartUnanswered {
 		res.State = Running
 	}
-	res.AcceptedAt = now
+	res.AcceptedAt, res.startReturnedAt = now, now
 }
 
 // StartRefused releases the capacity of a run whose start was refused.
@@ -163,9 +163,13 @@
 
 // MarkUnanswered records that the start request got no response. It reports
 // whether the run has to be stopped before its capacity is free.
-func (t *Tracker) MarkUnanswered(run workload.RunID) bool {
+func (t *Tracker) MarkUnanswered(run workload.RunID, now time.Duration) bool {
 	res, found := t.reservations[run]
-	if !found || res.State != StartSent {
+	if !found {
+		return false
+	}
+	res.startReturnedAt = now
+	if res.State != StartSent {
 		return false
 	}
 	res.State = StartUnanswered
@@ -209,6 +213,21 @@
 	}
 }
 
+// ReleaseEnded releases the runs that have ended, or can't start any more, because the
+// endpoint's process had ended at a time after the given one: their start requests had a
+// response or were given up before. Any other request may reach the next process.
+func (t *Tracker) ReleaseEnded(after, now time.Duration) []ReleasedRun {
+	var released []ReleasedRun
+	for _, res := range t.reservations {
+		if res.startReturnedAt == 0 || max(res.startReturnedAt, res.AcceptedAt) >= after {
+			continue
+		}
+		t.release(res, now)
+		released = append(released, ReleasedRun{Reservation: *res, Elapsed: now - res.StartSentAt})
+	}
+	return released
+}
+
 // ReleaseAll releases every run of an endpoint whose process has ended or whose
 // lease has expired.
 func (t *Tracker) ReleaseAll(now time.Duration) []ReleasedRun {
@@ -232,15 +251,23 @@
 	t.RequireSync(token)
 	t.rating = Rating{}
 	t.unknown = map[workload.RunID]time.Duration{}
-	var stops []workload.RunID
-	for run, res := range t.reservations {
+	for _, res := range t.reservations {
 		res.processEnded = crashed && res.Begun()
-		if res.StopAcked {
+	}
+	return t.RepeatStops()
+}
+
+// RepeatStops returns the runs that are being stopped. An acknowledgement by an earlier process
+// of the endpoint no longer counts.
+func (t *Tracker) RepeatStops() []workload.RunID {
+	var all []workload.RunID
+	for run, res := range t.reservations {
+		if res.State == Stopping {
 			res.StopAcked = false
-			stops = append(stops, run)
+			all = append(all, run)
 		}
 	}
-	return stops
+	return all
 }
 
 // RequireSync blocks starts until the endpoint has listed its runs in response to a request
--- a/internal/capacity/tracker_test.go
+++ b/internal/capacity/tracker_test.go
@@ -74,7 +74,7 @@
 func TestUnansweredStartKeepsReservation(t *testing.T) {
 	tr := newSyncedTracker()
 	reserve(t, tr, newRunID("a"), 6000, 10*ms)
-	must.True(t, tr.MarkUnanswered(newRunID("a")))
+	must.True(t, tr.MarkUnanswered(newRunID("a"), 15*ms))
 	tr.Reconcile(workload.RenewalResponse{}, 60*ms, 61*ms)
 	must.False(t, tr.Fits(resources(6000)), must.Sprint("the start may still be carried out"))
 	must.True(t, tr.BeginStop(newRunID("a")))
@@ -93,7 +93,7 @@
 func TestListedRunIsRunningDespiteLostStartResponse(t *testing.T) {
 	tr := newSyncedTracker()
 	reserve(t, tr, newRunID("a"), 6000, 10*ms)
-	tr.MarkUnanswered(newRunID("a"))
+	tr.MarkUnanswered(newRunID("a"), 15*ms)
 	tr.Reconcile(runningResponse(newRunID("a")), 60*ms, 61*ms)
 	res, found := tr.Reservation(newRunID("a"))
 	must.True(t, found)
@@ -261,7 +261,7 @@
 			case 1, 2:
 				if len(known) > 0 {
 					r := rapid.SampledFrom(known).Draw(t, "run")
-					tr.MarkUnanswered(r)
+					tr.MarkUnanswered(r, now)
 					tr.BeginStop(r)
 					tr.StopAcked(r, now)
 				}
@@ -382,7 +382,7 @@
 		tr := newSyncedTracker()
 		must.True(t, tr.Reserve(Reservation{Run: newRunID("a"), Resources: resources(1000), FencingToken: 7}, 10*ms))
 		must.Len(t, 0, tr.Reconcile(workload.RenewalResponse{FencingToken: 8}, 11*ms, 12*ms), must.Sprint("the start is still under way"))
-		must.True(t, tr.MarkUnanswered(newRunID("a")))
+		must.True(t, tr.MarkUnanswered(newRunID("a"), 15*ms))
 		must.True(t, tr.BeginStop(newRunID("a")))
 		tr.Revoke(newRunID("a"), 15*ms)
 		must.False(t, tr.NeedsFence(7, 20*ms), must.Sprint("its stop may be answered"))
@@ -399,7 +399,7 @@
 func TestRunIsNotLostByAnEarlierList(t *testing.T) {
 	tr := newSyncedTracker()
 	reserve(t, tr, newRunID("a"), 6000, 10*ms)
-	must.True(t, tr.MarkUnanswered(newRunID("a")))
+	must.True(t, tr.MarkUnanswered(newRunID("a"), 15*ms))
 	must.Len(t, 0, tr.Reconcile(runningResponse(newRunID("a")), 20*ms, 100*ms))
 	must.Len(t, 0, tr.Reconcile(workload.RenewalResponse{}, 80*ms, 110*ms), must.Sprint("requested before the list that has the run arrived"))
 	must.False(t, tr.Fits(resources(6000)), must.Sprint("the run holds its capacity"))
@@ -426,7 +426,7 @@
 func TestListWithALowerTokenProvesNoAbsence(t *testing.T) {
 	tr := newSyncedTracker()
 	must.True(t, tr.Reserve(Reservation{Run: newRunID("a"), Owner: "d", Resources: resources(1000), FencingToken: 5}, 10*ms))
-	must.True(t, tr.MarkUnanswered(newRunID("a")))
+	must.True(t, tr.MarkUnanswered(newRunID("a"), 15*ms))
 	must.True(t, tr.BeginStop(newRunID("a")))
 	tr.StopAcked(newRunID("a"), 20*ms)
 	must.Eq(t, []workload.RunID{newRunID("a")}, tr.EndpointRestarted(true, 6), must.Sprint("the new process knows of no stop"))
@@ -436,3 +436,21 @@
 	must.Len(t, 1, tr.Reconcile(workload.RenewalResponse{FencingToken: 6}, 32*ms, 33*ms))
 	must.True(t, tr.AcceptsStarts())
 }
+
+// A start request that is under way when the endpoint's process has ended may reach the next
+// process. Its run must not be released before the request has returned and a later one has
+// found no process.
+func TestEndOfProcessReleasesOnlyReturnedStarts(t *testing.T) {
+	tr := newSyncedTracker()
+	for _, name := range []string{"accepted", "unanswered", "underway", "later"} {
+		reserve(t, tr, newRunID(name), 1000, 10*ms)
+	}
+	tr.StartAccepted(newRunID("accepted"), 15*ms)
+	tr.MarkUnanswered(newRunID("unanswered"), 18*ms)
+	tr.StartAccepted(newRunID("later"), 21*ms)
+	must.Len(t, 2, tr.ReleaseEnded(20*ms, 22*ms), must.Sprint("the accepted and the unanswered run"))
+	tr.MarkUnanswered(newRunID("underway"), 25*ms)
+	must.Len(t, 1, tr.ReleaseEnded(24*ms, 26*ms), must.Sprint("accepted before the second refusal was sent"))
+	must.Len(t, 1, tr.ReleaseEnded(30*ms, 31*ms))
+	must.Eq(t, workload.Resources{}, tr.Used())
+}
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -91,11 +91,10 @@
 // not expired.
 func (s *session) leased(now time.Duration) bool { return now < s.leasedUntil }
 
-// processEnded handles that the endpoint's process has ended: its runs are lost
+// processEnded handles that the endpoint's process has ended: the released runs are lost
 // at the latest now.
-func (r *Runner) processEnded(s *session, now time.Duration) {
+func (r *Runner) processEnded(s *session, released []capacity.ReleasedRun, now time.Duration) {
 	r.recordUnreachable(s, now)
-	released := s.tracker.ReleaseAll(now)
 	s.tracker.RequireSync(s.fencingToken + 1)
 	if s.endpoint.Draining {
 		r.reportEnds(released, result.EndpointGone)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -98,18 +98,29 @@
 		r.fencingToken = max(r.fencingToken, s.fencingToken)
 		r.log.Warn("endpoint: fencing token too low", zap.Int64("next", s.fencingToken))
 	case result.EndpointUnreachable, result.EndpointGone:
-		if !s.down {
-			s.down = true
-			r.log.Warn("endpoint: process gone", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
-			r.processEnded(s, now)
-		}
-		r.startSuccessor(s)
+		r.handleProcessGone(s, err, requestedAt, now)
 	default:
 		r.log.Debug("endpoint: renewal failed", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
 	}
 	r.markStateChanged()
 }
 
+// handleProcessGone handles that a request which was sent at requestedAt found the endpoint's
+// process gone. If the endpoint has responded since to another one, the order of the two isn't
+// known: the next request tells. A start request that was under way then may reach the next
+// process; its run counts as lost once a later request finds none.
+func (r *Runner) handleProcessGone(s *session, err error, requestedAt, now time.Duration) {
+	if s.lastResponseAt > requestedAt {
+		return
+	}
+	if !s.down {
+		s.down = true
+		r.log.Warn("endpoint: process gone", zap.String("life", s.endpoint.Incarnation()), zap.Error(err))
+	}
+	r.processEnded(s, s.tracker.ReleaseEnded(requestedAt, now), now)
+	r.startSuccessor(s)
+}
+
 func (r *Runner) applyRenewal(s *session, resp workload.RenewalResponse, requestedAt, now time.Duration) {
 	if resp.StartedAtMS != 0 && resp.StartedAtMS != s.endpoint.StartedAtMS {
 		if resp.StartedAtMS < s.endpoint.StartedAtMS {
@@ -129,6 +140,7 @@
 		s.fencingToken = r.fencingToken
 		s.lastResponseAt, s.clockMS, s.clockAt = now, resp.ClockMS, now
 		s.unreachableRuns = nil
+		r.stopAll(s, s.tracker.RepeatStops())
 		r.log.Info("endpoint: reachable again", zap.String("life", s.endpoint.Incarnation()), zap.Int64("fence", s.fencingToken))
 		return
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -123,9 +123,7 @@
 	s.previousIncarnation, s.previousLeased = s.endpoint.Incarnation(), s.leased(now)
 	r.fencingToken = max(r.fencingToken, s.fencingToken) + 1
 	s.fencingToken = r.fencingToken
-	for _, run := range s.tracker.EndpointRestarted(!s.endpoint.Draining, s.fencingToken) {
-		go r.stopOnEndpoint(s, run)
-	}
+	r.stopAll(s, s.tracker.EndpointRestarted(!s.endpoint.Draining, s.fencingToken))
 	s.endpoint = ep
 	s.leaseEndMS, s.clockMS, s.clockAt = 0, ep.ClockMS, now
 	s.heartbeatAt = 0
@@ -149,7 +147,7 @@
 	s.client.Close()
 	r.log.Info("endpoint: session ended", zap.String("life", s.endpoint.Incarnation()), zap.String("reason", reason),
 		zap.Int("lost", s.tracker.RunCount()))
-	r.processEnded(s, now)
+	r.processEnded(s, s.tracker.ReleaseAll(now), now)
 }
 
 // checkSpeed suspends an endpoint that is too slow, and measures the speed
@@ -179,10 +177,14 @@
 
 // stopUnknownRuns stops runs that an earlier process of this runner started.
 func (r *Runner) stopUnknownRuns(s *session) {
-	if s.down {
-		return
+	if !s.down {
+		r.stopAll(s, s.tracker.UnknownRuns())
 	}
-	for _, run := range s.tracker.UnknownRuns() {
+}
+
+// stopAll requests the end of runs.
+func (r *Runner) stopAll(s *session, runs []workload.RunID) {
+	for _, run := range runs {
 		go r.stopOnEndpoint(s, run)
 	}
 }
--- a/internal/runner/session_test.go
+++ b/internal/runner/session_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/result"
+	"github.com/pomelosill/pomelosill/internal/workload"
 	"github.com/pomelosill/pomelosill/platform/platformtest"
 )
 
@@ -170,3 +173,70 @@
 	time.Sleep(2 * platformtest.CallDelay)
 	must.Eq(t, 0, h.checker.Starts("a"), must.Sprint("the run began after it was reported as lost"))
 }
+
+// A start request may be under way when a renewal finds the endpoint's process gone, and reach
+// the next one. The run must not be reported as lost while it may still begin.
+func TestStartUnderWayOutlivesTheProcess(t *testing.T) {
+	var gone atomic.Bool
+	refused := make(chan struct{})
+	h := newHost(t, 0, func(e *platformtest.Endpoint) {
+		e.Duration = func(run workload.RunID) time.Duration {
+			if strings.HasPrefix(run.Task, "first") {
+				return 40 * time.Millisecond
+			}
+			return 300 * time.Millisecond
+		}
+		e.ChooseFault = func(c platformtest.Call) platformtest.Fault {
+			switch {
+			case c.Kind == "start" && strings.HasPrefix(c.Run.Task, "a"):
+				gone.Store(true)
+				select {
+				case <-refused:
+				case <-time.After(waitTimeout):
+				}
+			case c.Kind == "hold" && gone.CompareAndSwap(true, false):
+				close(refused)
+				return platformtest.FaultMisdirected
+			}
+			return platformtest.FaultNone
+		}
+	})
+	d := h.connect("1")
+	d.requireReady()
+	d.sendOrder("first", 1, 0)
+	must.True(t, eventually(func() bool { return h.endpoint.Running() == 1 }))
+	d.requireEnd(d.sendOrder("a", 1, 0), done)
+	h.requireNoViolations()
+}
+
+// An answer that says that the endpoint's process is gone may be overtaken by one of the next
+// process. The runs there must not be reported as lost because of it.
+func TestOvertakenRefusalEndsNoRun(t *testing.T) {
+	var armed atomic.Bool
+	waiting, listed := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(listed) })
+	h := newHost(t, 400*time.Millisecond, func(e *platformtest.Endpoint) {
+		e.ChooseFault = func(c platformtest.Call) platformtest.Fault {
+			switch {
+			case c.Kind == "start":
+				return platformtest.FaultLostAnswer
+			case c.Kind == "hold" && c.Waits && armed.CompareAndSwap(true, false):
+				close(waiting)
+				select {
+				case <-listed:
+				case <-time.After(waitTimeout):
+				}
+				return platformtest.FaultMisdirected
+			case c.Kind == "hold" && !c.Waits && e.Running() > 0:
+				time.AfterFunc(10*time.Millisecond, release)
+			}
+			return platformtest.FaultNone
+		}
+	})
+	d := h.connect("1")
+	d.requireReady()
+	armed.Store(true)
+	<-waiting
+	d.requireEnd(d.sendOrder("a", 1, 0), done)
+	h.requireNoViolations()
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -59,7 +59,7 @@
 	case result.OK:
 		s.tracker.StartAccepted(o.runID, now)
 	case result.OutcomeUnknown, result.EndpointUnreachable, result.EndpointGone:
-		if s.tracker.MarkUnanswered(o.runID) {
+		if s.tracker.MarkUnanswered(o.runID, now) {
 			go r.resolveUnansweredStart(s, o.runID)
 		}
 	default:
