Dispatcher: an ended connection doesn't replace the one to the runner's next address

By reading: when a runner's record names another address, the dispatcher opened the connection there before it closed the former one, and the first frame on the former one, read late, took the place of the new one. The new process's frames were then ignored for up to 3 s; the next connection to it counted as one to a new process, and its first ready state as proof that the runs which that process still had were stopped: their tasks would have been started elsewhere beside them.

Change: the former connection is ended first, and one whose context has ended changes nothing of the runner's state, under the same lock.

--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -36,7 +36,7 @@
 	d.applyPriorities(0, 1)
 	for i := range runners {
 		r := d.link(directory.Link{Runner: directory.Node{Name: fmt.Sprintf("r-%d", i), Role: directory.Runner, Address: "a:1"}})
-		d.onConnected(r, &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
+		mustConnect(t, d, r, &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
 		d.applyState(r, &pb.RunnerState{
 			Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, UsedCpu: 16_000, SpeedPercent: 100,
 			WaitingCpu: 8000, WaitingCpuByPriority: []uint64{0, 8000},
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -92,7 +92,7 @@
 func TestContainedJobIsRefusedOnceItsEndpointsAreDown(t *testing.T) {
 	d, _ := newServingDispatcher(t)
 	d.link(directory.Link{Runner: directory.Node{Name: "r-1", Role: directory.Runner, Address: "b:1"}})
-	d.onConnected(d.runners["r-1"], &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
+	mustConnect(t, d, d.runners["r-1"], &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
 	j := d.admitTestJob(t, "k")
 	for _, r := range d.runners {
 		r.state = &pb.RunnerState{Ready: true, Healthy: true, Service: "svc", CapacityCpu: 8000, SpeedPercent: 100}
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -109,8 +109,9 @@
 	return w
 }
 
-// updateConnections opens the wanted connections and closes the others. It
-// reports false if connections remain that it can't close yet.
+// updateConnections closes the connections that aren't wanted and opens those that are. It
+// reports false if connections remain that it can't close yet. That to a runner's former
+// address is closed before the one to its next address is opened.
 func (d *Dispatcher) updateConnections(ctx context.Context, connections map[directory.Node]context.CancelFunc, w *wantedConnections) bool {
 	d.updatePeers(w.dispatchers)
 	wanted := map[directory.Node]bool{}
@@ -121,11 +122,6 @@
 	for _, n := range w.peers {
 		wanted[n] = true
 	}
-	for n := range wanted {
-		if connections[n] == nil {
-			connections[n] = d.startConnection(ctx, n)
-		}
-	}
 	complete := true
 	for n, cancel := range connections {
 		if wanted[n] {
@@ -138,6 +134,11 @@
 		cancel()
 		delete(connections, n)
 	}
+	for n := range wanted {
+		if connections[n] == nil {
+			connections[n] = d.startConnection(ctx, n)
+		}
+	}
 	return complete
 }
 
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -1,8 +1,13 @@
 package dispatch
 
 import (
+	"context"
+	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/workload"
 )
@@ -22,3 +27,10 @@
 	}
 	return d.admitNew(j, now)
 }
+
+// mustConnect sets up the runner's state for a new connection.
+func mustConnect(t testing.TB, d *Dispatcher, r *runner, first *pb.RunnerFrame, cancel context.CancelCauseFunc) {
+	t.Helper()
+	_, err := d.onConnected(t.Context(), r, first, cancel)
+	must.NoError(t, err)
+}
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -41,7 +41,7 @@
 	d.policy.Apply(&policy.Snapshot{Revision: 1, Config: &policy.Config{Routes: []policy.Route{route}}})
 	r := d.link(directory.Link{Runner: directory.Node{Name: "r-0", Role: directory.Runner, Address: "a:1"}})
 	_, cancel := context.WithCancelCause(t.Context())
-	d.onConnected(r, &pb.RunnerFrame{Incarnation: "1"}, cancel)
+	mustConnect(t, d, r, &pb.RunnerFrame{Incarnation: "1"}, cancel)
 	return d, r
 }
 
--- a/internal/dispatch/overflow_test.go
+++ b/internal/dispatch/overflow_test.go
@@ -41,7 +41,7 @@
 
 func (sys *overflowSystem) addSlow(name string) *runner {
 	r := sys.d.link(directory.Link{Runner: directory.Node{Name: name, Role: directory.Runner, Address: "b:1"}})
-	sys.d.onConnected(r, &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
+	mustConnect(sys.t, sys.d, r, &pb.RunnerFrame{Incarnation: "1"}, func(error) {})
 	r.state = slowState()
 	r.hasInheritedRuns = false
 	return r
--- a/internal/dispatch/reconnect_test.go
+++ b/internal/dispatch/reconnect_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -58,7 +59,7 @@
 	d, r, run := newDispatcherWithRun(t)
 	for range 2 {
 		d.onDisconnected(r, r.outbox)
-		d.onConnected(r, &pb.RunnerFrame{Incarnation: "2"}, func(error) {})
+		mustConnect(t, d, r, &pb.RunnerFrame{Incarnation: "2"}, func(error) {})
 		must.MapLen(t, 1, r.runs)
 	}
 	d.onFrame(r, r.outbox, &pb.RunnerFrame{State: &pb.RunnerState{Ready: true}})
@@ -75,8 +76,8 @@
 	r.heartbeatReceivedAt = lastHeartbeat
 	for _, address := range []string{"a:1", "b:1"} {
 		d.onDisconnected(r, r.outbox)
-		d.checkMoved(r, address, address)
-		d.onConnected(r, &pb.RunnerFrame{Incarnation: address}, func(error) {})
+		d.checkMoved(t.Context(), r, address, address)
+		mustConnect(t, d, r, &pb.RunnerFrame{Incarnation: address}, func(error) {})
 	}
 	d.onFrame(r, r.outbox, readyFrame())
 	must.MapLen(t, 1, r.runs)
@@ -90,3 +91,20 @@
 	must.Eq(t, taskQueued, run.state)
 	must.True(t, r.usable(r.lastFrameAt))
 }
+
+// The first frame on the connection to a runner's former address may be read after the one to
+// its next address is in use. It must not take its place: the frames of the runner that has
+// the dispatcher's runs would be ignored, and the runs count as those of an earlier process.
+func TestEndedConnectionDoesNotReplaceTheNextOne(t *testing.T) {
+	d, r, run := newDispatcherWithRun(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	before := r.outbox
+	d.checkMoved(ended, r, "former", "a:9")
+	_, err := d.onConnected(ended, r, &pb.RunnerFrame{Incarnation: "former"}, func(error) {})
+	must.ErrorIs(t, err, context.Canceled)
+	must.True(t, r.outbox == before)
+	d.onFrame(r, r.outbox, readyFrame())
+	must.MapLen(t, 1, r.runs)
+	must.Eq(t, taskPlaced, run.state)
+}
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -59,8 +59,11 @@
 		return causeOr(ctx, err)
 	}
 	watchdog.Stop()
-	d.checkMoved(r, first.GetIncarnation(), address)
-	out := d.onConnected(r, first, cancel)
+	d.checkMoved(ctx, r, first.GetIncarnation(), address)
+	out, err := d.onConnected(ctx, r, first, cancel)
+	if err != nil {
+		return err
+	}
 	defer d.onDisconnected(r, out)
 	// The first frame may hold what the runner could not send before.
 	d.onFrame(r, out, first)
@@ -84,9 +87,12 @@
 // checkMoved records the address of a new connection. A runner's process at another
 // address than the one before has another endpoint. It can't stop the runs there, which
 // continue until their leases have expired.
-func (d *Dispatcher) checkMoved(r *runner, incarnation, address string) {
+func (d *Dispatcher) checkMoved(ctx context.Context, r *runner, incarnation, address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	if len(r.runs) > 0 && r.address != "" && r.address != address && r.incarnation != incarnation {
 		r.formerUntil = max(r.formerUntil, r.heartbeatReceivedAt+lease.RunnerLossTimeout(d.settings.LeaseMax.Std()))
 		d.log.Info("runner: moved", zap.String("runner", r.node.Name), zap.String("from", r.address), zap.String("to", address), zap.Int("runs", len(r.runs)))
@@ -95,10 +101,14 @@
 }
 
 // onConnected sets up the runner's state for a new connection and reconciles
-// its runs.
-func (d *Dispatcher) onConnected(r *runner, first *pb.RunnerFrame, cancel context.CancelCauseFunc) *outbox.Outbox[*pb.DispatcherFrame] {
+// its runs. A connection that has ended by then changes nothing: one to the runner's next
+// address may be in use, which is opened only after this one's context has ended.
+func (d *Dispatcher) onConnected(ctx context.Context, r *runner, first *pb.RunnerFrame, cancel context.CancelCauseFunc) (*outbox.Outbox[*pb.DispatcherFrame], error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	now := clock.SinceBoot()
 	d.log.Info("runner: connected", zap.String("runner", r.node.Name), zap.String("incarnation", first.GetIncarnation()), zap.Int("runs", len(r.runs)))
 	switch {
@@ -119,7 +129,7 @@
 	for run := range r.stopping {
 		r.outbox.Put(r.newStop(run))
 	}
-	return r.outbox
+	return r.outbox, nil
 }
 
 // reconcile marks as lost the runs that the runner doesn't list as held.
