--- a/test/putback/putback_test.go
+++ b/test/putback/putback_test.go
@@ -33,8 +33,11 @@
 	return all
 }
 
-// named returns the faults whose names begin with the prefix.
+// named returns the faults whose names begin with the prefix, none for an empty one.
 func named(t *testing.T, prefix string) []Fault {
+	if prefix == "" {
+		return nil
+	}
 	all := faults(t)
 	return slices.DeleteFunc(all, func(f Fault) bool { return !strings.HasPrefix(f.Name, prefix) })
 }
@@ -83,13 +86,10 @@
 	must.StrContains(t, out, "--- FAIL", must.Sprint("the tests did not run:", out))
 }
 
-// TestSimulationFindsFaults plays the simulation against faults by hand. It prints a line for each,
-// and fails for none: which ones are found stands in docs/PROOFS.md. TestSimulatedBriefCrashes is
-// left out, as it is in KNOWN-RED.txt.
+// TestSimulationFindsFaults plays the simulation against the faults that the flag -play names, by
+// default none. It prints a line for each, and fails for none: which ones are found stands in
+// docs/PROOFS.md. TestSimulatedBriefCrashes is left out, as it is in KNOWN-RED.txt.
 func TestSimulationFindsFaults(t *testing.T) {
-	if *play == "" {
-		t.Skip("by hand: -play")
-	}
 	n := strconv.Itoa(*seeds)
 	for _, f := range named(t, *play) {
 		t.Run(f.Name, func(t *testing.T) {
--- a/test/simulate/simulate_test.go
+++ b/test/simulate/simulate_test.go
@@ -74,55 +74,50 @@
 	})
 }
 
-// TestSimulatedUnansweredStops runs seeds in which dispatchers, or callers' connections, are
-// lost while endpoints leave stops unanswered. Runs that a runner kept alive then went on
-// beside those of the jobs that were sent again.
-func TestSimulatedUnansweredStops(t *testing.T) {
-	faultinject.RunSeeds(t, nil, *firstSeed, *stopsSeedCount, func(t *testing.T, seed uint64) {
+// runSmallClusters runs a scenario in a small system of each seed.
+func runSmallClusters(t *testing.T, count int, run func(t *testing.T, c *cluster)) {
+	faultinject.RunSeeds(t, nil, *firstSeed, count, func(t *testing.T, seed uint64) {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCluster(t, seed, randomSize)
 			defer c.close()
-			c.runScenario(t, stopsTiming, c.chooseStopsFault, nil)
+			run(t, c)
 		})
 	})
 }
 
+// TestSimulatedUnansweredStops runs seeds in which dispatchers, or callers' connections, are
+// lost while endpoints leave stops unanswered. Runs that a runner kept alive then went on
+// beside those of the jobs that were sent again.
+func TestSimulatedUnansweredStops(t *testing.T) {
+	runSmallClusters(t, *stopsSeedCount, func(t *testing.T, c *cluster) {
+		c.runScenario(t, stopsTiming, c.chooseStopsFault, nil)
+	})
+}
+
 // TestSimulatedDelays runs seeds in which calls are carried out late and overtake each other.
 // A run that one list showed and an earlier one lacked, which arrived after it, then counted
 // as ended (docs/incidents/0015).
 func TestSimulatedDelays(t *testing.T) {
-	faultinject.RunSeeds(t, nil, *firstSeed, *delaySeedCount, func(t *testing.T, seed uint64) {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, seed, randomSize)
-			defer c.close()
-			c.crashes, c.jobInterval, c.manyQuick = false, caller.QuickInterval, true
-			c.runScenario(t, faultinject.DelayTiming, c.chooseDelayFault, nil)
-		})
+	runSmallClusters(t, *delaySeedCount, func(t *testing.T, c *cluster) {
+		c.crashes, c.jobInterval, c.manyQuick = false, caller.QuickInterval, true
+		c.runScenario(t, faultinject.DelayTiming, c.chooseDelayFault, nil)
 	})
 }
 
 // TestSimulatedDelaysAndCrashes does the same with jobs that crash their endpoints.
 func TestSimulatedDelaysAndCrashes(t *testing.T) {
-	faultinject.RunSeeds(t, nil, *firstSeed, *delayCrashSeedCount, func(t *testing.T, seed uint64) {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, seed, randomSize)
-			defer c.close()
-			c.crashes = true
-			c.runScenario(t, faultinject.DelayTiming, c.chooseDelayFault, nil)
-		})
+	runSmallClusters(t, *delayCrashSeedCount, func(t *testing.T, c *cluster) {
+		c.crashes = true
+		c.runScenario(t, faultinject.DelayTiming, c.chooseDelayFault, nil)
 	})
 }
 
 // TestSimulatedBriefCrashes runs seeds in which endpoints crash and are back at once, while calls
 // are late: those under way may reach the next process.
 func TestSimulatedBriefCrashes(t *testing.T) {
-	faultinject.RunSeeds(t, nil, *firstSeed, *briefCrashSeedCount, func(t *testing.T, seed uint64) {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, seed, randomSize)
-			defer c.close()
-			c.crashes, c.jobInterval, c.manyQuick = false, caller.QuickInterval, true
-			c.runScenario(t, faultinject.DelayTiming, c.chooseBriefCrashes, nil)
-		})
+	runSmallClusters(t, *briefCrashSeedCount, func(t *testing.T, c *cluster) {
+		c.crashes, c.jobInterval, c.manyQuick = false, caller.QuickInterval, true
+		c.runScenario(t, faultinject.DelayTiming, c.chooseBriefCrashes, nil)
 	})
 }
 
