--- a/scripts/deployments.sh
+++ b/scripts/deployments.sh
@@ -10,7 +10,7 @@
 cd "$(dirname "$0")/.."
 
 kit=${KIT:-../given/kit/more/system}
-bench=$kit/more/bench-d17393/bin/fleetbench
+bench=$kit/bin/fleetbench
 if [ ! -x "$bench" ]; then
   echo "the users' kit is not at $kit" >&2
   exit 2
@@ -23,7 +23,7 @@
 fi
 sites=("$@")
 if [ ${#sites[@]} -eq 0 ]; then
-  sites=("$kit"/{sites,grown,further,further-grown,shifted,demands,large}/*.toml)
+  sites=("$kit"/{sites,grown,demands,large}/*.toml)
 fi
 
 out=$(mktemp -d)
