--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -219,7 +219,9 @@
 	Name           string `json:"name"`
 	Incarnation    string `json:"incarnation"`
 	PolicyRevision uint64 `json:"policy_revision"`
-	Jobs           int    `json:"jobs"`
+	// PolicyTransfers counts the policies that other processes have sent.
+	PolicyTransfers policy.Transfers `json:"policy_transfers"`
+	Jobs            int              `json:"jobs"`
 	// OverflowJobs is the number of open jobs that were admitted as overflow.
 	OverflowJobs int `json:"overflow_jobs"`
 	// ContainedRoutes are the routes whose jobs run contained.
@@ -258,7 +260,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.SinceBoot()
-	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), Jobs: len(d.jobs),
+	out := State{Name: d.settings.Name, Incarnation: d.incarnation, PolicyRevision: d.policy.Revision(), PolicyTransfers: d.policy.Transfers(), Jobs: len(d.jobs),
 		ContainedRoutes: d.crashes.ContainedRoutes(now), Levels: d.levelStates(now), Estimates: d.estimates.State()}
 	out.OverflowJobs, out.Handover = d.openOverflowJobs(), d.handoverStateDump(now)
 	for _, r := range d.runners {
--- a/internal/operators/reader.go
+++ b/internal/operators/reader.go
@@ -74,8 +74,10 @@
 	next.Revision = c.Revision
 	o.snapshot = &next
 	if next.Config != nil && o.holder.Apply(&next) {
+		t := o.holder.Transfers()
 		o.log.Info("policy: applied", zap.Uint64("revision", next.Revision),
-			zap.Uint64("version", next.Config.Version), zap.Strings("evacuated", next.Evacuated))
+			zap.Uint64("version", next.Config.Version), zap.Strings("evacuated", next.Evacuated),
+			zap.Uint64("copies", t.Copies), zap.Uint64("copy bytes", t.CopyBytes))
 	}
 }
 
--- a/internal/policy/codec/codec.go
+++ b/internal/policy/codec/codec.go
@@ -22,7 +22,11 @@
 // reports whether it was newer than the current one. A policy that can't be
 // decoded is logged and ignored.
 func Apply(h *policy.Holder, p *pb.Policy, log *zap.Logger) bool {
-	if p == nil || p.GetRevision() <= h.Revision() {
+	if p == nil {
+		return false
+	}
+	if p.GetRevision() <= h.Revision() {
+		h.CountTransfer(false, len(p.GetConfig()))
 		return false
 	}
 	config, err := platform.DecodeConfig(p.GetConfig())
@@ -34,7 +38,9 @@
 	if !h.Apply(s) {
 		return false
 	}
+	t := h.CountTransfer(true, len(s.Document))
 	log.Info("policy: applied, received from another process", zap.Uint64("revision", s.Revision),
-		zap.Uint64("version", s.Config.Version), zap.Strings("evacuated", s.Evacuated))
+		zap.Uint64("version", s.Config.Version), zap.Strings("evacuated", s.Evacuated),
+		zap.Uint64("copies", t.Copies), zap.Uint64("copy bytes", t.CopyBytes))
 	return true
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -160,6 +160,15 @@
 	return found
 }
 
+// Transfers counts the policies that other processes have sent to this one.
+type Transfers struct {
+	// Newer counts those that were newer than the process's own, Copies all others.
+	Newer  uint64 `json:"newer"`
+	Copies uint64 `json:"copies"`
+	// CopyBytes is the size of the copies' configurations.
+	CopyBytes uint64 `json:"copy_bytes"`
+}
+
 // Holder holds the newest policy known to a process. It is safe for concurrent
 // use.
 type Holder struct {
@@ -171,6 +180,7 @@
 	// current policy, zero if none is known.
 	confirmedAt time.Duration
 	changed     chan struct{}
+	transfers   Transfers
 }
 
 // NewHolder returns a holder without a policy.
@@ -214,6 +224,27 @@
 	return h.current.Revision, h.confirmedAt
 }
 
+// CountTransfer records that another process has sent a policy of the given size, and whether
+// it was newer than the current one. It returns the counts so far.
+func (h *Holder) CountTransfer(newer bool, size int) Transfers {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if newer {
+		h.transfers.Newer++
+	} else {
+		h.transfers.Copies++
+		h.transfers.CopyBytes += uint64(size)
+	}
+	return h.transfers
+}
+
+// Transfers returns the counts of the policies that other processes have sent.
+func (h *Holder) Transfers() Transfers {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.transfers
+}
+
 // Age returns the time since the newest policy was applied.
 func (h *Holder) Age() time.Duration {
 	h.mu.Lock()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -213,6 +213,8 @@
 	Incarnation    string `json:"incarnation"`
 	Draining       bool   `json:"leaving"`
 	PolicyRevision uint64 `json:"policy_revision"`
+	// PolicyTransfers counts the policies that other processes have sent.
+	PolicyTransfers policy.Transfers `json:"policy_transfers"`
 	// EndpointIncarnation is the incarnation of the runner's endpoint, empty
 	// before its first heartbeat.
 	EndpointIncarnation string             `json:"life"`
@@ -240,7 +242,7 @@
 	defer r.mu.Unlock()
 	out := State{
 		Name: r.settings.Name, Incarnation: r.incarnation, Draining: r.draining,
-		PolicyRevision: r.policy.Revision(), QueuedOrders: len(r.queue), Levels: r.levelStates(),
+		PolicyRevision: r.policy.Revision(), PolicyTransfers: r.policy.Transfers(), QueuedOrders: len(r.queue), Levels: r.levelStates(),
 	}
 	for name, d := range r.dispatchers {
 		out.Dispatchers = append(out.Dispatchers, fmt.Sprintf("%s/%s", name, d.incarnation))
