--- a/test/simulate/conn.go
+++ b/test/simulate/conn.go
@@ -99,19 +99,30 @@
 			return
 		}
 		select {
-		case chunks <- chunk{bytes.Clone(buffer[:n]), time.Now().Add(c.network.latency(r))}:
+		case chunks <- chunk{bytes.Clone(buffer[:n]), c.network.arrivesAt(r, n)}:
 		case <-c.stop:
 			return
 		}
 	}
 }
 
+// sleepUntil waits until a time and reports whether the connection is still open then.
+func (c *conn) sleepUntil(t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.stop:
+		return false
+	}
+}
+
 // deliver writes each chunk when it is due and the route is open. It closes the
 // connection after the last chunk.
 func (c *conn) deliver(dst net.Conn, chunks <-chan chunk, r route) {
 	for ch := range chunks {
-		time.Sleep(time.Until(ch.due))
-		if !c.network.waitOpen(r, c.stop) {
+		if !c.sleepUntil(ch.due) || !c.network.waitOpen(r, c.stop) || !c.sleepUntil(c.network.receivedAt(r, len(ch.data))) {
 			break
 		}
 		select {
--- a/test/simulate/network.go
+++ b/test/simulate/network.go
@@ -20,6 +20,58 @@
 	// delays are added to the latency of routes.
 	delays  map[route]time.Duration
 	changed chan struct{}
+	// links are the links of nodes that have a limited one.
+	links map[string]*link
+}
+
+// link is what connects a node to the network. It carries so many bytes a second in each
+// direction, one message after the other.
+type link struct {
+	bytesPerSecond float64
+	// sendsAt and receivesAt are when the last message will have been carried.
+	sendsAt, receivesAt time.Time
+}
+
+// carry returns when the link will have carried a message of so many bytes that comes now.
+// occupied is when it will have carried the one before in the same direction.
+func (l *link) carry(occupied *time.Time, size int) time.Time {
+	*occupied = latest(*occupied, time.Now()).Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
+	return *occupied
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// limitLink gives a node a link of so many bytes a second.
+func (n *simNetwork) limitLink(node string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[node] = &link{bytesPerSecond: bytesPerSecond}
+}
+
+// arrivesAt returns when a message that is sent now arrives at the receiver's link.
+func (n *simNetwork) arrivesAt(r route, size int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := time.Now()
+	if l := n.links[r.from]; l != nil {
+		sent = l.carry(&l.sendsAt, size)
+	}
+	return sent.Add(baseLatency + n.delays[r])
+}
+
+// receivedAt returns when the receiver's link will have carried a message that has just arrived.
+func (n *simNetwork) receivedAt(r route, size int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.links[r.to]; l != nil {
+		return l.carry(&l.receivesAt, size)
+	}
+	return time.Now()
 }
 
 // route is one direction between two nodes: processes or stand-ins, by name.
@@ -28,7 +80,7 @@
 func newSimNetwork() *simNetwork {
 	return &simNetwork{
 		listeners: map[string]*listener{}, conns: map[*conn]bool{}, blocked: map[route]bool{}, refusing: map[string]bool{},
-		delays: map[route]time.Duration{}, changed: make(chan struct{}),
+		delays: map[route]time.Duration{}, changed: make(chan struct{}), links: map[string]*link{},
 	}
 }
 
