Policies are sent on request, from one process at a time

Cause: the policy went unasked from each dispatcher to each runner, each peer to each peer and each runner to each dispatcher that might lack it, and again after each heartbeat that had been sent before it came. The copies filled the slow links: 98 copies, 27 MB, for 17 versions at one dispatcher.

The tests of the turns are replaced by tests that no policy is sent unasked, that one process is asked at a time and that requests are repeated.

--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -164,7 +164,7 @@
 		r = newRunner(l.Runner)
 		d.runners[l.Runner.Name] = r
 	}
-	r.node, r.rank, r.unlinked = l.Runner, l.Rank, false
+	r.node, r.unlinked = l.Runner, false
 	return r
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -76,6 +76,10 @@
 	// askedAt is when all runners were last asked for a confirmation of the policy, zero
 	// once there is a recent one.
 	askedAt time.Duration
+	// policyRequests decides when another process is asked for a newer policy, and
+	// gossipStreams are the open streams to other dispatchers.
+	policyRequests policy.Requests
+	gossipStreams  map[*gossipStream]bool
 	// contention is the state of admission by priority.
 	contention contention
 	// meanTaskDuration is the mean estimate of the tasks placed so far.
@@ -123,6 +127,7 @@
 		jobs:             map[string]*job{},
 		waiting:          map[string]*job{},
 		runners:          map[string]*runner{},
+		gossipStreams:    map[*gossipStream]bool{},
 		meanTaskDuration: initialMeanTaskDuration,
 		contention:       newContention(),
 		estimates:        estimate.New(),
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -76,6 +76,8 @@
 	defer closeClient()
 	stream := client.Gossip(ctx)
 	g := newGossipStream(d, stream.Send, stream.Receive)
+	d.addGossipStream(g)
+	defer d.removeGossipStream(g)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -96,23 +98,40 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	g := newGossipStream(d, stream.Send, stream.Receive)
+	d.addGossipStream(g)
+	defer d.removeGossipStream(g)
 	go func() { cancel(g.receiveLoop(ctx, cancel)) }()
 	return g.sendLoop(ctx)
 }
 
+func (d *Dispatcher) addGossipStream(g *gossipStream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gossipStreams[g] = true
+}
+
+func (d *Dispatcher) removeGossipStream(g *gossipStream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.gossipStreams, g)
+}
+
 // gossipStream is one stream between two dispatchers; both sides do the same.
 type gossipStream struct {
 	dispatcher *Dispatcher
 	send       func(*pb.GossipFrame) error
 	receive    func() (*pb.GossipFrame, error)
-	// peerRevision is the newest policy revision that the peer is known to
-	// have.
-	peerRevision monotonicRevision
+	// peerRevision is the policy revision in the peer's last frame.
+	peerRevision atomic.Uint64
 	// peerDigest is the directory digest in the peer's last frame, zero before
 	// its first.
 	peerDigest atomic.Uint64
-	// received receives a value after each of the peer's frames.
-	received chan struct{}
+	// asksForPolicy is set when the peer is to be asked for its policy, policyWanted when it
+	// has asked for this dispatcher's.
+	asksForPolicy, policyWanted atomic.Bool
+	// woken receives a value after each of the peer's frames, and when the peer is to be
+	// asked.
+	woken chan struct{}
 	// sentVersion is the version of the directory up to which the peer has the
 	// records or has been sent them.
 	sentVersion uint64
@@ -122,13 +141,12 @@
 }
 
 func newGossipStream(d *Dispatcher, send func(*pb.GossipFrame) error, receive func() (*pb.GossipFrame, error)) *gossipStream {
-	return &gossipStream{dispatcher: d, send: send, receive: receive, received: make(chan struct{}, 1)}
+	return &gossipStream{dispatcher: d, send: send, receive: receive, woken: make(chan struct{}, 1)}
 }
 
-// sendLoop sends a frame whenever the policy has changed, whenever the peer
-// turns out to have another directory, whenever an endpoint has crashed, and every
-// gossipInterval. The first frame after a change of the policy only holds its
-// revision, because most peers read the policy from the store themselves.
+// sendLoop sends a frame whenever the policy has changed, whenever one of the two asks for
+// the other's policy, whenever the peer turns out to have another directory, whenever an
+// endpoint has crashed, and every gossipInterval.
 func (g *gossipStream) sendLoop(ctx context.Context) error {
 	for {
 		changed, crashed := g.dispatcher.policy.Changed(), g.dispatcher.crashes.Changed()
@@ -136,19 +154,15 @@
 		if err := g.send(f); err != nil {
 			return err
 		}
-		pause := gossipInterval
-		if f.GetPolicy() == nil && g.peerRevision.behind(f.GetPolicyRevision()) {
-			pause = storePropagationDelay
-		}
-		if err := g.waitUntilDue(ctx, changed, crashed, pause); err != nil {
+		if err := g.waitUntilDue(ctx, changed, crashed); err != nil {
 			return err
 		}
 	}
 }
 
 // waitUntilDue waits until the next frame is due.
-func (g *gossipStream) waitUntilDue(ctx context.Context, policyChanged, crashed <-chan struct{}, pause time.Duration) error {
-	timer := time.NewTimer(pause)
+func (g *gossipStream) waitUntilDue(ctx context.Context, policyChanged, crashed <-chan struct{}) error {
+	timer := time.NewTimer(gossipInterval)
 	defer timer.Stop()
 	for {
 		select {
@@ -160,8 +174,8 @@
 			return nil
 		case <-timer.C:
 			return nil
-		case <-g.received:
-			if g.sentVersion == 0 && g.directoryDiffers() {
+		case <-g.woken:
+			if g.asksForPolicy.Load() || g.policyWanted.Load() || (g.sentVersion == 0 && g.directoryDiffers()) {
 				return nil
 			}
 		}
@@ -175,9 +189,24 @@
 	return peer != 0 && peer != digest
 }
 
+// wake makes sendLoop check whether a frame is due.
+func (g *gossipStream) wake() {
+	select {
+	case g.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (g *gossipStream) newestRevision() uint64 { return g.peerRevision.Load() }
+
+func (g *gossipStream) requestPolicy() {
+	g.asksForPolicy.Store(true)
+	g.wake()
+}
+
 // nextFrame returns a frame with the policy's revision and the directory's
-// digest, and with what the peer is not known to have: the policy, and the
-// records that have changed since they were last sent. A dispatcher that starts
+// digest, and with the policy if the peer has asked for it, and the
+// records that have changed since they were last sent if it isn't known to have them. A dispatcher that starts
 // while the store is unavailable gets both from those peers whose directory has
 // its record already: they open streams to it.
 func (g *gossipStream) nextFrame() *pb.GossipFrame {
@@ -188,7 +217,8 @@
 	f.LagUs, f.Load = d.ownReport(clock.SinceBoot())
 	d.mu.Unlock()
 	f.Crashes, g.sentCrashes = d.encodeCrashes(g.sentCrashes)
-	if s := d.policy.Current(); s != nil && d.policy.Age() >= storePropagationDelay && g.peerRevision.advance(s.Revision) {
+	f.WantsPolicy = g.asksForPolicy.Swap(false)
+	if s := d.policy.Current(); g.policyWanted.Swap(false) && s != nil && s.Revision > g.newestRevision() {
 		f.Policy = codec.Encode(s)
 	}
 	switch g.peerDigest.Load() {
@@ -221,23 +251,24 @@
 
 // handleFrame applies the peer's frame.
 func (g *gossipStream) handleFrame(f *pb.GossipFrame) {
-	g.peerRevision.advance(f.GetPolicyRevision())
+	g.peerRevision.Store(f.GetPolicyRevision())
 	codec.Apply(g.dispatcher.policy, f.GetPolicy(), g.dispatcher.log)
 	var nodes []directory.Node
 	for _, n := range f.GetNodes() {
 		nodes = append(nodes, directory.Node{Name: n.GetName(), Role: directory.Role(n.GetRole()), Address: n.GetAddress(), Revision: n.GetRevision()})
 	}
 	g.dispatcher.directory.Merge(nodes)
+	if f.GetWantsPolicy() {
+		g.policyWanted.Store(true)
+	}
 	g.dispatcher.mu.Lock()
 	now := clock.SinceBoot()
+	g.dispatcher.requestPolicy(now)
 	g.dispatcher.reportPeer(f.GetDispatcher(), f.GetLagUs(), f.GetLoad(), now)
 	if len(f.GetCrashes()) > 0 {
 		g.dispatcher.applyCrashes(f.GetCrashes(), now)
 	}
 	g.dispatcher.mu.Unlock()
 	g.peerDigest.Store(f.GetDirectoryDigest())
-	select {
-	case g.received <- struct{}{}:
-	default:
-	}
+	g.wake()
 }
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -1,46 +1,71 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/policy/codec"
 )
 
-const (
-	// storePropagationDelay gives the other dispatchers time to read a new
-	// policy from the store before it is sent to them.
-	storePropagationDelay = 100 * time.Millisecond
-	// pushTurnInterval is the time between two dispatchers' turns to send a new
-	// policy to a runner.
-	pushTurnInterval = 120 * time.Millisecond
-	// maxPushTurns bounds the turns: all further dispatchers send in the last
-	// one.
-	maxPushTurns = 4
-)
+// storeReadTime is how long a dispatcher that has heard of a newer policy leaves itself to read
+// it from the store before it asks another process.
+const storeReadTime = 200 * time.Millisecond
+
+// policySource is a connected process that may have a newer policy.
+type policySource interface {
+	// newestRevision returns the newest policy revision that the process is known to have.
+	newestRevision() uint64
+	// requestPolicy asks the process for its policy.
+	requestPolicy()
+}
+
+// requestPolicy asks another process for a newer policy, if that is due. It is called with the
+// lock held.
+func (d *Dispatcher) requestPolicy(now time.Duration) {
+	current := d.policy.Revision()
+	newest, newer := current, d.newerSources(current)
+	for _, s := range newer {
+		newest = max(newest, s.newestRevision())
+	}
+	patience := storeReadTime
+	if current == 0 {
+		patience = 0
+	}
+	if d.policyRequests.Due(current, newest, patience, now) {
+		newer[rand.IntN(len(newer))].requestPolicy()
+	}
+}
 
-// policyFor returns the policy for a runner whose own is older, and records it
-// as sent. It returns nil if the runner has the newest one, or if it has an
-// older one and this dispatcher's turn to send has not come.
-func (d *Dispatcher) policyFor(r *runner) *pb.Policy {
-	s := d.policy.Current()
-	if s == nil || s.Revision <= r.policyRevision {
-		return nil
+// newerSources returns the dispatchers that have a newer policy than that of a revision or, if
+// there are none, the runners.
+func (d *Dispatcher) newerSources(revision uint64) []policySource {
+	var newer []policySource
+	for g := range d.gossipStreams {
+		if g.newestRevision() > revision {
+			newer = append(newer, g)
+		}
 	}
-	withoutPolicy := r.policyRevision == 0
-	if !withoutPolicy && d.policy.Age() < pushDelay(r.rank) {
-		return nil
+	if len(newer) > 0 {
+		return newer
+	}
+	for _, r := range d.runners {
+		if r.outbox != nil && r.newestRevision() > revision {
+			newer = append(newer, r)
+		}
 	}
-	r.policyRevision = s.Revision
-	return codec.Encode(s)
+	return newer
 }
 
-// pushDelay returns how long a dispatcher waits for others to send a new policy
-// to a runner, from its rank among the runner's dispatchers. The ranks differ
-// from runner to runner, so that each dispatcher sends to few runners at once;
-// this matters where the policy is large and the hosts' network is slow.
-func pushDelay(rank int) time.Duration {
-	return time.Duration(min(rank, maxPushTurns)) * pushTurnInterval
+func (r *runner) newestRevision() uint64 { return r.policyRevision }
+
+func (r *runner) requestPolicy() { r.outbox.Put(&pb.DispatcherFrame{WantsPolicy: true}) }
+
+// sendPolicy sends the policy to a runner that has asked for it. It is called with the lock held.
+func (d *Dispatcher) sendPolicy(r *runner) {
+	if s := d.policy.Current(); s != nil && s.Revision > r.policyRevision {
+		r.outbox.Put(&pb.DispatcherFrame{Policy: codec.Encode(s)})
+	}
 }
 
 // A dispatcher that lacks the store asks its runners when the store last confirmed the policy
--- a/internal/dispatch/policy_test.go
+++ b/internal/dispatch/policy_test.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/clock"
 	"github.com/pomelosill/pomelosill/internal/directory"
+	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/outbox"
 	"github.com/pomelosill/pomelosill/internal/policy"
-	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
 func newDispatcherNodes(n int) []directory.Node {
@@ -21,62 +22,70 @@
 	return all
 }
 
-// With 12 dispatchers and 70 runners, a policy of 200 kB sent by every
-// dispatcher to every runner would occupy a link of 25 Mbit/s for more than
-// four seconds.
-func TestPolicyIsSentByOneDispatcherFirst(t *testing.T) {
-	all := newDispatcherNodes(12)
-	var runners []directory.Node
-	for i := range 70 {
-		runners = append(runners, directory.Node{Name: fmt.Sprintf("r-%d", i), Role: directory.Runner})
-	}
-	firstTurns, immediate := map[string]int{}, map[string]int{}
-	for _, n := range all {
-		for _, l := range directory.LinksOf(n.Name, all, runners) {
-			if pushDelay(l.Rank) == 0 {
-				immediate[l.Runner.Name]++
-				firstTurns[n.Name]++
-			}
-		}
-	}
-	for _, n := range runners {
-		must.Eq(t, 1, immediate[n.Name])
-	}
-	for name, count := range firstTurns {
-		must.Less(t, 20, count, must.Sprint(name))
-	}
+// linkConnectedRunner links a runner and returns it with an outbox that is not read.
+func linkConnectedRunner(d *Dispatcher, name string) *runner {
+	r := d.link(directory.Link{Runner: directory.Node{Name: name, Role: directory.Runner, Address: "b:1"}})
+	r.outbox = outbox.New[*pb.DispatcherFrame]()
+	return r
 }
 
-// A dispatcher that knows no others, or has the last turn, must still send
-// soon.
-func TestPushDelayIsBounded(t *testing.T) {
-	runners := []directory.Node{{Name: "r", Role: directory.Runner}}
-	must.Eq(t, []directory.Link{{Runner: runners[0], Rank: 0}}, directory.LinksOf("d-0", nil, runners))
-	must.Eq(t, 0, pushDelay(0))
-	all := newDispatcherNodes(40)
-	for _, n := range all {
-		for _, l := range directory.LinksOf(n.Name, all, runners) {
-			must.LessEq(t, 500*time.Millisecond, pushDelay(l.Rank))
+// Docs/incidents/0023: each heartbeat of a runner that a policy was on its way to had the policy
+// sent again, and so did the turns of the other dispatchers.
+func TestPolicyIsSentOnRequestOnly(t *testing.T) {
+	d, r := newServingDispatcher(t)
+	d.policy.Apply(&policy.Snapshot{Revision: 7, Config: &policy.Config{}, Document: []byte("{}")})
+	sent := func(f *pb.RunnerFrame) (policies int) {
+		d.onFrame(r, r.outbox, f)
+		items, _ := r.outbox.TryTakeAll()
+		for _, f := range items {
+			if f.GetPolicy() != nil {
+				must.Eq(t, 7, f.GetPolicy().GetRevision())
+				policies++
+			}
 		}
+		return policies
 	}
+	beat := func(revision uint64) *pb.RunnerBeat {
+		return &pb.RunnerBeat{SentNs: int64(clock.SinceBoot()), PolicyRevision: revision}
+	}
+	must.Eq(t, 0, sent(&pb.RunnerFrame{Beat: beat(0)}), must.Sprint("not requested"))
+	must.Eq(t, 0, sent(&pb.RunnerFrame{Beat: beat(6)}), must.Sprint("not requested"))
+	must.Eq(t, 1, sent(&pb.RunnerFrame{WantsPolicy: true}))
+	must.Eq(t, 0, sent(&pb.RunnerFrame{Beat: beat(6)}), must.Sprint("on its way"))
+	must.Eq(t, 0, sent(&pb.RunnerFrame{Beat: beat(7), WantsPolicy: true}), must.Sprint("not newer"))
 }
 
-func TestRunnerWithoutPolicyGetsItAtOnce(t *testing.T) {
-	d := &Dispatcher{settings: &Settings{Service: settings.Service{Name: "d-0"}}, policy: policy.NewHolder(), directory: directory.NewCache(), log: zap.NewNop()}
-	dispatchers := newDispatcherNodes(12)
+// A dispatcher that doesn't get a newer policy from the store asks one process after the other.
+func TestDispatcherRequestsNewerPolicyFromOneProcess(t *testing.T) {
+	d, first := newServingDispatcher(t)
 	d.policy.Apply(&policy.Snapshot{Revision: 7, Config: &policy.Config{}})
-	delayed := 0
-	for i := range 30 {
-		links := directory.LinksOf("d-0", dispatchers, []directory.Node{{Name: fmt.Sprintf("r-%d", i)}})
-		r := newRunner(links[0].Runner)
-		r.rank = links[0].Rank
-		must.NotNil(t, d.policyFor(r))
-		must.Eq(t, 7, r.policyRevision)
-		must.Nil(t, d.policyFor(r))
-		r.policyRevision = 6
-		if d.policyFor(r) == nil {
-			delayed++
+	first.policyRevision = 7
+	var runners []*runner
+	for i := 1; i <= 20; i++ {
+		r := linkConnectedRunner(d, fmt.Sprintf("r-%d", i))
+		r.policyRevision = 8
+		runners = append(runners, r)
+	}
+	g := newGossipStream(d, nil, nil)
+	g.peerRevision.Store(7)
+	d.addGossipStream(g)
+	requests := func() (n int) {
+		for _, r := range runners {
+			items, _ := r.outbox.TryTakeAll()
+			n += len(items)
 		}
+		return n
 	}
-	must.Greater(t, 15, delayed)
+	now := time.Hour
+	d.requestPolicy(now)
+	must.Eq(t, 0, requests(), must.Sprint("the store has time to answer"))
+	d.requestPolicy(now + storeReadTime)
+	d.requestPolicy(now + storeReadTime + tickInterval)
+	must.Eq(t, 1, requests())
+	must.False(t, g.asksForPolicy.Load())
+	g.peerRevision.Store(8)
+	d.requestPolicy(now + time.Second)
+	must.Eq(t, 0, requests(), must.Sprint("another dispatcher is asked before runners"))
+	must.True(t, g.asksForPolicy.Load())
+	must.True(t, g.nextFrame().GetWantsPolicy())
 }
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -34,8 +34,6 @@
 // fields.
 type runner struct {
 	node directory.Node
-	// rank is the dispatcher's rank among those that are linked to the runner.
-	rank int
 	// hash is that of the runner's name.
 	hash uint64
 	// unlinked is set once the runner is no longer assigned to the dispatcher.
@@ -80,8 +78,7 @@
 	// runner's state last included an earlier one.
 	unaccountedSince time.Duration
 	lastOrderNumber  uint64
-	// policyRevision is the runner's policy revision in its last heartbeat, or
-	// that of the policy that was sent to it since.
+	// policyRevision is the runner's policy revision in its last heartbeat.
 	policyRevision uint64
 	// toldConfirmedAt is the last confirmation of the policy that the runner was told.
 	toldConfirmedAt time.Duration
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -170,6 +170,10 @@
 	now := clock.SinceBoot()
 	d.applyHeartbeat(r, f, now)
 	codec.Apply(d.policy, f.GetPolicy(), d.log)
+	d.requestPolicy(now)
+	if f.GetWantsPolicy() {
+		d.sendPolicy(r)
+	}
 	d.applyCrashes(f.GetCrashes(), now)
 	for _, e := range f.GetEvents() {
 		d.handleRunEvent(r, e)
@@ -280,8 +284,7 @@
 	return time.Duration(len(d.runners)) * time.Second / maxStatesPerSecond
 }
 
-// newHeartbeat returns a frame that echoes the runner's last heartbeat, with the
-// policy if the runner's is older. The echo extends the lease of the runs there, so their
+// newHeartbeat returns a frame that echoes the runner's last heartbeat. The echo extends the lease of the runs there, so their
 // callers are checked before. It is called with the lock held.
 func (d *Dispatcher) newHeartbeat(r *runner, now time.Duration) *pb.DispatcherFrame {
 	d.confirmCallers(r)
@@ -292,7 +295,6 @@
 	}}
 	d.addDemand(f.GetBeat(), now)
 	d.addConfirmation(f.GetBeat(), r, now)
-	f.Policy = d.policyFor(r)
 	return f
 }
 
@@ -309,6 +311,7 @@
 		if item.GetPolicy() != nil {
 			f.Policy = item.GetPolicy()
 		}
+		f.WantsPolicy = f.GetWantsPolicy() || item.GetWantsPolicy()
 		f.Starts = append(f.Starts, item.GetStarts()...)
 		f.Stops = append(f.Stops, item.GetStops()...)
 		f.Moves = append(f.Moves, item.GetMoves()...)
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -225,6 +225,7 @@
 	for _, r := range d.runners {
 		r.closeIfSilent(now)
 	}
+	d.requestPolicy(now)
 	d.checkConfirmation(now)
 	d.expireJobs(now)
 	d.refuseUnplaceable(now)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,8 +8,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/pomelosill/pomelosill/internal/clock"
 )
 
 // Route maps callers' requests to a service.
@@ -174,8 +172,6 @@
 type Holder struct {
 	mu      sync.Mutex
 	current *Snapshot
-	// appliedAt is when the current policy was applied.
-	appliedAt time.Duration
 	// confirmedAt is a time at which the store held no later change than those in the
 	// current policy, zero if none is known.
 	confirmedAt time.Duration
@@ -245,13 +241,6 @@
 	return h.transfers
 }
 
-// Age returns the time since the newest policy was applied.
-func (h *Holder) Age() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return clock.SinceBoot() - h.appliedAt
-}
-
 // Changed returns a channel that is closed at the next change.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
@@ -269,7 +258,6 @@
 	}
 	s.levels = newLevels(s.Config.Routes)
 	h.current = s
-	h.appliedAt = clock.SinceBoot()
 	close(h.changed)
 	h.changed = make(chan struct{})
 	return true
--- a/internal/runner/dispatcher.go
+++ b/internal/runner/dispatcher.go
@@ -83,10 +83,8 @@
 	linkDemand  admission.ByLevel
 	linkCallers float64
 	// policyRevision is the newest policy revision that the dispatcher is known
-	// to have; policyStaleSince is since when it has been older than the
-	// runner's own.
-	policyRevision   uint64
-	policyStaleSince time.Duration
+	// to have.
+	policyRevision uint64
 	// askedNs is the dispatcher's clock in its last heartbeat that asked for a confirmation
 	// of the policy, received at askedAt; zero if there was none.
 	askedNs int64
--- a/internal/runner/host_test.go
+++ b/internal/runner/host_test.go
@@ -145,6 +145,11 @@
 	muted  bool
 	// lacksStore is set while the dispatcher can't confirm the policy.
 	lacksStore bool
+	// newerRevision is the revision of its policy, if not zero. It doesn't send it.
+	newerRevision uint64
+	// requests is how often it was asked for its policy, and policy the last one that it was sent.
+	requests int
+	policy   *pb.Policy
 }
 
 // connect connects as an incarnation of the dispatcher "d", sends the policy
@@ -193,7 +198,7 @@
 func (d *dispatcher) newHeartbeat() *pb.DispatcherBeat {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := &pb.DispatcherBeat{EchoNs: d.echo, PolicyRevision: 1}
+	b := &pb.DispatcherBeat{EchoNs: d.echo, PolicyRevision: max(1, d.newerRevision)}
 	if !d.lacksStore {
 		b.ConfirmedUs = new(int64)
 	}
@@ -219,6 +224,12 @@
 	if f.GetState() != nil {
 		d.state = f.GetState()
 	}
+	if f.GetWantsPolicy() {
+		d.requests++
+	}
+	if f.GetPolicy() != nil {
+		d.policy = f.GetPolicy()
+	}
 	for _, e := range f.GetEvents() {
 		if e.GetEnd() != pb.RunEnd_RUN_END_STALLED {
 			d.events[runKey(e.GetRun())] = e
--- a/internal/runner/policy.go
+++ b/internal/runner/policy.go
@@ -1,19 +1,16 @@
 package runner
 
 import (
+	"math/rand/v2"
 	"time"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
 	"github.com/pomelosill/pomelosill/internal/policy/codec"
 )
 
-const (
-	// minPolicyPushDelay and maxPolicyPushDelay bound how long a runner waits
-	// before it sends its policy to a dispatcher with an older one. Each runner
-	// draws its own delay, so that usually only one of them sends it.
-	minPolicyPushDelay = 300 * time.Millisecond
-	maxPolicyPushDelay = time.Second
-)
+// announcementTime is how long a runner that has heard of a newer policy waits for other
+// dispatchers to have it too, so that not all runners ask the first one.
+const announcementTime = 20 * time.Millisecond
 
 // applyPolicy applies a policy that a dispatcher has sent; p is nil if the
 // frame has none.
@@ -24,21 +21,27 @@
 	}
 }
 
-// pushPolicy sends the policy to a dispatcher whose own has been older for
-// policyPushDelay. Until then the dispatcher may get it from the store or from
-// another runner.
-func (r *Runner) pushPolicy(d *dispatcher, now time.Duration) {
-	s := r.policy.Current()
-	if s == nil || d.outbox == nil || d.policyRevision >= s.Revision {
-		d.policyStaleSince = 0
-		return
+// requestPolicy asks one of the dispatchers that have a newer policy for it, if that is due.
+func (r *Runner) requestPolicy(now time.Duration) {
+	current := r.policy.Revision()
+	newest, newer := current, []*dispatcher{}
+	for _, d := range r.dispatchers {
+		if d.outbox != nil && d.policyRevision > current {
+			newest, newer = max(newest, d.policyRevision), append(newer, d)
+		}
+	}
+	patience := announcementTime
+	if current == 0 {
+		patience = 0
 	}
-	if d.policyStaleSince == 0 {
-		d.policyStaleSince = now
+	if r.policyRequests.Due(current, newest, patience, now) {
+		newer[rand.IntN(len(newer))].outbox.Put(&pb.RunnerFrame{WantsPolicy: true})
 	}
-	if now-d.policyStaleSince < r.policyPushDelay {
-		return
+}
+
+// sendPolicy sends the policy to a dispatcher that has asked for it.
+func (r *Runner) sendPolicy(d *dispatcher) {
+	if s := r.policy.Current(); s != nil && s.Revision > d.policyRevision {
+		d.outbox.Put(&pb.RunnerFrame{Policy: codec.Encode(s)})
 	}
-	d.policyRevision = s.Revision
-	d.outbox.Put(&pb.RunnerFrame{Policy: codec.Encode(s)})
 }
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -55,6 +55,10 @@
 	r.applyDispatcherHeartbeat(d, f.GetBeat(), now)
 	r.applyPolicy(f.GetPolicy())
 	r.confirmPolicy(f.GetBeat(), now)
+	r.requestPolicy(now)
+	if f.GetWantsPolicy() {
+		r.sendPolicy(d)
+	}
 	r.acceptOrders(d, f.GetStarts(), now)
 	for _, s := range f.GetStops() {
 		r.revokeRun(d.owner(), runref.Decode(s), leaseEnd)
@@ -86,7 +90,6 @@
 		d.linkLoad = load
 	}
 	d.linkDemand, d.linkCallers = admission.DecodeLevels(b.GetLinkDemandByPriority()), admission.Bounded(b.GetLinkCallers())
-	r.pushPolicy(d, now)
 }
 
 // acceptOrders handles orders, or refuses them if the dispatcher's lease has
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -67,9 +67,8 @@
 	// Unix milliseconds, which is normally above the tokens of its predecessor.
 	fencingToken int64
 	freshness    freshness
-	// policyPushDelay is how long a dispatcher's policy must have been older
-	// than the runner's before the runner sends its own.
-	policyPushDelay time.Duration
+	// policyRequests decides when a dispatcher is asked for a newer policy.
+	policyRequests policy.Requests
 	// baseCtx ends with the process.
 	baseCtx context.Context
 }
@@ -84,18 +83,17 @@
 	startedAtMS := time.Now().UnixMilli()
 	holder := policy.NewHolder()
 	r := &Runner{
-		settings:        s,
-		log:             log,
-		debug:           debug,
-		policy:          holder,
-		operators:       operators.NewReader(platform.NewStore(n, s.Store), holder, log),
-		freshness:       freshness{readAge: drawReadAge(s.EvacuationTimeout.Std(), rand.Float64())},
-		network:         n,
-		incarnation:     strconv.FormatInt(time.Now().UnixNano(), 36),
-		dispatchers:     map[string]*dispatcher{},
-		crashes:         crash.NewLog(),
-		fencingToken:    startedAtMS,
-		policyPushDelay: minPolicyPushDelay + rand.N(maxPolicyPushDelay-minPolicyPushDelay),
+		settings:     s,
+		log:          log,
+		debug:        debug,
+		policy:       holder,
+		operators:    operators.NewReader(platform.NewStore(n, s.Store), holder, log),
+		freshness:    freshness{readAge: drawReadAge(s.EvacuationTimeout.Std(), rand.Float64())},
+		network:      n,
+		incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
+		dispatchers:  map[string]*dispatcher{},
+		crashes:      crash.NewLog(),
+		fencingToken: startedAtMS,
 	}
 	r.counters, err = newCounters(debug.Meter)
 	return r, err
@@ -194,6 +192,7 @@
 func (r *Runner) checkAll() {
 	now := clock.SinceBoot()
 	r.checkDispatcherLeases(now)
+	r.requestPolicy(now)
 	r.startQueued(now)
 	if s := r.session; s != nil {
 		r.checkSpeed(s, now)
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -131,6 +131,7 @@
 	if item.GetPolicy() != nil {
 		f.Policy = item.GetPolicy()
 	}
+	f.WantsPolicy = f.GetWantsPolicy() || item.GetWantsPolicy()
 	f.Events = append(f.Events, item.GetEvents()...)
 	f.Crashes = append(f.Crashes, item.GetCrashes()...)
 }
