Runner: a small newer policy is asked for at once

What callers saw, in a test: a job that is sent again through another dispatcher after a failure domain is back in service is answered as still running. Its dispatchers had the newer policy 20 to 70 ms before the runner had asked for it; its start was refused and tried again over a hundred times meanwhile, and the other dispatcher's attempts didn't reach that number.

Cause: since policies are sent on request, a runner waited for other dispatchers to have the policy. That spares slow links a large one; a small one costs less than the refused orders.

--- a/internal/runner/policy.go
+++ b/internal/runner/policy.go
@@ -8,9 +8,14 @@
 	"github.com/pomelosill/pomelosill/internal/policy/codec"
 )
 
-// announcementTime is how long a runner that has heard of a newer policy waits for other
-// dispatchers to have it too, so that not all runners ask the first one.
-const announcementTime = 20 * time.Millisecond
+const (
+	// announcementTime is how long a runner that has heard of a newer policy waits for other
+	// dispatchers to have it too, so that not all runners ask the first one.
+	announcementTime = 20 * time.Millisecond
+	// smallPolicyBytes is the size of a configuration up to which it doesn't wait: the
+	// dispatcher's orders already follow the newer policy.
+	smallPolicyBytes = 16 << 10
+)
 
 // applyPolicy applies a policy that a dispatcher has sent; p is nil if the
 // frame has none.
@@ -30,9 +35,9 @@
 			newest, newer = max(newest, d.policyRevision), append(newer, d)
 		}
 	}
-	patience := announcementTime
-	if current == 0 {
-		patience = 0
+	var patience time.Duration
+	if s := r.policy.Current(); s != nil && len(s.Document) > smallPolicyBytes {
+		patience = announcementTime
 	}
 	if r.policyRequests.Due(current, newest, patience, now) {
 		newer[rand.IntN(len(newer))].outbox.Put(&pb.RunnerFrame{WantsPolicy: true})
