Watches: an answer that is too large to be read is replaced by a list

What callers would see: after a time without the store in which a large configuration changed many times, routes stay as they were for up to 20 s at all dispatchers.

Cause: a watch returns each version since its revision. Its answer had to arrive within 0.4 s of the wait, and was cut at 8 MB; a watch that failed was sent again, for the same and what was written since.

The stand-in of the store returns each version, as the platform does.

--- a/internal/dispatch/watcher.go
+++ b/internal/dispatch/watcher.go
@@ -21,8 +21,8 @@
 	// watchTimeout is how long a watch waits for a change. It is short because
 	// a connection may be lost without an error.
 	watchTimeout time.Duration
-	// responseTimeout is the time for a response after watchTimeout, retryDelay
-	// the delay after a failed call.
+	// responseTimeout is the time for a response after watchTimeout, and between two parts
+	// of it; retryDelay is the delay after a failed call.
 	responseTimeout, retryDelay time.Duration
 	// apply applies changes. If all is set, they are the complete state instead
 	// of a difference.
@@ -36,6 +36,8 @@
 	failing bool
 }
 
+var errStoreSilent = result.Errorf(result.StoreUnavailable, "no response, or no further part of it, within the timeout")
+
 // run watches until ctx ends.
 func (w *prefixWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -50,8 +52,11 @@
 
 // poll makes one call and applies its result.
 func (w *prefixWatcher) poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.watchTimeout+w.responseTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(w.watchTimeout+w.responseTimeout, func() { cancel(errStoreSilent) })
+	defer silence.Stop()
+	ctx = store.WithProgress(ctx, func() { silence.Reset(w.responseTimeout) })
 	all := w.revision == 0
 	sentAt := clock.SinceBoot()
 	c, err := w.store.Watch(ctx, w.prefix, w.revision, w.watchTimeout)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,7 +44,7 @@
 // (the call had no effect, or was a read), StoreAnswerLost (a write may have
 // taken effect), StoreConflict (the revision differs), StoreNotFound,
 // StoreTooLarge, StoreLeaseExpired and StoreCompacted (the watch's revision is
-// too old; watch again from zero).
+// too old, or too much was written since; watch again from zero).
 type Store interface {
 	// Get returns the entry of a key.
 	Get(ctx context.Context, key string) (Entry, error)
--- a/test/simulate/config_test.go
+++ b/test/simulate/config_test.go
@@ -40,14 +40,11 @@
 			c.network.limitLink(d.name, []float64{slowLink, fastLink}[i%2])
 		}
 		must.True(t, c.allReady())
-		current, err := c.operator.Get(t.Context(), platform.KeyConfig)
-		must.NoError(t, err)
 		client := c.newHTTPClient("callers")
 		client.Timeout = time.Second
 		var probes sync.WaitGroup
 		for i := range changeCount {
-			current.Revision, err = c.operator.CompareAndSwap(t.Context(), platform.KeyConfig, current.Revision, largeConfig(2+i), 0)
-			must.NoError(t, err)
+			c.writeConfig(t, largeConfig(2+i))
 			for _, address := range c.dispatcherAddresses {
 				probes.Go(func() {
 					time.Sleep(applyBound)
@@ -65,6 +62,48 @@
 	})
 }
 
+// A watch returns each version that was written meanwhile. After a time without the store that was
+// more than the dispatchers read in the time of a call, or at all: they asked for the same again
+// until the store had forgotten it.
+func TestDispatchersCatchUpWithManyVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, func(*rand.Rand) size { return size{hosts: 6, dispatchers: 3} })
+		defer c.close()
+		for _, d := range c.dispatchers {
+			c.network.limitLink(d.name, slowLink)
+		}
+		must.True(t, c.allReady())
+		c.writeConfig(t, largeConfig(2))
+		time.Sleep(applyBound)
+		c.dispatcherGate.TurnAway(true)
+		const last = 2 + missedVersions
+		for version := 3; version <= last; version++ {
+			c.writeConfig(t, largeConfig(version))
+		}
+		time.Sleep(changeGap)
+		c.dispatcherGate.TurnAway(false)
+		time.Sleep(applyBound)
+		client := c.newHTTPClient("callers")
+		for _, address := range c.dispatcherAddresses {
+			must.NoError(t, probeRoute(t.Context(), client, address, addedPrefix(last)), must.Sprint(address))
+		}
+		if t.Failed() && *printLogs {
+			t.Log(c.log.String())
+		}
+	})
+}
+
+// missedVersions versions are together larger than what the dispatchers read of a response.
+const missedVersions = 24
+
+// writeConfig writes a configuration to the store.
+func (c *cluster) writeConfig(t *testing.T, config []byte) {
+	current, err := c.operator.Get(t.Context(), platform.KeyConfig)
+	must.NoError(t, err)
+	_, err = c.operator.CompareAndSwap(t.Context(), platform.KeyConfig, current.Revision, config, 0)
+	must.NoError(t, err)
+}
+
 func addedPrefix(version int) string { return fmt.Sprintf("/added%d/", version) }
 
 // largeConfig returns a configuration with many routes, of which one is new in its version.
