--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -35,6 +35,7 @@
 	// endpointTasks is how many tasks an endpoint has capacity for.
 	endpointTasks     = 8
 	heartbeatInterval = 100 * time.Millisecond
+	readyTimeout      = 20 * time.Second
 )
 
 // host is one endpoint with its runner and the proxies of their connections.
@@ -204,7 +205,7 @@
 	}
 }
 
-func (c *cluster) addDispatcher(i int) {
+func (c *cluster) addDispatcher(i int) *dispatcher {
 	d := &dispatcher{listen: fleet.FreeAddress(c.t), ready: fleet.FreeAddress(c.t), store: c.addProxy(c.storeAddress)}
 	name := fmt.Sprintf("dis-%d", i)
 	d.process = c.startProcess(name, "pomelosill-dispatcher", dispatcherSettings{
@@ -213,6 +214,7 @@
 	})
 	d.callers = c.addProxy(d.listen)
 	c.dispatchers = append(c.dispatchers, d)
+	return d
 }
 
 // newCallers returns callers that send jobs to all dispatchers.
@@ -238,10 +240,10 @@
 }
 
 // allReady waits until every dispatcher is ready and reports whether this
-// happened in time.
-func (c *cluster) allReady(within time.Duration) bool {
+// happened within readyTimeout.
+func (c *cluster) allReady() bool {
 	client := &http.Client{Timeout: time.Second}
-	end := time.Now().Add(within)
+	end := time.Now().Add(readyTimeout)
 	for _, d := range c.dispatchers {
 		for !platformtest.DispatcherReady(c.ctx, client, d.ready) {
 			if time.Now().After(end) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,7 +36,6 @@
 }
 
 const (
-	readyTimeout = 20 * time.Second
 	// recoveryTimeout bounds the time from the last fault until jobs are
 	// completed again.
 	recoveryTimeout = 12 * time.Second
@@ -76,7 +75,7 @@
 func TestSoakStoreLoss(t *testing.T) {
 	faultinject.RunSeeds(t, nil, *firstSeed, *lossSeeds, func(t *testing.T, seed uint64) {
 		c := newCluster(t, seed, nil)
-		must.True(t, c.allReady(readyTimeout), must.Sprint("dispatchers were not ready in time"))
+		must.True(t, c.allReady(), must.Sprint("dispatchers were not ready in time"))
 		loss := faultinject.StoreLoss{
 			Callers: c.newCallers(), Checker: c.checker, Operator: c.operator, Rand: c.rng,
 			Losses: c.storeLosses(), Domain: domainName(0), Timeout: evacuationTimeout,
@@ -103,7 +102,7 @@
 
 // runScenario runs the load and the faults of a seed.
 func (c *cluster) runScenario(t *testing.T, callers *caller.Callers, timing faultinject.Timing, chooseFault func() faultinject.Fault) {
-	must.True(t, c.allReady(readyTimeout), must.Sprint("dispatchers were not ready in time"))
+	must.True(t, c.allReady(), must.Sprint("dispatchers were not ready in time"))
 	scenario := faultinject.Scenario{
 		Callers: callers, RecoveryCallers: callers, Checker: c.checker, Operator: c.operator, Rand: c.rng, Timing: timing, ChooseFault: chooseFault,
 		Duration: *faultDuration, RecoveryTimeout: recoveryTimeout, EvacuatedDomain: domainName(0), EvacuationTimeout: evacuationTimeout,
