Dispatcher: requests that are being read share a part of the memory

What callers saw: a process ended for lack of memory beside clients that send very many header lines, large bodies of which the end doesn't come, or very small chunks, each request of legal size.

Cause: each request was bounded, all together were not. Headers and bodies were kept until the job was answered, a body had no time limit, and the steps of a job were decoded before their number was checked.

Change: internal/intake estimates the memory of the requests that are read; above an eighth of the host's memory (memory_mb) it closes the connections that cost most, but never the only one, and at the limit of connections the one that was used least recently. Callers' connections speak HTTP/1 only.

--- a/internal/dispatch/callers.go
+++ b/internal/dispatch/callers.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/intake"
 	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/platform"
@@ -30,6 +31,8 @@
 	// don't return together.
 	minRandomRetryAfter = time.Second
 	maxRandomRetryAfter = 4 * time.Second
+	// maxLoggedPathBytes bounds what is logged of a request's path.
+	maxLoggedPathBytes = 200
 )
 
 func randomRetryAfter() time.Duration {
@@ -119,7 +122,7 @@
 	if result.Describe(code).HTTPStatus == http.StatusServiceUnavailable {
 		a.RetryAfter = randomRetryAfter()
 	}
-	fields := []zap.Field{zap.String("path", path), zap.Uint64("policy", d.policy.Revision()), zap.String("route", route), zap.Error(err)}
+	fields := []zap.Field{zap.String("path", path[:min(len(path), maxLoggedPathBytes)]), zap.Uint64("policy", d.policy.Revision()), zap.String("route", route), zap.Error(err)}
 	var overload *overloadError
 	if errors.As(err, &overload) {
 		if overload.retryAfter > 0 {
@@ -142,11 +145,11 @@
 
 // handleSubmit admits a job, or forwards it, and answers when it has ended.
 func (d *Dispatcher) handleSubmit(w http.ResponseWriter, r *http.Request, s *submission) {
-	err := s.read(r)
-	if err != nil {
+	if err := s.read(r); err != nil {
 		d.refuse(w, r, s.routeName(), err)
 		return
 	}
+	intake.Complete(r)
 	now := clock.SinceBoot()
 	wait := platform.CallerTimeout(r)
 	if wait == 0 {
--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -10,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/pomelosill/pomelosill/internal/clock"
+	"github.com/pomelosill/pomelosill/internal/intake"
 	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/result"
 	"github.com/pomelosill/pomelosill/platform"
@@ -31,18 +31,9 @@
 	conn net.Conn
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// withConn stores a new connection in the context of its requests.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // newCallerConn returns the connection of a request.
 func newCallerConn(r *http.Request) callerConn {
-	conn, _ := r.Context().Value(connKey{}).(net.Conn)
-	return callerConn{done: r.Context().Done(), conn: conn}
+	return callerConn{done: r.Context().Done(), conn: intake.ConnOf(r)}
 }
 
 // open reports whether the caller still waits, as far as this host has been told.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"github.com/pomelosill/pomelosill/internal/estimate"
 	"github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1/pomelosillv1connect"
 	"github.com/pomelosill/pomelosill/internal/handover"
+	"github.com/pomelosill/pomelosill/internal/intake"
 	"github.com/pomelosill/pomelosill/internal/network"
 	"github.com/pomelosill/pomelosill/internal/placement"
 	"github.com/pomelosill/pomelosill/internal/policy"
@@ -34,6 +36,10 @@
 	"github.com/pomelosill/pomelosill/platform"
 )
 
+// heapPercent is the part of the process's memory that the garbage collector keeps to. The rest is
+// for the program and for what the kernel holds.
+const heapPercent = 60
+
 // tickInterval is the time between two checks of open jobs and lost runners.
 const tickInterval = handover.TickInterval
 
@@ -146,6 +152,9 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.runCtx, d.startedAt = base, clock.SinceBoot()
+	if memory := d.settings.memory(); memory > 0 {
+		debug.SetMemoryLimit(memory / 100 * heapPercent)
+	}
 	servers, err := d.serve(ctx)
 	if err != nil {
 		return err
@@ -187,7 +196,10 @@
 	debugMux := http.NewServeMux()
 	d.debug.Mount(debugMux, func() any { return d.State() })
 	return process.ServeAll(ctx, d.network, []process.Binding{
-		{Address: d.settings.Listen, Handler: http.HandlerFunc(d.handleCaller), ConnContext: withConn},
+		{
+			Address: d.settings.Listen, Handler: intake.Handler(http.HandlerFunc(d.handleCaller), platform.HeaderDeadline),
+			ConnContext: intake.ConnContext, Gate: intake.NewGate(intake.LimitsOf(d.settings.memory()), d.log),
+		},
 		{Address: d.settings.Ready, Handler: readyMux},
 		{Address: d.settings.Peer, Handler: peerMux, PingTimeout: senderPingTimeout},
 		{Address: d.settings.Metrics, Handler: debugMux},
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/pomelosill/pomelosill/internal/settings"
@@ -20,8 +21,14 @@
 	// unknown. With a small share, the dispatcher forwards jobs to others while it is
 	// starved.
 	ProcessorCores float64 `json:"processor_cores"`
+	// MemoryMB is the memory that the process may use, zero if it is unknown. Requests that
+	// are being read get a part of it.
+	MemoryMB int64 `json:"memory_mb"`
 }
 
+// memory returns the memory that the process may use in bytes, zero if it is unknown.
+func (s *Settings) memory() int64 { return s.MemoryMB << 20 }
+
 // maxForwardingCores is the share of CPU time from which on a dispatcher forwards no
 // jobs: it has CPU time for several times the jobs of an ordinary dispatcher.
 const maxForwardingCores = 0.25
@@ -39,6 +46,10 @@
 	minLeaseMax = time.Millisecond
 	// minGrace is the shortest grace period in which open jobs can be answered.
 	minGrace = 2 * time.Second
+	// minMemoryMB is the least memory that leaves room for requests, and maxMemoryMB more
+	// than any host has.
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 24
 )
 
 // Validate implements settings.Settings.
@@ -46,6 +57,9 @@
 	if !(s.ProcessorCores >= 0) || math.IsInf(s.ProcessorCores, 0) {
 		return settings.BadValue("processor_cores", "must not be negative")
 	}
+	if s.MemoryMB < 0 || (s.MemoryMB > 0 && s.MemoryMB < minMemoryMB) || s.MemoryMB > maxMemoryMB {
+		return settings.BadValue("memory_mb", "must be zero or between "+strconv.Itoa(minMemoryMB)+" and "+strconv.Itoa(maxMemoryMB))
+	}
 	return s.Check(minLeaseMax, minGrace, settings.RequiredField{Field: "listen", Value: s.Listen},
 		settings.RequiredField{Field: "ready", Value: s.Ready}, settings.RequiredField{Field: "peer", Value: s.Peer})
 }
--- a/internal/dispatch/submission.go
+++ b/internal/dispatch/submission.go
@@ -96,6 +96,8 @@
 // the caller has disconnected. The error means that the job was refused.
 func (d *Dispatcher) serveSubmission(ctx context.Context, s *submission, now time.Duration) (platform.Answer, bool, error) {
 	j, f, err := d.submit(s, now)
+	// The body may be much larger than the job, which waits longer.
+	s.body = nil
 	if errors.Is(err, errCallerGone) {
 		return platform.Answer{}, false, nil
 	}
--- a/internal/network/closed.go
+++ b/internal/network/closed.go
@@ -10,6 +10,9 @@
 // reads. It reports false for a connection without a file descriptor, and while unread
 // bytes precede the end.
 func PeerClosed(c net.Conn) bool {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/pomelosill/pomelosill/internal/intake"
 	"github.com/pomelosill/pomelosill/internal/network"
 )
 
@@ -23,6 +24,19 @@
 	PingTimeout time.Duration
 	// ConnContext, if not nil, returns the context of a new connection's requests.
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
+	// Gate, if not nil, limits the connections, which are those of clients that nobody
+	// controls. They speak HTTP/1 only.
+	Gate *intake.Gate
+}
+
+// newServer returns the server of the binding.
+func (b *Binding) newServer() *http.Server {
+	server := newServer(b.Handler, cmp.Or(b.PingTimeout, pingTimeout))
+	server.ConnContext = b.ConnContext
+	if b.Gate != nil {
+		server.Protocols.SetUnencryptedHTTP2(false)
+	}
+	return server
 }
 
 // ServeAll listens on every address and serves it until its server is closed.
@@ -39,8 +53,10 @@
 			CloseAll(servers)
 			return nil, err
 		}
-		server := newServer(b.Handler, cmp.Or(b.PingTimeout, pingTimeout))
-		server.ConnContext = b.ConnContext
+		server := b.newServer()
+		if b.Gate != nil {
+			l = b.Gate.Listener(l)
+		}
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -156,6 +156,8 @@
 	Peer   string `json:"peer"`
 	Store  string `json:"store"`
 	Grace  string `json:"grace"`
+	// MemoryMB is zero if the host's memory isn't told.
+	MemoryMB int64 `json:"memory_mb"`
 }
 
 func domainName(i int) string { return fmt.Sprintf("z%d", i%domainCount) }
@@ -205,12 +207,15 @@
 	}
 }
 
-func (c *cluster) addDispatcher(i int) *dispatcher {
+func (c *cluster) addDispatcher(i int) { c.startDispatcher(i, 0) }
+
+// startDispatcher adds a dispatcher on a host with so much memory, zero if it isn't told.
+func (c *cluster) startDispatcher(i int, memoryMB int64) *dispatcher {
 	d := &dispatcher{listen: fleet.FreeAddress(c.t), ready: fleet.FreeAddress(c.t), store: c.addProxy(c.storeAddress)}
 	name := fmt.Sprintf("dis-%d", i)
 	d.process = c.startProcess(name, "pomelosill-dispatcher", dispatcherSettings{
 		Name: name, Listen: d.listen, Ready: d.ready, Peer: fleet.FreeAddress(c.t),
-		Store: d.store.address(), Grace: "3s",
+		Store: d.store.address(), Grace: "3s", MemoryMB: memoryMB,
 	})
 	d.callers = c.addProxy(d.listen)
 	c.dispatchers = append(c.dispatchers, d)
--- a/test/soak/crowd_test.go
+++ b/test/soak/crowd_test.go
@@ -57,7 +57,7 @@
 	c := newCluster(t, 1, nil)
 	c.crashes = false
 	must.True(t, c.allReady())
-	d := c.addDispatcher(len(c.dispatchers))
+	d := c.startDispatcher(len(c.dispatchers), crowdMemoryMB)
 	must.True(t, c.allReady())
 	return c, d
 }
