Directory: the links of a dispatcher are runners, without ranks

The ranks were the turns in which dispatchers sent a new policy. There are none since policies are sent on request.

--- a/internal/directory/subset.go
+++ b/internal/directory/subset.go
@@ -11,28 +11,20 @@
 // don't grow with the fleet, as long as both kinds of process grow alike.
 const dispatchersPerRunner = 12
 
-// Link is a runner to which a dispatcher is linked.
-type Link struct {
-	Runner Node
-	// Rank is the number of dispatchers that rank before this one for the
-	// runner. It differs between the runner's dispatchers.
-	Rank int
-}
-
-// LinksOf returns the links of the dispatcher with the given name. Each runner
+// RunnersOf returns the runners to which the dispatcher with the given name is linked. Each runner
 // is linked to the dispatchers that rank first for it (rendezvous hashing). So
 // all dispatchers with the same directory choose alike, each runner has
 // dispatchersPerRunner links, and a dispatcher that comes or goes moves only its
 // own links.
-func LinksOf(name string, dispatchers, runners []Node) []Link {
+func RunnersOf(name string, dispatchers, runners []Node) []Node {
 	ranking := newRanking(name, dispatchers)
-	var links []Link
+	var linked []Node
 	for _, n := range runners {
-		if rank := ranking.rank(n.Name); rank < dispatchersPerRunner {
-			links = append(links, Link{Runner: n, Rank: rank})
+		if ranking.rank(n.Name) < dispatchersPerRunner {
+			linked = append(linked, n)
 		}
 	}
-	return links
+	return linked
 }
 
 // ranking holds the hashes of one dispatcher and of the others.
--- a/internal/dispatch/directory.go
+++ b/internal/dispatch/directory.go
@@ -88,8 +88,8 @@
 // wantedConnections are the connections that the directory asks of a dispatcher.
 // The nodes don't have the revisions of their records.
 type wantedConnections struct {
-	links []directory.Link
-	peers []directory.Node
+	runners []directory.Node
+	peers   []directory.Node
 	// dispatchers are all that the directory knows.
 	dispatchers []directory.Node
 }
@@ -97,11 +97,11 @@
 func (d *Dispatcher) newWantedConnections() *wantedConnections {
 	dispatchers := d.directory.Nodes(directory.Dispatcher)
 	w := &wantedConnections{
-		links: directory.LinksOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner)),
-		peers: directory.PeersOf(d.settings.Name, dispatchers), dispatchers: dispatchers,
+		runners: directory.RunnersOf(d.settings.Name, dispatchers, d.directory.Nodes(directory.Runner)),
+		peers:   directory.PeersOf(d.settings.Name, dispatchers), dispatchers: dispatchers,
 	}
-	for i := range w.links {
-		w.links[i].Runner.Revision = 0
+	for i := range w.runners {
+		w.runners[i].Revision = 0
 	}
 	for i := range w.peers {
 		w.peers[i].Revision = 0
@@ -115,9 +115,9 @@
 func (d *Dispatcher) updateConnections(ctx context.Context, connections map[directory.Node]context.CancelFunc, w *wantedConnections) bool {
 	d.updatePeers(w.dispatchers)
 	wanted := map[directory.Node]bool{}
-	for _, l := range w.links {
-		wanted[l.Runner] = true
-		d.link(l)
+	for _, n := range w.runners {
+		wanted[n] = true
+		d.link(n)
 	}
 	for _, n := range w.peers {
 		wanted[n] = true
@@ -156,15 +156,15 @@
 
 // link makes a runner that is assigned to this dispatcher available for work, and
 // returns its state.
-func (d *Dispatcher) link(l directory.Link) *runner {
+func (d *Dispatcher) link(n directory.Node) *runner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.runners[l.Runner.Name]
+	r := d.runners[n.Name]
 	if r == nil {
-		r = newRunner(l.Runner)
-		d.runners[l.Runner.Name] = r
+		r = newRunner(n)
+		d.runners[n.Name] = r
 	}
-	r.node, r.unlinked = l.Runner, false
+	r.node, r.unlinked = n, false
 	return r
 }
 
