--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -167,6 +167,17 @@
 	}
 }
 
+// PrintLines prints the lines of the process's log that contain a text.
+func (p *Process) PrintLines(t *testing.T, text string) {
+	var found strings.Builder
+	for line := range strings.Lines(p.Log()) {
+		if strings.Contains(line, text) {
+			found.WriteString(line)
+		}
+	}
+	t.Logf("lines of %s with %s:\n%s", p.Name, text, found.String())
+}
+
 // PrintLog prints the end of the process's log to the test's output.
 func (p *Process) PrintLog(t *testing.T) {
 	text := p.Log()
--- a/test/soak/cluster.go
+++ b/test/soak/cluster.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -134,12 +135,25 @@
 	c.t.Cleanup(func() {
 		p.Kill()
 		if c.t.Failed() {
-			p.PrintLog(c.t)
+			c.printLog(p)
 		}
 	})
 	return p
 }
 
+// violatedTask finds the task in the text of a violation.
+var violatedTask = regexp.MustCompile(`task (\S+), `)
+
+// printLog prints what a process wrote about the tasks of violations, and the end of its log.
+func (c *cluster) printLog(p *fleet.Process) {
+	for _, v := range c.checker.Violations() {
+		if m := violatedTask.FindStringSubmatch(v); m != nil {
+			p.PrintLines(c.t, m[1])
+		}
+	}
+	p.PrintLog(c.t)
+}
+
 type runnerSettings struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
