Comments of the policy's path, as a newcomer reads them

Cause: comments that had grown by a clause with each change, in lines of any length. Change: three are written anew. No code changed; the tests of the packages pass.

--- a/internal/directory/subset.go
+++ b/internal/directory/subset.go
@@ -11,11 +11,11 @@
 // don't grow with the fleet, as long as both kinds of process grow alike.
 const dispatchersPerRunner = 12
 
-// RunnersOf returns the runners to which the dispatcher with the given name is linked. Each runner
-// is linked to the dispatchers that rank first for it (rendezvous hashing). So
-// all dispatchers with the same directory choose alike, each runner has
-// dispatchersPerRunner links, and a dispatcher that comes or goes moves only its
-// own links.
+// RunnersOf returns the runners to which the dispatcher with the given name is
+// linked. Each runner is linked to the dispatchers that rank first for it
+// (rendezvous hashing). So all dispatchers with the same directory choose alike,
+// each runner has dispatchersPerRunner links, and a dispatcher that comes or goes
+// moves only its own links.
 func RunnersOf(name string, dispatchers, runners []Node) []Node {
 	ranking := newRanking(name, dispatchers)
 	var linked []Node
--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -204,11 +204,11 @@
 	g.wake()
 }
 
-// nextFrame returns a frame with the policy's revision and the directory's
-// digest, and with the policy if the peer has asked for it, and the
-// records that have changed since they were last sent if it isn't known to have them. A dispatcher that starts
-// while the store is unavailable gets both from those peers whose directory has
-// its record already: they open streams to it.
+// nextFrame returns a frame with the policy's revision and the directory's digest. It has the
+// policy if the peer has asked for it, and the records that have changed since they were last
+// sent if the peer isn't known to have them. A dispatcher that starts while the store is
+// unavailable gets both from those peers whose directory has its record already: they open
+// streams to it.
 func (g *gossipStream) nextFrame() *pb.GossipFrame {
 	d := g.dispatcher
 	digest, version := d.directory.Summary()
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -284,8 +284,8 @@
 	return time.Duration(len(d.runners)) * time.Second / maxStatesPerSecond
 }
 
-// newHeartbeat returns a frame that echoes the runner's last heartbeat. The echo extends the lease of the runs there, so their
-// callers are checked before. It is called with the lock held.
+// newHeartbeat returns a frame that echoes the runner's last heartbeat. The echo extends the
+// lease of the runs there, so their callers are checked before. It is called with the lock held.
 func (d *Dispatcher) newHeartbeat(r *runner, now time.Duration) *pb.DispatcherFrame {
 	d.confirmCallers(r)
 	r.lastEchoAt = now
