Runner: a start is permitted once its connection to the endpoint is there

Cause: the runner checked its leases before the request waited for a connection. Suspended in between, it sent the start on waking, on a new connection to the endpoint's next process, which knows neither the fencing token nor the former clock.

Change: the permission is asked for by the request's first write to its connection. Without it nothing is written, and the order is refused as one whose lease has lapsed.

--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -31,7 +31,7 @@
 }
 
 // mayStart reports whether a start request may still be sent: the process may have
-// been suspended since the order was accepted. Then the dispatcher may count the run
+// been suspended since the order was accepted, or while it connected. Then the dispatcher may count the run
 // as lost, and the endpoint may have been restarted: the new process knows no fencing
 // token and would carry out the request.
 func (r *Runner) mayStart(s *session, o *order, start workload.StartRequest, leasedUntil time.Duration) bool {
@@ -85,9 +85,10 @@
 // starts a second run. A refusal that follows an unanswered try does not count
 // as one: the earlier try may have started the run.
 func (r *Runner) sendStartWithRetry(s *session, o *order, start workload.StartRequest, leasedUntil time.Duration) error {
+	start.Permitted = func() bool { return r.mayStart(s, o, start, leasedUntil) }
 	var unanswered error
 	for range maxStartSends {
-		if !r.mayStart(s, o, start, leasedUntil) {
+		if !start.Permitted() {
 			return cmp.Or[error](unanswered, result.Errorf(result.LeaseLapsed, "the permission for the start of %s has run out", start.Run.Task))
 		}
 		ctx, cancel := context.WithTimeout(r.baseCtx, startTimeout)
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -210,6 +210,9 @@
 	// FencingToken is the runner's fencing token; the endpoint refuses a
 	// request with a lower one than it has seen.
 	FencingToken int64
+	// Permitted, if not nil, is asked once the connection to the endpoint is there. If it
+	// returns false, nothing is sent.
+	Permitted func() bool
 }
 
 // RunProgress is a run that an endpoint lists as running.
