--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -36,10 +35,6 @@
 	"github.com/pomelosill/pomelosill/platform"
 )
 
-// heapPercent is the part of the process's memory that the garbage collector keeps to. The rest is
-// for the program and for what the kernel holds.
-const heapPercent = 60
-
 // tickInterval is the time between two checks of open jobs and lost runners.
 const tickInterval = handover.TickInterval
 
@@ -152,9 +147,7 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.runCtx, d.startedAt = base, clock.SinceBoot()
-	if memory := d.settings.memory(); memory > 0 {
-		debug.SetMemoryLimit(memory / 100 * heapPercent)
-	}
+	process.LimitHeap(d.settings.memoryBytes())
 	servers, err := d.serve(ctx)
 	if err != nil {
 		return err
@@ -198,7 +191,7 @@
 	return process.ServeAll(ctx, d.network, []process.Binding{
 		{
 			Address: d.settings.Listen, Handler: intake.Handler(http.HandlerFunc(d.handleCaller), platform.HeaderDeadline),
-			ConnContext: intake.ConnContext, Gate: intake.NewGate(intake.LimitsOf(d.settings.memory()), d.log),
+			ConnContext: intake.ConnContext, Limiter: intake.NewLimiter(intake.LimitsOf(d.settings.memoryBytes()), d.log),
 		},
 		{Address: d.settings.Ready, Handler: readyMux},
 		{Address: d.settings.Peer, Handler: peerMux, PingTimeout: senderPingTimeout},
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -26,8 +26,8 @@
 	MemoryMB int64 `json:"memory_mb"`
 }
 
-// memory returns the memory that the process may use in bytes, zero if it is unknown.
-func (s *Settings) memory() int64 { return s.MemoryMB << 20 }
+// memoryBytes returns the memory that the process may use, zero if it is unknown.
+func (s *Settings) memoryBytes() int64 { return s.MemoryMB << 20 }
 
 // maxForwardingCores is the share of CPU time from which on a dispatcher forwards no
 // jobs: it has CPU time for several times the jobs of an ordinary dispatcher.
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -21,19 +21,21 @@
 	serving
 )
 
-// Costs in bytes of memory for each byte and each line that was read.
+// Costs of a request, in bytes of memory for each byte and each line that was read.
 const (
 	headerByteCost = 2
 	headerLineCost = 200
 	bodyByteCost   = 3
 )
 
-// Conn is a connection of a limited listener. The gate's lock guards its fields.
+// Conn is a connection of a limited listener. The limiter's lock guards its fields.
 type Conn struct {
 	net.Conn
-	gate   *Gate
-	phase  phase
-	cost   int64
+	limiter *Limiter
+	phase   phase
+	// cost is the estimated memory of the request in bytes.
+	cost int64
+	// usedAt orders the connections by their last use.
 	usedAt uint64
 }
 
@@ -50,41 +52,41 @@
 }
 
 func (c *Conn) onRead(data []byte) {
-	g := c.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.conns[c] {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.conns[c] {
 		return
 	}
 	switch c.phase {
 	case waiting:
 		c.phase = readingHeader
-		g.use(c)
+		l.use(c)
 		fallthrough
 	case readingHeader:
 		lines := bytes.Count(data, []byte{'\n'})
-		g.charge(c, int64(len(data))*headerByteCost+int64(lines)*headerLineCost)
+		l.charge(c, int64(len(data))*headerByteCost+int64(lines)*headerLineCost)
 	case readingBody:
-		g.charge(c, int64(len(data))*bodyByteCost)
+		l.charge(c, int64(len(data))*bodyByteCost)
 	case serving:
 	}
 }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.gate.mu.Lock()
-	c.gate.forget(c)
-	c.gate.mu.Unlock()
+	c.limiter.mu.Lock()
+	c.limiter.forget(c)
+	c.limiter.mu.Unlock()
 	return c.Conn.Close()
 }
 
 // enter makes a connection enter a phase, and ends the cost of the one before.
 func (c *Conn) enter(p phase) {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
 	c.phase = p
-	c.gate.use(c)
-	c.gate.release(c)
+	c.limiter.use(c)
+	c.limiter.release(c)
 }
 
 type connKey struct{}
@@ -140,7 +142,7 @@
 	r.Header = kept
 }
 
-// Complete tells the gate that a request has been read and decoded: it is served now, and may take
+// Complete tells the limiter that a request has been read and decoded: it is served now, and may take
 // any time.
 func Complete(r *http.Request) {
 	if c := limitedConnOf(r); c != nil {
--- a/internal/intake/gate_test.go
+++ b/internal/intake/limiter_test.go
@@ -20,19 +20,19 @@
 	server *Conn
 }
 
-// connect opens a connection through the gate.
-func (g *Gate) connect(t *testing.T) (*client, bool) {
+// connect opens a connection through the limiter.
+func (l *Limiter) connect(t *testing.T) (*client, bool) {
 	far, near := net.Pipe()
-	c := &client{t: t, Conn: far, server: &Conn{Conn: near, gate: g}}
+	c := &client{t: t, Conn: far, server: &Conn{Conn: near, limiter: l}}
 	t.Cleanup(func() {
 		_ = far.Close()
 		_ = near.Close()
 	})
-	return c, g.add(c.server)
+	return c, l.add(c.server)
 }
 
-func (g *Gate) mustConnect(t *testing.T) *client {
-	c, added := g.connect(t)
+func (l *Limiter) mustConnect(t *testing.T) *client {
+	c, added := l.connect(t)
 	must.True(t, added)
 	return c
 }
@@ -47,14 +47,14 @@
 
 // closed reports whether the server's end is closed.
 func (c *client) closed() bool {
-	c.server.gate.mu.Lock()
-	defer c.server.gate.mu.Unlock()
-	return !c.server.gate.conns[c.server]
+	c.server.limiter.mu.Lock()
+	defer c.server.limiter.mu.Unlock()
+	return !c.server.limiter.conns[c.server]
 }
 
 func TestCostliestConnectionIsClosedUnderPressure(t *testing.T) {
-	g := NewGate(Limits{Memory: 10_000, Connections: 10}, zap.NewNop())
-	small, lines, body := g.mustConnect(t), g.mustConnect(t), g.mustConnect(t)
+	l := NewLimiter(Limits{RequestBytes: 10_000, Connections: 10}, zap.NewNop())
+	small, lines, body := l.mustConnect(t), l.mustConnect(t), l.mustConnect(t)
 	small.send("GET / HTTP/1.1\r\n")
 	body.server.enter(readingBody)
 	body.send(strings.Repeat("x", 2000))
@@ -69,16 +69,16 @@
 
 // A request of any size is read while there is no other.
 func TestOnlyRequestIsNeverClosed(t *testing.T) {
-	g := NewGate(Limits{Memory: 100, Connections: 10}, zap.NewNop())
-	c := g.mustConnect(t)
-	g.mustConnect(t)
+	l := NewLimiter(Limits{RequestBytes: 100, Connections: 10}, zap.NewNop())
+	c := l.mustConnect(t)
+	l.mustConnect(t)
 	c.send(strings.Repeat("a:\n", 5000))
 	must.False(t, c.closed())
 }
 
 func TestCostsEndWithTheRequest(t *testing.T) {
-	g := NewGate(Limits{Memory: 10_000, Connections: 10}, zap.NewNop())
-	first, second := g.mustConnect(t), g.mustConnect(t)
+	l := NewLimiter(Limits{RequestBytes: 10_000, Connections: 10}, zap.NewNop())
+	first, second := l.mustConnect(t), l.mustConnect(t)
 	for range 10 {
 		for _, c := range []*client{first, second} {
 			c.send("POST / HTTP/1.1\r\n")
@@ -89,45 +89,45 @@
 			c.server.enter(waiting)
 		}
 	}
-	must.Eq(t, 0, g.memory)
+	must.Eq(t, 0, l.requestBytes)
 	must.NoError(t, first.server.Close())
 	first.server.enter(waiting)
-	must.MapLen(t, 1, g.conns)
+	must.MapLen(t, 1, l.conns)
 }
 
 func TestLeastRecentlyUsedConnectionIsClosedAtTheLimit(t *testing.T) {
-	g := NewGate(Limits{Memory: 1 << 20, Connections: 3}, zap.NewNop())
-	served, idle, reading := g.mustConnect(t), g.mustConnect(t), g.mustConnect(t)
+	l := NewLimiter(Limits{RequestBytes: 1 << 20, Connections: 3}, zap.NewNop())
+	served, idle, reading := l.mustConnect(t), l.mustConnect(t), l.mustConnect(t)
 	served.server.enter(serving)
 	idle.server.enter(waiting)
 	reading.send("G")
-	fourth := g.mustConnect(t)
+	fourth := l.mustConnect(t)
 	must.True(t, idle.closed())
-	g.mustConnect(t)
+	l.mustConnect(t)
 	must.True(t, reading.closed())
 	must.False(t, served.closed() || fourth.closed())
-	for c := range g.conns {
+	for c := range l.conns {
 		c.enter(serving)
 	}
-	_, added := g.connect(t)
+	_, added := l.connect(t)
 	must.False(t, added, must.Sprint("all are being served"))
-	must.MapLen(t, 3, g.conns)
+	must.MapLen(t, 3, l.conns)
 }
 
 // The headers of a request occupy memory for as long as it is served.
 func TestHandlerDropsOtherHeaders(t *testing.T) {
 	r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(nil))
-	r.Header.Add("x-deadline-ms", "70")
-	r.Header.Add("X-Deadline-Ms", "80")
+	r.Header.Add("x-kept", "70")
+	r.Header.Add("X-Kept", "80")
 	for range 100 {
 		r.Header.Add("Other", "1")
 	}
 	var got http.Header
-	Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.Header }), "X-Deadline-Ms").ServeHTTP(httptest.NewRecorder(), r)
-	must.Eq(t, http.Header{"X-Deadline-Ms": {"70"}}, got)
+	Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.Header }), "X-Kept").ServeHTTP(httptest.NewRecorder(), r)
+	must.Eq(t, http.Header{"X-Kept": {"70"}}, got)
 }
 
 func TestLimitsOfKnownAndUnknownMemory(t *testing.T) {
-	must.Eq(t, Limits{Memory: 23 << 20, Connections: 1472}, LimitsOf(184<<20))
-	must.Eq(t, LimitsOf(defaultMemory), LimitsOf(0))
+	must.Eq(t, Limits{RequestBytes: 12 << 20, Connections: 800}, LimitsOf(100<<20))
+	must.Eq(t, LimitsOf(defaultMemoryBytes), LimitsOf(0))
 }
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -24,16 +24,16 @@
 	PingTimeout time.Duration
 	// ConnContext, if not nil, returns the context of a new connection's requests.
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
-	// Gate, if not nil, limits the connections, which are those of clients that nobody
+	// Limiter, if not nil, limits the connections, which are those of clients that nobody
 	// controls. They speak HTTP/1 only.
-	Gate *intake.Gate
+	Limiter *intake.Limiter
 }
 
 // newServer returns the server of the binding.
 func (b *Binding) newServer() *http.Server {
 	server := newServer(b.Handler, cmp.Or(b.PingTimeout, pingTimeout))
 	server.ConnContext = b.ConnContext
-	if b.Gate != nil {
+	if b.Limiter != nil {
 		server.Protocols.SetUnencryptedHTTP2(false)
 	}
 	return server
@@ -54,8 +54,8 @@
 			return nil, err
 		}
 		server := b.newServer()
-		if b.Gate != nil {
-			l = b.Gate.Listener(l)
+		if b.Limiter != nil {
+			l = b.Limiter.Listener(l)
 		}
 		servers = append(servers, server)
 		go func() {
--- a/test/soak/crowd_test.go
+++ b/test/soak/intake_test.go
@@ -16,34 +16,34 @@
 	"github.com/pomelosill/pomelosill/test/caller"
 )
 
-// Clients that don't behave send requests of legal size whose cost is in their form. The limits of
-// the dispatcher that they are sent to are lowered, so that a small crowd reaches them.
+// Clients that don't behave send requests of legal size whose form makes them costly. The limits of
+// a dispatcher are lowered, so that few of them reach these.
 const (
-	// crowdMemoryMB is the memory of the dispatcher's host. All of it must suffice.
-	crowdMemoryMB = 128
-	// crowdConnections is how many connections the crowd opens.
-	crowdConnections = 900
-	// maxCrowdDescriptors is the bound of the dispatcher's open descriptors.
-	maxCrowdDescriptors = 1100
+	// limitedMemoryMB is the memory of the dispatcher's host. All of it must suffice.
+	limitedMemoryMB = 128
+	// clientCount is how many connections they open.
+	clientCount = 900
+	// maxDescriptors is the bound of the dispatcher's open descriptors.
+	maxDescriptors = 1100
 	// bodyBytes is the limit of a body's size where the configuration sets none, and
 	// headerBytes that of a header.
 	bodyBytes   = 256 << 10
 	headerBytes = 16 << 10
-	// crowdSendTimeout bounds how long one client of the crowd sends.
-	crowdSendTimeout = 20 * time.Second
+	// sendTimeout bounds how long one client sends.
+	sendTimeout = 20 * time.Second
 	// ordinaryTimeout bounds the time until an ordinary request is answered.
 	ordinaryTimeout = 60 * time.Second
 )
 
-// crowd is a kind of clients that don't behave. Most of them stop just short of the end of their
-// request and stay open.
-type crowd struct {
+// clientKind is a kind of clients that don't behave. Most of them stop just short of the end of
+// their request and stay open.
+type clientKind struct {
 	name string
 	// send sends the request of the client with the number on a connection.
 	send func(w io.Writer, number int) error
 }
 
-var crowds = []crowd{
+var clientKinds = []clientKind{
 	{"many header lines", sendHeaderLines},
 	{"large bodies", func(w io.Writer, number int) error { return sendBody(w, number, bodyBytes) }},
 	{"large bodies piece by piece", func(w io.Writer, number int) error { return sendBody(w, number, 4<<10) }},
@@ -52,41 +52,41 @@
 	{"steps without number", sendSteps},
 }
 
-// newCrowdedCluster starts a system and the dispatcher that the crowd is sent to.
-func newCrowdedCluster(t *testing.T) (*cluster, *dispatcher) {
+// newLimitedCluster starts a system and a dispatcher with little memory.
+func newLimitedCluster(t *testing.T) (*cluster, *dispatcher) {
 	c := newCluster(t, 1, nil)
 	c.crashes = false
 	must.True(t, c.allReady())
-	d := c.startDispatcher(len(c.dispatchers), crowdMemoryMB)
+	d := c.startDispatcher(len(c.dispatchers), limitedMemoryMB)
 	must.True(t, c.allReady())
 	return c, d
 }
 
 // Issue 48: such clients ended a process, which ran out of memory.
-func TestCrowdsDoNotEndADispatcher(t *testing.T) {
-	for _, k := range crowds {
+func TestMisbehavingClientsDoNotEndADispatcher(t *testing.T) {
+	for _, k := range clientKinds {
 		t.Run(k.name, func(t *testing.T) {
-			c, d := newCrowdedCluster(t)
+			c, d := newLimitedCluster(t)
 			callers := c.newCallers()
 			mustServe(t, callers, d, 1)
 			closeAll := k.connect(t, d.listen)
 			t.Logf("%d MB at most, %d descriptors", d.process.PeakMemory(t)>>20, d.process.Descriptors(t))
 			must.True(t, d.process.Running(), must.Sprint("the process has ended"))
-			must.LessEq(t, crowdMemoryMB<<20, d.process.PeakMemory(t))
-			must.LessEq(t, maxCrowdDescriptors, d.process.Descriptors(t))
+			must.LessEq(t, limitedMemoryMB<<20, d.process.PeakMemory(t))
+			must.LessEq(t, maxDescriptors, d.process.Descriptors(t))
 			mustServe(t, callers, d, 2)
 			closeAll()
 			mustServe(t, callers, d, 3)
-			must.LessEq(t, crowdMemoryMB<<20, d.process.PeakMemory(t))
+			must.LessEq(t, limitedMemoryMB<<20, d.process.PeakMemory(t))
 			must.True(t, d.process.Running(), must.Sprint("the process has ended"))
 		})
 	}
 }
 
-// Each of these requests is legal and must be served while there is no crowd.
+// Each of these requests is legal and must be served while there are no others.
 func TestSingleOddRequestIsServed(t *testing.T) {
-	_, d := newCrowdedCluster(t)
-	for i, k := range crowds {
+	_, d := newLimitedCluster(t)
+	for i, k := range clientKinds {
 		if k.name == "steps without number" {
 			continue
 		}
@@ -123,28 +123,28 @@
 	}
 }
 
-// connect opens the crowd's connections and sends on all of them at once. They stay open until
+// connect opens the clients' connections and sends on all of them at once. They stay open until
 // the returned function is called.
-func (k crowd) connect(t *testing.T, address string) (closeAll func()) {
+func (k clientKind) connect(t *testing.T, address string) (closeAll func()) {
 	var mu sync.Mutex
 	var conns []net.Conn
 	var senders sync.WaitGroup
-	for i := range crowdConnections {
+	for i := range clientCount {
 		senders.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, crowdSendTimeout)
+			conn, err := net.DialTimeout("tcp", address, sendTimeout)
 			if err != nil {
 				return
 			}
 			mu.Lock()
 			conns = append(conns, conn)
 			mu.Unlock()
-			_ = conn.SetDeadline(time.Now().Add(crowdSendTimeout))
+			_ = conn.SetDeadline(time.Now().Add(sendTimeout))
 			// An error means that the dispatcher has closed the connection, which it may.
 			_ = k.send(conn, i)
 		})
 	}
 	senders.Wait()
-	must.Len(t, crowdConnections, conns)
+	must.Len(t, clientCount, conns)
 	return func() {
 		for _, conn := range conns {
 			_ = conn.Close()
@@ -163,8 +163,8 @@
 	return request[:len(request)-1]
 }
 
-// crowdJob is a job that is padded to a size with white space.
-func crowdJob(size int) string {
+// paddedJob is a job that is padded to a size with white space.
+func paddedJob(size int) string {
 	const job = `{"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimated_ms":40}]}`
 	return job + strings.Repeat(" ", size-len(job))
 }
@@ -176,7 +176,7 @@
 
 // sendHeaderLines sends a request with as many header lines as its size allows.
 func sendHeaderLines(w io.Writer, number int) error {
-	job := crowdJob(100)
+	job := paddedJob(100)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%sContent-Length: %d\r\n", requestLine(number), len(job))
 	for i := 0; b.Len() < headerBytes-10; i++ {
@@ -200,7 +200,7 @@
 	if _, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", requestLine(number), bodyBytes); err != nil {
 		return err
 	}
-	for body := ends(number, crowdJob(bodyBytes)); len(body) > 0; {
+	for body := ends(number, paddedJob(bodyBytes)); len(body) > 0; {
 		n := min(piece, len(body))
 		if _, err := io.WriteString(w, body[:n]); err != nil {
 			return err
@@ -214,7 +214,7 @@
 func sendChunks(w io.Writer, number, size int) error {
 	buffered := bufio.NewWriterSize(w, 32<<10)
 	fmt.Fprintf(buffered, "%sTransfer-Encoding: chunked\r\n\r\n", requestLine(number))
-	for body := crowdJob(bodyBytes); len(body) > 0; body = body[min(size, len(body)):] {
+	for body := paddedJob(bodyBytes); len(body) > 0; body = body[min(size, len(body)):] {
 		n := min(size, len(body))
 		fmt.Fprintf(buffered, "%x\r\n%s\r\n", n, body[:n])
 	}
