Policy: sources are looked for when one has a newer policy, not at each frame

What it cost: each frame of a runner or a peer made a dispatcher look at all its runners and streams, so the work grew with the square of the runners. Cause: the request for a policy was tried wherever time had passed. Change: it is tried at each tick, and at a frame only if its sender has a newer policy. The choice of the process that is asked stood twice, in the dispatcher and the runner; it is in policy.Requests now. Policies that can't be decoded or have a lower version count as copies, as documented.

--- a/internal/dispatch/peer.go
+++ b/internal/dispatch/peer.go
@@ -126,9 +126,9 @@
 	// peerDigest is the directory digest in the peer's last frame, zero before
 	// its first.
 	peerDigest atomic.Uint64
-	// asksForPolicy is set when the peer is to be asked for its policy, policyWanted when it
+	// wantsPolicy is set when the peer is to be asked for its policy, peerWantsPolicy when it
 	// has asked for this dispatcher's.
-	asksForPolicy, policyWanted atomic.Bool
+	wantsPolicy, peerWantsPolicy atomic.Bool
 	// woken receives a value after each of the peer's frames, and when the peer is to be
 	// asked.
 	woken chan struct{}
@@ -175,7 +175,7 @@
 		case <-timer.C:
 			return nil
 		case <-g.woken:
-			if g.asksForPolicy.Load() || g.policyWanted.Load() || (g.sentVersion == 0 && g.directoryDiffers()) {
+			if g.wantsPolicy.Load() || g.peerWantsPolicy.Load() || (g.sentVersion == 0 && g.directoryDiffers()) {
 				return nil
 			}
 		}
@@ -197,10 +197,9 @@
 	}
 }
 
-func (g *gossipStream) newestRevision() uint64 { return g.peerRevision.Load() }
-
-func (g *gossipStream) requestPolicy() {
-	g.asksForPolicy.Store(true)
+// RequestPolicy implements policy.Source.
+func (g *gossipStream) RequestPolicy() {
+	g.wantsPolicy.Store(true)
 	g.wake()
 }
 
@@ -217,8 +216,8 @@
 	f.LagUs, f.Load = d.ownReport(clock.SinceBoot())
 	d.mu.Unlock()
 	f.Crashes, g.sentCrashes = d.encodeCrashes(g.sentCrashes)
-	f.WantsPolicy = g.asksForPolicy.Swap(false)
-	if s := d.policy.Current(); g.policyWanted.Swap(false) && s != nil && s.Revision > g.newestRevision() {
+	f.WantsPolicy = g.wantsPolicy.Swap(false)
+	if s := d.policy.Current(); g.peerWantsPolicy.Swap(false) && s != nil && s.Revision > g.peerRevision.Load() {
 		f.Policy = codec.Encode(s)
 	}
 	switch g.peerDigest.Load() {
@@ -259,11 +258,13 @@
 	}
 	g.dispatcher.directory.Merge(nodes)
 	if f.GetWantsPolicy() {
-		g.policyWanted.Store(true)
+		g.peerWantsPolicy.Store(true)
 	}
 	g.dispatcher.mu.Lock()
 	now := clock.SinceBoot()
-	g.dispatcher.requestPolicy(now)
+	if f.GetPolicyRevision() > g.dispatcher.policy.Revision() {
+		g.dispatcher.requestPolicy(now)
+	}
 	g.dispatcher.reportPeer(f.GetDispatcher(), f.GetLagUs(), f.GetLoad(), now)
 	if len(f.GetCrashes()) > 0 {
 		g.dispatcher.applyCrashes(f.GetCrashes(), now)
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -1,10 +1,10 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"time"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/policy/codec"
 )
 
@@ -12,37 +12,23 @@
 // it from the store before it asks another process.
 const storeReadTime = 200 * time.Millisecond
 
-// policySource is a connected process that may have a newer policy.
-type policySource interface {
-	// newestRevision returns the newest policy revision that the process is known to have.
-	newestRevision() uint64
-	// requestPolicy asks the process for its policy.
-	requestPolicy()
-}
-
 // requestPolicy asks another process for a newer policy, if that is due. It is called with the
 // lock held.
 func (d *Dispatcher) requestPolicy(now time.Duration) {
 	current := d.policy.Revision()
-	newest, newer := current, d.newerSources(current)
-	for _, s := range newer {
-		newest = max(newest, s.newestRevision())
-	}
 	patience := storeReadTime
 	if current == 0 {
 		patience = 0
 	}
-	if d.policyRequests.Due(current, newest, patience, now) {
-		newer[rand.IntN(len(newer))].requestPolicy()
-	}
+	d.policyRequests.Ask(current, d.newerSources(current), patience, now)
 }
 
 // newerSources returns the dispatchers that have a newer policy than that of a revision or, if
 // there are none, the runners.
-func (d *Dispatcher) newerSources(revision uint64) []policySource {
-	var newer []policySource
+func (d *Dispatcher) newerSources(revision uint64) []policy.Source {
+	var newer []policy.Source
 	for g := range d.gossipStreams {
-		if g.newestRevision() > revision {
+		if g.peerRevision.Load() > revision {
 			newer = append(newer, g)
 		}
 	}
@@ -50,16 +36,15 @@
 		return newer
 	}
 	for _, r := range d.runners {
-		if r.outbox != nil && r.newestRevision() > revision {
+		if r.outbox != nil && r.policyRevision > revision {
 			newer = append(newer, r)
 		}
 	}
 	return newer
 }
 
-func (r *runner) newestRevision() uint64 { return r.policyRevision }
-
-func (r *runner) requestPolicy() { r.outbox.Put(&pb.DispatcherFrame{WantsPolicy: true}) }
+// RequestPolicy implements policy.Source.
+func (r *runner) RequestPolicy() { r.outbox.Put(&pb.DispatcherFrame{WantsPolicy: true}) }
 
 // sendPolicy sends the policy to a runner that has asked for it. It is called with the lock held.
 func (d *Dispatcher) sendPolicy(r *runner) {
--- a/internal/dispatch/runnerconn.go
+++ b/internal/dispatch/runnerconn.go
@@ -170,7 +170,9 @@
 	now := clock.SinceBoot()
 	d.applyHeartbeat(r, f, now)
 	codec.Apply(d.policy, f.GetPolicy(), d.log)
-	d.requestPolicy(now)
+	if r.policyRevision > d.policy.Revision() {
+		d.requestPolicy(now)
+	}
 	if f.GetWantsPolicy() {
 		d.sendPolicy(r)
 	}
--- a/internal/policy/codec/codec.go
+++ b/internal/policy/codec/codec.go
@@ -19,28 +19,34 @@
 }
 
 // Apply applies a policy received from another process, nil for none, and
-// reports whether it was newer than the current one. A policy that can't be
-// decoded is logged and ignored.
+// reports whether it was newer than the current one.
 func Apply(h *policy.Holder, p *pb.Policy, log *zap.Logger) bool {
 	if p == nil {
 		return false
 	}
+	s := decodeNewer(h, p, log)
+	applied := s != nil && h.Apply(s)
+	t := h.CountTransfer(applied, len(p.GetConfig()))
+	if applied {
+		log.Info("policy: applied, received from another process", zap.Uint64("revision", s.Revision),
+			zap.Uint64("version", s.Config.Version), zap.Strings("evacuated", s.Evacuated),
+			zap.Uint64("copies", t.Copies), zap.Uint64("copy bytes", t.CopyBytes))
+	}
+	return applied
+}
+
+// decodeNewer returns the decoded policy, or nil if it isn't newer than the current one or can't
+// be decoded, which is logged.
+func decodeNewer(h *policy.Holder, p *pb.Policy, log *zap.Logger) *policy.Snapshot {
 	if p.GetRevision() <= h.Revision() {
-		h.CountTransfer(false, len(p.GetConfig()))
-		return false
+		return nil
 	}
 	config, err := platform.DecodeConfig(p.GetConfig())
 	if err != nil {
 		log.Warn("policy: invalid policy from another process ignored", zap.Uint64("revision", p.GetRevision()), zap.Error(err))
-		return false
+		return nil
 	}
-	s := &policy.Snapshot{Revision: p.GetRevision(), Document: p.GetConfig(), Config: config, Evacuated: slices.Sorted(slices.Values(p.GetEvacuated()))}
-	if !h.Apply(s) {
-		return false
+	return &policy.Snapshot{
+		Revision: p.GetRevision(), Document: p.GetConfig(), Config: config, Evacuated: slices.Sorted(slices.Values(p.GetEvacuated())),
 	}
-	t := h.CountTransfer(true, len(s.Document))
-	log.Info("policy: applied, received from another process", zap.Uint64("revision", s.Revision),
-		zap.Uint64("version", s.Config.Version), zap.Strings("evacuated", s.Evacuated),
-		zap.Uint64("copies", t.Copies), zap.Uint64("copy bytes", t.CopyBytes))
-	return true
 }
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -1,6 +1,15 @@
 package policy
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Source is a connected process that has a newer policy.
+type Source interface {
+	// RequestPolicy asks the process for its policy.
+	RequestPolicy()
+}
 
 // Requests decides when a process asks another one for a newer policy. A process learns of one
 // by its revision, and gets the policy only on request, from one process at a time: a policy
@@ -18,23 +27,23 @@
 // requestTimeout is the time after which another process is asked.
 const requestTimeout = 500 * time.Millisecond
 
-// Due reports whether to ask for a newer policy now, and records that as done. It is called
-// often, with the revision of the process's own policy and the newest that another process
-// has. The first request for a policy is delayed by patience.
-func (q *Requests) Due(revision, newest uint64, patience, now time.Duration) bool {
+// Ask asks one of the processes that have a newer policy, chosen at random, if that is due. It is
+// called often, with the revision of the process's own policy and all such processes. The first
+// request for a policy is delayed by patience.
+func (q *Requests) Ask(revision uint64, newer []Source, patience, now time.Duration) {
 	if revision != q.revision {
 		*q = Requests{revision: revision}
 	}
-	if newest <= revision {
+	if len(newer) == 0 {
 		q.behindSince, q.askedAt = 0, 0
-		return false
+		return
 	}
 	if q.behindSince == 0 {
 		q.behindSince = now
 	}
 	if now-q.behindSince < patience || (q.askedAt > 0 && now-q.askedAt < requestTimeout) {
-		return false
+		return
 	}
 	q.askedAt = now
-	return true
+	newer[rand.IntN(len(newer))].RequestPolicy()
 }
--- a/internal/runner/policy.go
+++ b/internal/runner/policy.go
@@ -1,10 +1,10 @@
 package runner
 
 import (
-	"math/rand/v2"
 	"time"
 
 	pb "github.com/pomelosill/pomelosill/internal/gen/pomelosill/v1"
+	"github.com/pomelosill/pomelosill/internal/policy"
 	"github.com/pomelosill/pomelosill/internal/policy/codec"
 )
 
@@ -29,21 +29,22 @@
 // requestPolicy asks one of the dispatchers that have a newer policy for it, if that is due.
 func (r *Runner) requestPolicy(now time.Duration) {
 	current := r.policy.Revision()
-	newest, newer := current, []*dispatcher{}
+	var newer []policy.Source
 	for _, d := range r.dispatchers {
 		if d.outbox != nil && d.policyRevision > current {
-			newest, newer = max(newest, d.policyRevision), append(newer, d)
+			newer = append(newer, d)
 		}
 	}
 	var patience time.Duration
 	if s := r.policy.Current(); s != nil && len(s.Document) > smallPolicyBytes {
 		patience = announcementTime
 	}
-	if r.policyRequests.Due(current, newest, patience, now) {
-		newer[rand.IntN(len(newer))].outbox.Put(&pb.RunnerFrame{WantsPolicy: true})
-	}
+	r.policyRequests.Ask(current, newer, patience, now)
 }
 
+// RequestPolicy implements policy.Source.
+func (d *dispatcher) RequestPolicy() { d.outbox.Put(&pb.RunnerFrame{WantsPolicy: true}) }
+
 // sendPolicy sends the policy to a dispatcher that has asked for it.
 func (r *Runner) sendPolicy(d *dispatcher) {
 	if s := r.policy.Current(); s != nil && s.Revision > d.policyRevision {
--- a/internal/runner/receive.go
+++ b/internal/runner/receive.go
@@ -55,7 +55,9 @@
 	r.applyDispatcherHeartbeat(d, f.GetBeat(), now)
 	r.applyPolicy(f.GetPolicy())
 	r.confirmPolicy(f.GetBeat(), now)
-	r.requestPolicy(now)
+	if d.policyRevision > r.policy.Revision() {
+		r.requestPolicy(now)
+	}
 	if f.GetWantsPolicy() {
 		r.sendPolicy(d)
 	}
