Dispatcher: the memory of the host is read from the system where it isn't set

Cause: memory_mb came by a new placeholder. Change: without the setting the system tells the host's memory, and the template is as before. The line that says that a dispatcher has started has the figure.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -168,7 +168,7 @@
 		running.Go(func() { run(base) })
 	}
 	d.log.Info("dispatcher: started", zap.String("name", d.settings.Name), zap.String("incarnation", d.incarnation),
-		zap.String("version", process.Version()))
+		zap.String("version", process.Version()), zap.Int64("memory bytes", d.settings.memoryBytes()))
 	<-ctx.Done()
 	d.shutDown(servers)
 	stop()
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pomelosill/pomelosill/internal/process"
 	"github.com/pomelosill/pomelosill/internal/settings"
 )
 
@@ -21,13 +22,18 @@
 	// unknown. With a small share, the dispatcher forwards jobs to others while it is
 	// starved.
 	ProcessorCores float64 `json:"processor_cores"`
-	// MemoryMB is the memory that the process may use, zero if it is unknown. Requests that
-	// are being read get a part of it.
+	// MemoryMB is the memory that the process may use, zero for all of the host's. Requests
+	// that are being read get a part of it.
 	MemoryMB int64 `json:"memory_mb"`
 }
 
 // memoryBytes returns the memory that the process may use, zero if it is unknown.
-func (s *Settings) memoryBytes() int64 { return s.MemoryMB << 20 }
+func (s *Settings) memoryBytes() int64 {
+	if s.MemoryMB == 0 {
+		return process.HostMemory()
+	}
+	return s.MemoryMB << 20
+}
 
 // maxForwardingCores is the share of CPU time from which on a dispatcher forwards no
 // jobs: it has CPU time for several times the jobs of an ordinary dispatcher.
