Review: a forwarded job runs twice after its sender froze

Tried: a front that forwards its jobs freezes for 2 s, its clients' channels are reset, and the stops of tasks stay without an answer for 2.5 s.

--- a/review/rig3/cancel.go
+++ b/review/rig3/cancel.go
@@ -51,7 +51,7 @@
 func (w *world) cancel(front *machine, j *sentJob) {
 	time.Sleep(400 * time.Millisecond)
 	for range 10 {
-		status, _ := w.call(http.MethodDelete, front, j, 1500*time.Millisecond)
+		status := w.call(http.MethodDelete, front, j, 1500*time.Millisecond)
 		if status/100 == 2 || status == http.StatusGone {
 			w.mu.Lock()
 			j.cancelAckedAt = time.Now()
--- a/review/rig3/endpoint.go
+++ b/review/rig3/endpoint.go
@@ -38,6 +38,10 @@
 	count    int64
 	changed  chan struct{}
 	sequence int64
+	// stopsLate is set while stops stay without an answer. Meanwhile orders counts the orders,
+	// and lateOrders those without an answer.
+	stopsLate          bool
+	orders, lateOrders int
 }
 
 type runID struct {
@@ -118,6 +122,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.leavesUnanswered(r.URL.Path, c) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	reason := ""
 	switch r.URL.Path {
 	case "/run-start":
--- a/review/rig3/job.go
+++ b/review/rig3/job.go
@@ -42,8 +42,14 @@
 	return j
 }
 
-// call makes a client's call and returns the status, 0 if there was no answer.
-func (w *world) call(method string, front *machine, j *sentJob, budget time.Duration) (int, string) {
+// call makes a client's call on a new channel and returns the status, 0 if there was no answer.
+func (w *world) call(method string, front *machine, j *sentJob, budget time.Duration) int {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return w.callWith(client, method, front, j, budget)
+}
+
+// callWith is call on a channel of the given client.
+func (w *world) callWith(client *http.Client, method string, front *machine, j *sentJob, budget time.Duration) int {
 	body := ""
 	if method == http.MethodPost {
 		body = j.body
@@ -55,16 +61,15 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
 	w.note("client: %s %s at %s", method, j.id, front.name)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		w.note("client: %s %s at %s: no answer: %v", method, j.id, front.name, err)
-		return 0, ""
+		return 0
 	}
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(resp.Body)
 	w.note("client: %s %s at %s: %d %s", method, j.id, front.name, resp.StatusCode, text)
-	return resp.StatusCode, string(text)
+	return resp.StatusCode
 }
 
 // onStart records a start at an endpoint.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -18,7 +18,8 @@
 
 // cases are the plays by name.
 var cases = map[string]func(*world){
-	"cancel": playCancel,
+	"cancel":  playCancel,
+	"forward": playForward,
 }
 
 func main() {
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -31,6 +31,8 @@
 	violations []string
 	jobs       map[string]*sentJob
 
+	// shares are the processor shares of machines that differ from the usual ones.
+	shares    map[string]float64
 	store     *storeStandin
 	endpoints []*endpointStandin
 	fronts    []*machine
@@ -145,6 +147,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
+	// frozen is set while the machine stands still.
+	frozen bool
 }
 
 func (m *machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
@@ -176,6 +180,9 @@
 	if role == "runner" {
 		share = 0.24
 	}
+	if own := m.world.shares[m.name]; own > 0 {
+		share = own
+	}
 	return map[string]any{
 		"node_name": m.name, "ip": m.ip, "zone": m.zone, "heartbeat_ms": heartbeatMS,
 		"listen":              map[string]any{"front": m.address(portFront), "ready": m.address(portReady), "control": m.address(portControl)},
