--- a/review/rig3/endpoint.go
+++ b/review/rig3/endpoint.go
@@ -38,10 +38,6 @@
 	count    int64
 	changed  chan struct{}
 	sequence int64
-	// stopsLate is set while stops stay without an answer. Meanwhile orders counts the orders,
-	// and lateOrders those without an answer.
-	stopsLate          bool
-	orders, lateOrders int
 }
 
 type runID struct {
@@ -122,10 +118,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if e.leavesUnanswered(r.URL.Path, c) {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	reason := ""
 	switch r.URL.Path {
 	case "/run-start":
@@ -215,7 +207,6 @@
 	if c.Attempt <= e.highest[c.Task] {
 		return "old"
 	}
-	e.highest[c.Task] = c.Attempt
 	work := workOf(c.Spec, c.Task)
 	e.runs[id] = &run{startedAt: time.Now(), work: work, timer: time.AfterFunc(work, func() { e.finish(id) })}
 	e.world.onStart(e, id, c.Spec)
@@ -272,6 +263,7 @@
 func (e *endpointStandin) end(id runID, how string) {
 	e.runs[id].timer.Stop()
 	delete(e.runs, id)
+	e.highest[id.task] = max(e.highest[id.task], id.attempt)
 	e.count++
 	e.ended = append(e.ended, ended{e.count, id, how})
 	close(e.changed)
--- a/review/rig3/job.go
+++ b/review/rig3/job.go
@@ -44,12 +44,6 @@
 
 // call makes a client's call on a new channel and returns the status, 0 if there was no answer.
 func (w *world) call(method string, front *machine, j *sentJob, budget time.Duration) int {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return w.callWith(client, method, front, j, budget)
-}
-
-// callWith is call on a channel of the given client.
-func (w *world) callWith(client *http.Client, method string, front *machine, j *sentJob, budget time.Duration) int {
 	body := ""
 	if method == http.MethodPost {
 		body = j.body
@@ -61,6 +55,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
 	w.note("client: %s %s at %s", method, j.id, front.name)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		w.note("client: %s %s at %s: no answer: %v", method, j.id, front.name, err)
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,8 +19,7 @@
 
 // cases are the plays by name.
 var cases = map[string]func(*world){
-	"cancel":  playCancel,
-	"forward": playForward,
+	"cancel": playCancel,
 }
 
 func main() {
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -33,8 +33,6 @@
 	// inTouchFrom is when machines are in touch after an outage of the store.
 	inTouchFrom time.Time
 
-	// shares are the processor shares of machines that differ from the usual ones.
-	shares    map[string]float64
 	store     *storeStandin
 	endpoints []*endpointStandin
 	fronts    []*machine
@@ -152,8 +150,6 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// frozen is set while the machine stands still.
-	frozen bool
 }
 
 func (m *machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
@@ -185,9 +181,6 @@
 	if role == "runner" {
 		share = 0.24
 	}
-	if own := m.world.shares[m.name]; own > 0 {
-		share = own
-	}
 	return map[string]any{
 		"node_name": m.name, "ip": m.ip, "zone": m.zone, "heartbeat_ms": heartbeatMS,
 		"listen":              map[string]any{"front": m.address(portFront), "ready": m.address(portReady), "control": m.address(portControl)},
@@ -224,16 +217,6 @@
 	m.world.note("%s: started", m.name)
 }
 
-// signal sends a signal to the process.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd != nil {
-		m.world.note("%s: %v", m.name, s)
-		_ = m.cmd.Process.Signal(s)
-	}
-}
-
 // kill ends the process and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
